--- /dev/null
+++ b/base/metrics/histogram.go
@@ -0,0 +1,63 @@
+package metrics
+
+import (
+	"expvar"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// bounds of a Histogram's buckets.
+var bounds = []time.Duration{
+	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
+	50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond,
+	time.Second, 2 * time.Second, 5 * time.Second, 10 * time.Second,
+}
+
+// Histogram counts latencies in fixed buckets. It is safe for concurrent use.
+type Histogram struct {
+	buckets [14]atomic.Int64 // the last one is above all bounds
+	sum     atomic.Int64     // nanoseconds
+}
+
+// NewHistogram returns a histogram and publishes it; a second one of the same
+// name is returned instead of made.
+func NewHistogram(name string) *Histogram {
+	publishing.Lock()
+	defer publishing.Unlock()
+	if h, ok := expvar.Get(name).(*Histogram); ok {
+		return h
+	}
+	h := &Histogram{}
+	expvar.Publish(name, h)
+	return h
+}
+
+// Observe adds one latency.
+func (h *Histogram) Observe(d time.Duration) {
+	at := 0
+	for at < len(bounds) && d > bounds[at] {
+		at++
+	}
+	h.buckets[at].Add(1)
+	h.sum.Add(int64(d))
+}
+
+// String returns the counts as JSON, by the buckets' upper bounds in milliseconds.
+func (h *Histogram) String() string {
+	var b strings.Builder
+	b.WriteString("{")
+	total := int64(0)
+	for i := range h.buckets {
+		n := h.buckets[i].Load()
+		total += n
+		bound := "inf"
+		if i < len(bounds) {
+			bound = fmt.Sprint(bounds[i].Milliseconds())
+		}
+		fmt.Fprintf(&b, "%q: %d, ", "le_"+bound+"_ms", n)
+	}
+	fmt.Fprintf(&b, "\"count\": %d, \"sum_ms\": %d}", total, h.sum.Load()/int64(time.Millisecond))
+	return b.String()
+}
--- /dev/null
+++ b/cmd/dandelion-orders/main.go
@@ -0,0 +1,12 @@
+// Command dandelion-orders runs beside one engine on the prepared machines and
+// orders it to load weights.
+package main
+
+import (
+	"os"
+
+	"dandelionsill.org/base/run"
+	"dandelionsill.org/gateway/server"
+)
+
+func main() { os.Exit(run.Daemon("dandelion-orders", os.Args[1:], server.BuildAgent)) }
--- /dev/null
+++ b/decide/members/members.go
@@ -0,0 +1,109 @@
+// Package members decides which backend servers take new work, from the
+// entries that servers keep in the platform's store. It is a pure state: the
+// caller passes in what was read, and when.
+package members
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Server is what a backend server says of itself.
+type Server struct {
+	ID            string // changes at each start
+	Service       string
+	Addr          string // IP:port
+	FailureDomain string
+	Slots         int
+	Leaving       bool
+	// Versions is the weight version of each model that the server has
+	// loaded, as of its last entry; empty for plain services.
+	Versions map[string]uint64
+}
+
+// DefaultReturn is how long after an outage of the store a server whose entry
+// lapsed meanwhile may still write it again: about two seconds by the users'
+// letter, and a heartbeat's jitter.
+const DefaultReturn = 2200 * time.Millisecond
+
+// Set is the servers known to one process. It is not safe for concurrent use.
+type Set struct {
+	servers map[string]Server
+	// lapsed are servers whose entries went away around an outage, with the
+	// time until which they still count.
+	lapsed map[string]time.Time
+	// graceUntil ends the time in which entries that vanish count as lapsed.
+	graceUntil time.Time
+	wait       time.Duration
+}
+
+// New returns an empty set; wait is how long servers have to come back after
+// an outage of the store.
+func New(wait time.Duration) *Set {
+	return &Set{servers: map[string]Server{}, lapsed: map[string]time.Time{}, wait: wait}
+}
+
+// StoreReturned tells that the store answers again after it had been away.
+// Entries that lapsed in the outage go back to their servers within wait, so
+// that a server is not taken for gone before then: without it an outage longer
+// than three heartbeats would leave no server at all right after it.
+func (s *Set) StoreReturned(now time.Time) { s.graceUntil = now.Add(s.wait) }
+
+// Put adds or replaces an entry.
+func (s *Set) Put(server Server) {
+	delete(s.lapsed, server.ID)
+	s.servers[server.ID] = server
+}
+
+// Remove takes the entry of a server away.
+func (s *Set) Remove(id string, now time.Time) {
+	if _, ok := s.servers[id]; !ok {
+		return
+	}
+	if now.Before(s.graceUntil) {
+		s.lapsed[id] = s.graceUntil
+		return
+	}
+	delete(s.servers, id)
+	delete(s.lapsed, id)
+}
+
+// Replace brings the set to a full list of entries.
+func (s *Set) Replace(list []Server, now time.Time) {
+	listed := make(map[string]bool, len(list))
+	for _, server := range list {
+		listed[server.ID] = true
+		s.Put(server)
+	}
+	for id := range s.servers {
+		if !listed[id] {
+			s.Remove(id, now)
+		}
+	}
+}
+
+// Expire drops the servers that did not come back in time and tells whether
+// there were any.
+func (s *Set) Expire(now time.Time) bool {
+	any := false
+	for id, until := range s.lapsed {
+		if now.Before(until) {
+			continue
+		}
+		delete(s.lapsed, id)
+		delete(s.servers, id)
+		any = true
+	}
+	return any
+}
+
+// ByService returns the servers of each service, sorted by id.
+func (s *Set) ByService() map[string][]Server {
+	by := map[string][]Server{}
+	for _, id := range slices.Sorted(maps.Keys(s.servers)) {
+		server := s.servers[id]
+		by[server.Service] = append(by[server.Service], server)
+	}
+	return by
+}
--- /dev/null
+++ b/decide/place/place.go
@@ -0,0 +1,184 @@
+// Package place decides which engine gets which sample. It answers the load of
+// synchronous training: a whole step arrives at once, the trainer waits for the
+// last sample of almost every group, and one sample in twelve is several times
+// longer than the others. So samples are bound late, the longest first, to the
+// engine with the most room, and leave an engine that is much slower than its
+// peers. It has no clock and does no I/O.
+package place
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Engine is a model engine as its users see it.
+type Engine struct {
+	ID    string
+	Slots int
+	// Load is the number of samples that run or wait there.
+	Load int
+	// Pace is the time of one event there, in any unit that all engines
+	// share; 0: not known.
+	Pace float64
+	// Versions holds the weight version of each model that may be used now. A
+	// model whose weights are being loaded is not in it.
+	Versions map[string]uint64
+}
+
+// Sample is one sample that wants an engine.
+type Sample struct {
+	ID    string
+	Model string
+	// Floor is the oldest weight version that may make it.
+	Floor uint64
+	// Left is how much of it is still to be made, in any unit that all
+	// samples share.
+	Left float64
+	// Rank goes before Left; lower is sooner.
+	Rank int
+	// Avoid names engines that failed it lately.
+	Avoid map[string]bool
+	// Prompt names what it shares with its siblings; an engine that has read
+	// it need not do so again.
+	Prompt string
+}
+
+// Choice binds a sample to an engine.
+type Choice struct {
+	Sample int // index
+	Engine int // index
+}
+
+// Weights of the choice, in shares of a full engine.
+const (
+	// warmGain is what a prompt that the engine has read is worth: reading one
+	// takes as long as a few tokens, so it only breaks ties of a slot or less.
+	warmGain = 0.13
+	// slowFactor is how much slower than the median an engine has to be for
+	// its samples to leave it. Engines of one kind differ by a few percent;
+	// slowed ones by a factor of two or more.
+	slowFactor = 1.7
+)
+
+// Assign binds as many samples as there are free places and returns the
+// bindings in the order of urgency. Loads of the engines are raised on the way.
+func Assign(engines []Engine, samples []Sample) []Choice {
+	order := make([]int, len(samples))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(samples[a].Rank, samples[b].Rank), cmp.Compare(samples[b].Left, samples[a].Left))
+	})
+	median := medianPace(engines)
+	warm := map[warmKey]bool{}
+	var choices []Choice
+	for _, i := range order {
+		at := best(engines, &samples[i], median, warm)
+		if at < 0 {
+			continue
+		}
+		engines[at].Load++
+		warm[warmKey{at, samples[i].Prompt}] = true
+		choices = append(choices, Choice{Sample: i, Engine: at})
+	}
+	return choices
+}
+
+type warmKey struct {
+	engine int
+	prompt string
+}
+
+// best returns the engine for a sample; -1: none has room.
+func best(engines []Engine, s *Sample, median float64, warm map[warmKey]bool) int {
+	at, least := -1, 0.0
+	for i := range engines {
+		if !fits(&engines[i], s) || s.Avoid[engines[i].ID] {
+			continue
+		}
+		score := score(&engines[i], median)
+		if s.Prompt != "" && warm[warmKey{i, s.Prompt}] {
+			score -= warmGain
+		}
+		if at < 0 || score < least {
+			at, least = i, score
+		}
+	}
+	return at
+}
+
+func fits(e *Engine, s *Sample) bool {
+	version, serves := e.Versions[s.Model]
+	return serves && version >= s.Floor && e.Load < e.Slots
+}
+
+// score rates an engine; less is better.
+func score(e *Engine, median float64) float64 {
+	load := float64(e.Load+1) / float64(max(1, e.Slots))
+	if e.Pace > 0 && median > 0 && e.Pace > slowFactor*median {
+		return load + e.Pace/median
+	}
+	return load
+}
+
+func medianPace(engines []Engine) float64 {
+	var paces []float64
+	for _, e := range engines {
+		if e.Pace > 0 {
+			paces = append(paces, e.Pace)
+		}
+	}
+	if len(paces) == 0 {
+		return 0
+	}
+	slices.Sort(paces)
+	return paces[(len(paces)-1)/2]
+}
+
+// Running is a sample that runs.
+type Running struct {
+	Sample
+	Engine string
+}
+
+// Leave returns the index of a running sample that should go on elsewhere, for
+// it runs on an engine much slower than the one that has room for it; -1: none.
+// The one with the most left gains the most. One at a time keeps the room that
+// was seen from being promised twice.
+func Leave(engines []Engine, running []Running) int {
+	median := medianPace(engines)
+	if median == 0 {
+		return -1
+	}
+	byID := make(map[string]*Engine, len(engines))
+	for i := range engines {
+		byID[engines[i].ID] = &engines[i]
+	}
+	found := -1
+	for i := range running {
+		r := &running[i]
+		here := byID[r.Engine]
+		if here == nil || here.Pace <= slowFactor*median {
+			continue
+		}
+		if found >= 0 && running[found].Left >= r.Left {
+			continue
+		}
+		if hasRoom(engines, r, median) {
+			found = i
+		}
+	}
+	return found
+}
+
+// hasRoom tells whether an engine of usual pace has a place for the sample.
+func hasRoom(engines []Engine, r *Running, median float64) bool {
+	for i := range engines {
+		e := &engines[i]
+		if e.ID != r.Engine && !r.Avoid[e.ID] && e.Pace <= slowFactor*median && fits(e, &r.Sample) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/fold/jobs/jobs.go
@@ -0,0 +1,303 @@
+// Package jobs is the pure fold of the records of batch jobs. Every process
+// folds the same records in the same order, so that all of them hold the same
+// jobs, the same results at the same positions and the same owner of a job.
+//
+// Correctness rests on the fold alone: of two results of an item the first in
+// the log stands, of two claims with the same prior owner the first wins, and
+// records that come late, twice or from a process that lost its job change
+// nothing. Owners only save work.
+package jobs
+
+import (
+	"slices"
+	"strings"
+)
+
+// ItemState is an item with what has become of it.
+type ItemState struct {
+	Item
+	// Events is the text so far, until the item has a result.
+	Events   []Event
+	Run      int // which start from the first event made Events
+	Whole    bool
+	Failures int
+	Server   string // where the owner last said that it runs
+	Position int    // in Job.Results; -1: no result yet
+}
+
+// Done tells whether the item has its result.
+func (i *ItemState) Done() bool { return i.Position >= 0 }
+
+// Job is an accepted batch job.
+type Job struct {
+	Head
+	Items   map[string]*ItemState
+	Order   []string // item ids in the order of submission
+	Results []Result
+	Ended   bool
+
+	Owner Writer
+	// Claim is the offset of the record that made Owner the owner.
+	Claim    uint64
+	Released bool // the owner has given the job up
+}
+
+// Open tells whether there is still work for an owner.
+func (j *Job) Open() bool { return !j.Ended && len(j.Results) < j.Total }
+
+// submission gathers the parts of an accepted job.
+type submission struct {
+	parts map[int]*Accept
+}
+
+// Change tells what a record changed.
+type Change struct {
+	Accepted []string
+	Ended    []string
+	// Owned are jobs whose owner changed.
+	Owned   []string
+	Results int
+	Engines int
+}
+
+// EngineKey names a model at a server.
+type EngineKey struct{ Server, Model string }
+
+// State is the fold. It is not safe for concurrent use.
+type State struct {
+	Jobs map[string]*Job
+
+	pending map[string]*submission
+	// running counts the items at each server by the owners' own word.
+	running map[string]int
+	order   []string // jobs in the order of acceptance
+	engines map[EngineKey]Engine
+}
+
+// New returns the state before the first record.
+func New() *State {
+	return &State{Jobs: map[string]*Job{}, pending: map[string]*submission{}, running: map[string]int{}, engines: map[EngineKey]Engine{}}
+}
+
+// Running is the number of items that run at a server, by their owners' word.
+func (s *State) Running(server string) int { return s.running[server] }
+
+// Engine is the last word about a model at a server.
+func (s *State) Engine(server, model string) (Engine, bool) {
+	e, ok := s.engines[EngineKey{server, model}]
+	return e, ok
+}
+
+// Apply folds the record at an offset.
+func (s *State) Apply(offset uint64, r *Record) Change {
+	var c Change
+	if r.Accept != nil {
+		s.accept(offset, r, &c)
+	}
+	for _, claim := range r.Claims {
+		s.claim(offset, r.Writer, claim, &c)
+	}
+	for _, id := range r.Releases {
+		if j := s.owned(id, r.Writer); j != nil {
+			j.Released = true
+			s.leaveServers(j)
+			c.Owned = append(c.Owned, id)
+		}
+	}
+	for _, start := range r.Starts {
+		s.start(r.Writer, start)
+	}
+	for _, p := range r.Progress {
+		s.progress(r.Writer, p)
+	}
+	for _, result := range r.Results {
+		s.result(result, &c)
+	}
+	for _, e := range r.Engines {
+		s.engines[EngineKey{e.Server, e.Model}] = e
+		c.Engines++
+	}
+	for _, id := range r.Ends {
+		s.end(id, &c)
+	}
+	return c
+}
+
+func (s *State) accept(offset uint64, r *Record, c *Change) {
+	a := r.Accept
+	if s.Jobs[a.ID] != nil || a.Parts < 1 || a.Part < 0 || a.Part >= a.Parts {
+		return
+	}
+	key := a.ID + "/" + a.Submission
+	sub := s.pending[key]
+	if sub == nil {
+		sub = &submission{parts: map[int]*Accept{}}
+		s.pending[key] = sub
+	}
+	sub.parts[a.Part] = a
+	if len(sub.parts) < a.Parts {
+		return
+	}
+	s.add(offset, r.Writer, sub, a)
+	c.Accepted = append(c.Accepted, a.ID)
+}
+
+// add makes the job of a whole submission and forgets what others handed in of it.
+func (s *State) add(offset uint64, owner Writer, sub *submission, last *Accept) {
+	j := &Job{Head: last.Head, Items: map[string]*ItemState{}, Owner: owner, Claim: offset}
+	for part := range last.Parts {
+		for _, item := range sub.parts[part].Items {
+			if j.Items[item.ID] != nil {
+				continue
+			}
+			j.Items[item.ID] = &ItemState{Item: item, Position: -1}
+			j.Order = append(j.Order, item.ID)
+		}
+	}
+	j.Total = len(j.Order)
+	s.Jobs[j.ID] = j
+	s.order = append(s.order, j.ID)
+	for key := range s.pending {
+		if strings.HasPrefix(key, j.ID+"/") {
+			delete(s.pending, key)
+		}
+	}
+}
+
+// owned returns the job if the writer owns it.
+func (s *State) owned(id string, w Writer) *Job {
+	j := s.Jobs[id]
+	if j == nil || j.Owner != w || j.Released {
+		return nil
+	}
+	return j
+}
+
+func (s *State) claim(offset uint64, w Writer, claim Claim, c *Change) {
+	j := s.Jobs[claim.Job]
+	if j == nil || j.Claim != claim.Prior || !j.Open() {
+		return
+	}
+	j.Owner, j.Claim, j.Released = w, offset, false
+	s.leaveServers(j)
+	c.Owned = append(c.Owned, j.ID)
+}
+
+// leaveServers forgets where a job's items ran, for its owner is gone.
+func (s *State) leaveServers(j *Job) {
+	for _, item := range j.Items {
+		s.move(item, "")
+	}
+}
+
+func (s *State) move(item *ItemState, server string) {
+	if item.Server != "" {
+		s.running[item.Server]--
+		if s.running[item.Server] <= 0 {
+			delete(s.running, item.Server)
+		}
+	}
+	item.Server = server
+	if server != "" {
+		s.running[server]++
+	}
+}
+
+func (s *State) start(w Writer, start Start) {
+	j := s.owned(start.Job, w)
+	if j == nil || !j.Open() {
+		return
+	}
+	if item := j.Items[start.Item]; item != nil && !item.Done() {
+		s.move(item, start.Server)
+	}
+}
+
+// progress adds events where the writer owns the job and the events follow on
+// what is known of the same run. A record that the store carried out late would
+// else put events of two runs into one text.
+func (s *State) progress(w Writer, p Progress) {
+	j := s.owned(p.Job, w)
+	if j == nil {
+		return
+	}
+	item := j.Items[p.Item]
+	if item == nil || item.Done() || p.Run < item.Run {
+		return
+	}
+	if p.Run > item.Run {
+		item.Run, item.Events, item.Whole = p.Run, nil, false
+	}
+	item.Failures = max(item.Failures, p.Failures)
+	known := len(item.Events) - p.From
+	if known < 0 || known > len(p.Events) {
+		return
+	}
+	item.Events = append(item.Events, p.Events[known:]...)
+	item.Whole = item.Whole || p.Whole
+}
+
+// result lists an item; only the first result of an item counts.
+func (s *State) result(r Result, c *Change) {
+	j := s.Jobs[r.Job]
+	if j == nil {
+		return
+	}
+	item := j.Items[r.Item]
+	if item == nil || item.Done() {
+		return
+	}
+	item.Position = len(j.Results)
+	item.Events = nil
+	s.move(item, "")
+	j.Results = append(j.Results, r)
+	c.Results++
+	if len(j.Results) == j.Total {
+		c.Ended = append(c.Ended, j.ID)
+	}
+}
+
+func (s *State) end(id string, c *Change) {
+	j := s.Jobs[id]
+	if j == nil || j.Ended {
+		return
+	}
+	j.Ended = true
+	s.leaveServers(j)
+	c.Ended = append(c.Ended, id)
+}
+
+// Earlier returns the newest other job's state of an item with the same id, for
+// groups that come again in a later job; nil: none.
+func (s *State) Earlier(job, item string) (*Job, *ItemState) {
+	for _, id := range slices.Backward(s.order) {
+		if id == job {
+			continue
+		}
+		j := s.Jobs[id]
+		if found := j.Items[item]; found != nil {
+			return j, found
+		}
+	}
+	return nil, nil
+}
+
+// Each calls f for each job in the order of acceptance.
+func (s *State) Each(f func(*Job)) {
+	for _, id := range s.order {
+		f(s.Jobs[id])
+	}
+}
+
+// Forget drops jobs that were submitted before a time of day, in Unix
+// milliseconds, and are no longer open.
+func (s *State) Forget(beforeMS int64) {
+	s.order = slices.DeleteFunc(s.order, func(id string) bool {
+		j := s.Jobs[id]
+		if j.Open() || j.SubmittedMS >= beforeMS {
+			return false
+		}
+		delete(s.Jobs, id)
+		return true
+	})
+}
--- /dev/null
+++ b/fold/jobs/record.go
@@ -0,0 +1,144 @@
+package jobs
+
+import (
+	"encoding/json"
+
+	"github.com/juju/errors"
+)
+
+// Writer names the process that wrote a record.
+type Writer struct {
+	Node string `json:"n"`
+	Life string `json:"l"` // changes at each start of the process
+}
+
+// Request is a request to be sent to a backend server.
+type Request struct {
+	ID     string            `json:"id"`
+	Host   string            `json:"h,omitempty"`
+	Path   string            `json:"p"`
+	Header map[string]string `json:"hd,omitempty"`
+	Body   []byte            `json:"b,omitempty"`
+}
+
+// Item is one sample that a batch job asks for.
+type Item struct {
+	Request
+	Group  string   `json:"g,omitempty"`
+	Tokens int      `json:"tk,omitempty"` // prompt and most output tokens together
+	Score  *Request `json:"sc,omitempty"` // asked for the score of the text; nil: none
+}
+
+// Head is a batch job without its items.
+type Head struct {
+	ID         string `json:"id"`
+	Host       string `json:"h"`
+	Path       string `json:"p"`
+	Step       int    `json:"s"`
+	Model      string `json:"m,omitempty"`
+	MinVersion uint64 `json:"mv,omitempty"`
+	Groups     int    `json:"tg,omitempty"` // complete groups that the trainer waits for
+	Total      int    `json:"t"`            // number of items
+	// SubmittedMS is the accepting process's time of day, in Unix milliseconds.
+	SubmittedMS int64 `json:"at"`
+}
+
+// Accept is a batch job, or the part of one that fits into a record. The parts
+// are appended together, all or none of them.
+type Accept struct {
+	Head
+	// Submission tells apart what two processes accepted of the same job.
+	Submission string `json:"sub"`
+	Part       int    `json:"pt"`
+	Parts      int    `json:"ps"`
+	Items      []Item `json:"it"`
+}
+
+// Claim takes over the ownership of a job from the owner whose claim stands at
+// offset Prior; it is void where somebody else was faster.
+type Claim struct {
+	Job   string `json:"j"`
+	Prior uint64 `json:"pr"`
+}
+
+// Start tells where an item runs now; an empty Server: nowhere.
+type Start struct {
+	Job    string `json:"j"`
+	Item   string `json:"i"`
+	Server string `json:"s,omitempty"`
+}
+
+// Event is one event of a stream.
+type Event struct {
+	Data    string `json:"d"`
+	Version uint64 `json:"v,omitempty"` // weights that made it
+}
+
+// Progress adds events to an item's text, of which From were known before.
+type Progress struct {
+	Job  string `json:"j"`
+	Item string `json:"i"`
+	// Run grows each time the item starts again without its earlier text.
+	Run    int     `json:"n,omitempty"`
+	From   int     `json:"f"`
+	Events []Event `json:"e,omitempty"`
+	// Failures counts the answers of servers that failed the item.
+	Failures int `json:"x,omitempty"`
+	// Whole tells that no further event follows.
+	Whole bool `json:"w,omitempty"`
+}
+
+// Result ends an item.
+type Result struct {
+	Job      string   `json:"j"`
+	Item     string   `json:"i"`
+	GivenUp  bool     `json:"x,omitempty"`
+	Text     string   `json:"t,omitempty"`
+	Versions []uint64 `json:"v,omitempty"`
+	Score    string   `json:"s,omitempty"`
+}
+
+// Engine is what the process beside an engine says of it.
+type Engine struct {
+	Server string `json:"s"`
+	Model  string `json:"m"`
+	// Version is what the engine serves now, or is loading.
+	Version uint64 `json:"v"`
+	Loading bool   `json:"l,omitempty"`
+}
+
+// Record is one record of the stream: what one process has to say at once.
+type Record struct {
+	Writer
+	Accept   *Accept    `json:"a,omitempty"`
+	Claims   []Claim    `json:"c,omitempty"`
+	Releases []string   `json:"r,omitempty"` // jobs that their owner gives up
+	Starts   []Start    `json:"st,omitempty"`
+	Progress []Progress `json:"pg,omitempty"`
+	Results  []Result   `json:"rs,omitempty"`
+	Ends     []string   `json:"e,omitempty"` // jobs that their trainer ended
+	Engines  []Engine   `json:"en,omitempty"`
+}
+
+// Empty tells whether the record says nothing but that its writer lives.
+func (r *Record) Empty() bool {
+	return r.Accept == nil && len(r.Claims)+len(r.Releases)+len(r.Starts)+len(r.Progress)+len(r.Results)+len(r.Ends)+len(r.Engines) == 0
+}
+
+// Encode returns the record's bytes.
+func (r *Record) Encode() ([]byte, error) {
+	data, err := json.Marshal(r)
+	return data, errors.Trace(err)
+}
+
+// Decode reads a record.
+func Decode(data []byte) (*Record, error) {
+	var r Record
+	if err := json.Unmarshal(data, &r); err != nil {
+		return nil, errors.Annotate(err, "record of batch jobs")
+	}
+	if r.Node == "" {
+		return nil, errors.New("record of batch jobs names no writer")
+	}
+	return &r, nil
+}
--- /dev/null
+++ b/gateway/backend/backend.go
@@ -0,0 +1,279 @@
+// Package backend sends single requests to backend servers over kept HTTP/1.1
+// connections. It tells apart what was surely not sent from what may have run,
+// and hands no bytes on that belong to another request.
+//
+// net/http's own client is not used here: it takes whatever stands next on a
+// connection for the answer, so that a late second answer of one request would
+// be given to the next.
+package backend
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"dandelionsill.org/base/metrics"
+)
+
+// Errors of Do. ErrNotSent proves that the server got no byte of the request;
+// after any other it may have run.
+var (
+	ErrNotSent  = errors.New("backend: not sent")
+	ErrBroken   = errors.New("backend: connection broke before the whole answer")
+	ErrMismatch = errors.New("backend: the answer belongs to another request")
+)
+
+// Limits of connections.
+const (
+	// dialTimeout bounds a connection to a server a few milliseconds away; a
+	// silent machine is known by it.
+	dialTimeout = 300 * time.Millisecond
+	// keptPerServer bounds the idle connections kept to one server.
+	keptPerServer = 16
+	// drainLimit is how much is read of an answer that nobody wants, to keep
+	// its connection; in bytes.
+	drainLimit = 64 << 10
+	// writtenAtOnce is the longest body that surely fits into the socket's
+	// buffer, in bytes.
+	writtenAtOnce = 8 << 10
+)
+
+var (
+	connsOpened = metrics.Counter("backend_connections_opened_total")
+	mismatches  = metrics.Counter("backend_mismatched_answers_total")
+)
+
+// Request is one request to a server.
+type Request struct {
+	Method string
+	URI    string // path and query as the caller sent them
+	Host   string
+	Header http.Header
+	Body   []byte
+	// ID names the request; the answer has to bear the same.
+	ID string
+}
+
+// Answer is the head of a server's answer, with its body still to be read.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   io.Reader
+	// Length is the body's length; -1: not known beforehand.
+	Length int64
+
+	conn *conn
+	resp *http.Response
+	pool *Pool
+	addr string
+	done bool
+	stop func() bool
+}
+
+// IDOf reads the request id that an answer bears; empty: none.
+type IDOf func(http.Header) string
+
+// Pool keeps connections to any number of servers. It is safe for concurrent use.
+type Pool struct {
+	idOf IDOf
+	dial func(ctx context.Context, addr string) (net.Conn, error)
+
+	mu   sync.Mutex
+	idle map[string][]*conn // by server address, the newest last
+}
+
+// NewPool returns an empty pool.
+func NewPool(idOf IDOf) *Pool {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Pool{
+		idOf: idOf,
+		dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", addr)
+		},
+		idle: map[string][]*conn{},
+	}
+}
+
+// Do sends a request to the server at addr and reads the head of its answer.
+// When ctx ends the connection is closed, which tells the server to stop.
+// Close the answer in any case.
+func (p *Pool) Do(ctx context.Context, addr string, req *Request) (*Answer, error) {
+	c, err := p.take(ctx, addr)
+	if err != nil {
+		return nil, errors.Wrap(err, ErrNotSent)
+	}
+	// Closing is the only way to interrupt a read or write of the connection.
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	resp, err := p.exchange(c, req)
+	if err != nil {
+		stop()
+		_ = c.Close()
+		return nil, err
+	}
+	return &Answer{
+		Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength,
+		conn: c, resp: resp, pool: p, addr: addr, stop: stop,
+	}, nil
+}
+
+// exchange sends the request and reads the head of the answer.
+func (p *Pool) exchange(c *conn, req *Request) (*http.Response, error) {
+	sent := p.send(c, req)
+	resp, err := readFinal(c, req.Method)
+	if err != nil {
+		return nil, errors.Wrap(err, ErrBroken)
+	}
+	if got := p.idOf(resp.Header); got != "" && got != req.ID {
+		mismatches.Add(1)
+		return nil, ErrMismatch
+	}
+	select {
+	case err := <-sent:
+		resp.Close = resp.Close || err != nil
+	default:
+		// The rest of the body is still on its way: the connection can't be
+		// used again, or the next request would stand within this body.
+		resp.Close = true
+	}
+	return resp, nil
+}
+
+// send writes the request. A server may answer before it has read a long body
+// and read no further meanwhile, so that a long one is written beside the
+// reading of the answer.
+func (p *Pool) send(c *conn, req *Request) <-chan error {
+	sent := make(chan error, 1)
+	if len(req.Body) <= writtenAtOnce {
+		sent <- req.write(c)
+		return sent
+	}
+	go func() { sent <- req.write(c) }()
+	return sent
+}
+
+func (r *Request) write(c *conn) error {
+	w := c.w
+	_, _ = w.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		_, _ = w.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	_ = r.Header.Write(w) // errors of the writer stay and show at Flush
+	_, _ = w.WriteString("\r\n")
+	_, _ = w.Write(r.Body)
+	return errors.Trace(w.Flush())
+}
+
+// readFinal reads the head of the final answer, past interim ones.
+func readFinal(c *conn, method string) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+}
+
+// take returns a kept connection that is still usable, or a new one.
+func (p *Pool) take(ctx context.Context, addr string) (*conn, error) {
+	now := time.Now()
+	for {
+		c := p.pop(addr)
+		if c == nil {
+			break
+		}
+		if c.usable(now) {
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	raw, err := p.dial(ctx, addr)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	connsOpened.Add(1)
+	return newConn(raw), nil
+}
+
+func (p *Pool) pop(addr string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[addr]
+	if len(kept) == 0 {
+		return nil
+	}
+	c := kept[len(kept)-1]
+	p.idle[addr] = kept[:len(kept)-1]
+	return c
+}
+
+func (p *Pool) keep(addr string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[addr]) >= keptPerServer {
+		_ = c.Close()
+		return
+	}
+	p.idle[addr] = append(p.idle[addr], c)
+}
+
+// Retain closes the connections to all servers but those at the addresses.
+func (p *Pool) Retain(addrs map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, kept := range p.idle {
+		if addrs[addr] {
+			continue
+		}
+		for _, c := range kept {
+			_ = c.Close()
+		}
+		delete(p.idle, addr)
+	}
+}
+
+// ReadAll reads the whole body; an error is ErrBroken. limit bounds it, in bytes.
+func (a *Answer) ReadAll(limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(a.Body, limit+1))
+	if err != nil {
+		return nil, errors.Wrap(err, ErrBroken)
+	}
+	if int64(len(body)) > limit {
+		return nil, errors.Annotatef(ErrBroken, "body of over %d bytes", limit)
+	}
+	a.done = true
+	return body, nil
+}
+
+// Finished tells that the body was read to its end.
+func (a *Answer) Finished() { a.done = true }
+
+// Close gives the connection back where the answer was read whole, and closes
+// it otherwise, which makes the server stop.
+func (a *Answer) Close() {
+	unharmed := a.stop()
+	reusable := unharmed && a.done && !a.resp.Close && a.conn.r.Buffered() == 0
+	if !reusable {
+		_ = a.conn.Close()
+		return
+	}
+	a.conn.fresh = false
+	a.conn.expires = time.Now().Add(keepFor(a.Header.Get("Keep-Alive")))
+	a.pool.keep(a.addr, a.conn)
+}
+
+// Discard reads the rest of a small body, so that its connection can be kept.
+func (a *Answer) Discard() {
+	if _, err := a.ReadAll(drainLimit); err != nil {
+		a.done = false // Close then ends the connection
+	}
+	a.Close()
+}
--- /dev/null
+++ b/gateway/forward/fleet.go
@@ -0,0 +1,90 @@
+package forward
+
+import (
+	"sync"
+	"time"
+
+	"dandelionsill.org/decide/eject"
+	"dandelionsill.org/decide/members"
+	"dandelionsill.org/decide/route"
+)
+
+// ejection is how plain services are judged: answers take tens of milliseconds
+// there, so that a server is known within seconds and tried again as soon.
+var ejection = eject.Config{
+	Alpha: 0.3, MinSamples: 3, Factor: 4, FailureRate: 0.5, MaxShare: 0.67,
+	Base: 2 * time.Second, Longest: 10 * time.Second, Probation: 10 * time.Second,
+}
+
+// fleet is what this process has learnt about the servers of each service from
+// their answers: health checks would cost more than they tell.
+type fleet struct {
+	mu       sync.Mutex
+	pools    map[string]*eject.Pool // by service
+	inFlight map[string]int         // by server
+}
+
+func newFleet() *fleet {
+	return &fleet{pools: map[string]*eject.Pool{}, inFlight: map[string]int{}}
+}
+
+// candidates returns the servers of a service as the routing policy wants them.
+func (f *fleet) candidates(service, domain string, servers []members.Server, now time.Time) []route.Candidate {
+	ids := make([]string, len(servers))
+	for i, s := range servers {
+		ids[i] = s.ID
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ejected := f.pool(service).Judge(now, ids)
+	out := make([]route.Candidate, len(servers))
+	for i, s := range servers {
+		out[i] = route.Candidate{
+			Name:          s.ID,
+			Hash:          route.Hash(s.ID),
+			FailureDomain: s.FailureDomain,
+			Distance:      distance(domain, s.FailureDomain),
+			Ready:         true,
+			Leaving:       s.Leaving,
+			Ejected:       ejected[s.ID],
+			Slots:         s.Slots,
+			OwnNow:        f.inFlight[s.ID],
+		}
+	}
+	return out
+}
+
+func distance(ours, theirs string) route.Distance {
+	if ours == theirs {
+		return route.Near
+	}
+	return route.SameRegion
+}
+
+func (f *fleet) pool(service string) *eject.Pool {
+	p := f.pools[service]
+	if p == nil {
+		p = eject.New(ejection)
+		f.pools[service] = p
+	}
+	return p
+}
+
+func (f *fleet) begun(server string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.inFlight[server]++
+}
+
+// ended notes how a try ended after took.
+func (f *fleet) ended(service, server string, took time.Duration, failed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.inFlight[server]--
+	if f.inFlight[server] <= 0 {
+		delete(f.inFlight, server)
+	}
+	p := f.pool(service)
+	p.Served(server, took.Seconds())
+	p.Ended(server, failed)
+}
--- /dev/null
+++ b/gateway/forward/forward.go
@@ -0,0 +1,311 @@
+// Package forward gets one request answered by a server of its service: it
+// picks servers, repeats what may be repeated, and tells truthfully whether a
+// request that failed has not run.
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"dandelionsill.org/base/metrics"
+	"dandelionsill.org/decide/members"
+	"dandelionsill.org/decide/route"
+	"dandelionsill.org/decide/table"
+	"dandelionsill.org/gateway/backend"
+	"dandelionsill.org/gateway/view"
+	"dandelionsill.org/kinds"
+	"dandelionsill.org/platform/hosted"
+)
+
+// Limits of the tries of one request.
+const (
+	// refusalsMost bounds the servers that may refuse a request unrun before
+	// it is given up; they don't count against the route's attempts.
+	refusalsMost = 6
+	// hedgeShare of the route's objective passes before a safe request is sent
+	// to a second server as well. A server that has gone dark answers never,
+	// and the objective is then still met by the second one.
+	hedgeShare = 0.5
+	// hedgeDefault is for routes without an objective.
+	hedgeDefault = 300 * time.Millisecond
+	// refusedPause lies between rounds of servers that are all full.
+	refusedPause = 20 * time.Millisecond
+	// bodyMost bounds an answer that is read whole, in bytes.
+	bodyMost = 32 << 20
+	// retryAfter is when callers are told to come back: the time in which a
+	// full server ends a few requests.
+	retryAfter = 250 * time.Millisecond
+	// leastLeft is the least time that a try is worth.
+	leastLeft = 5 * time.Millisecond
+)
+
+var (
+	tries  = metrics.Counter("forward_tries_total")
+	hedges = metrics.Counter("forward_hedges_total")
+)
+
+// Call is a request to be answered by a service.
+type Call struct {
+	Route  *table.Route
+	ID     string
+	Method string
+	URI    string // path and query
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Deadline is when the answer is of no more use.
+	Deadline time.Time
+}
+
+// Reply is the whole answer of a server.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	Server string
+}
+
+// Forwarder sends calls to the servers of the view.
+type Forwarder struct {
+	View *view.View
+	Pool *backend.Pool
+
+	domain string
+	log    *zap.Logger
+	fleet  *fleet
+	policy *route.Policy
+}
+
+// New returns a forwarder of a process in a failure domain.
+func New(v *view.View, pool *backend.Pool, domain string, log *zap.Logger) *Forwarder {
+	policy := &route.Policy{
+		Stages:  append(route.HardStages(), route.SoftStages()...),
+		Scorers: []route.Scorer{route.LoadScore{}, route.DistanceScore{}},
+		Picker:  route.Lowest{},
+	}
+	return &Forwarder{View: v, Pool: pool, domain: domain, log: log, fleet: newFleet(), policy: policy}
+}
+
+// Send returns a server's answer or the reason why there is none. ctx ends
+// when the caller has gone.
+func (f *Forwarder) Send(ctx context.Context, call Call) (*Reply, *kinds.Error) {
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	defer cancel()
+	s := &sending{f: f, call: call, held: kinds.Hold(), outcomes: make(chan outcome, call.Route.MaxAttempts+refusalsMost+1),
+		service: call.Route.Pick(route.Hash(call.ID)), tried: map[string]bool{}, start: time.Now()}
+	return s.run(ctx)
+}
+
+// outcome is how one try ended.
+type outcome struct {
+	server members.Server
+	reply  *Reply
+	err    error
+	notRun bool
+	took   time.Duration
+}
+
+// sending is one call on its way. All fields belong to the goroutine of run.
+type sending struct {
+	f        *Forwarder
+	call     Call
+	held     *kinds.Held
+	service  string
+	tried    map[string]bool
+	outcomes chan outcome
+	start    time.Time
+
+	running  int // tries without an outcome
+	mayRun   int // tries that may have run, running ones included
+	refusals int
+	last     *outcome // the newest failure that a server answered itself
+}
+
+func (s *sending) run(ctx context.Context) (*Reply, *kinds.Error) {
+	hedge := time.NewTimer(s.hedgeAfter())
+	defer hedge.Stop()
+	if !s.launch(ctx) {
+		return nil, s.refuse(kinds.NoServer, "no server of the service takes work")
+	}
+	for {
+		select {
+		case o := <-s.outcomes:
+			reply, err, done := s.ended(ctx, o)
+			if done {
+				return reply, err
+			}
+		case <-hedge.C:
+			if s.mayRepeat() && s.launch(ctx) {
+				hedges.Add(1)
+			}
+		case <-ctx.Done():
+			return nil, s.outOfTime(ctx)
+		}
+	}
+}
+
+func (s *sending) hedgeAfter() time.Duration {
+	if s.call.Route.Objective <= 0 {
+		return hedgeDefault
+	}
+	return time.Duration(hedgeShare * float64(s.call.Route.Objective))
+}
+
+// mayRepeat tells whether one more server may be asked while others may have
+// run the request.
+func (s *sending) mayRepeat() bool {
+	return s.mayRun == 0 || s.call.Route.Repeatable() && s.mayRun < s.call.Route.MaxAttempts
+}
+
+// ended takes the outcome of a try: an answer, one more try, or the failure.
+func (s *sending) ended(ctx context.Context, o outcome) (*Reply, *kinds.Error, bool) {
+	s.running--
+	if o.notRun {
+		s.mayRun--
+		s.refusals++
+	}
+	s.f.logTry(&s.call, s.service, &o)
+	if o.err == nil && !o.notRun {
+		if o.reply.Status < http.StatusInternalServerError {
+			return o.reply, nil, true
+		}
+		s.last = &o
+	}
+	if s.again(ctx) || s.running > 0 {
+		return nil, nil, false
+	}
+	if ctx.Err() != nil {
+		return nil, s.outOfTime(ctx), true
+	}
+	return s.failed()
+}
+
+// again launches one more try where that is allowed and of use.
+func (s *sending) again(ctx context.Context) bool {
+	if !s.mayRepeat() || s.refusals > refusalsMost || time.Until(s.call.Deadline) < leastLeft {
+		return false
+	}
+	if s.launch(ctx) {
+		return true
+	}
+	if s.running > 0 {
+		return false
+	}
+	// Every server had its turn: after a short pause they get another.
+	clear(s.tried)
+	select {
+	case <-time.After(refusedPause):
+	case <-ctx.Done():
+		return false
+	}
+	return s.launch(ctx)
+}
+
+// failed is the answer when no try is left.
+func (s *sending) failed() (*Reply, *kinds.Error, bool) {
+	if s.last != nil {
+		return s.last.reply, nil, true
+	}
+	if s.mayRun == 0 {
+		return nil, s.refuse(kinds.Overloaded, "all servers refused the request"), true
+	}
+	return nil, kinds.New(kinds.OutcomeUnknown, "the servers asked gave no whole answer"), true
+}
+
+func (s *sending) outOfTime(ctx context.Context) *kinds.Error {
+	if ctx.Err() == context.Canceled {
+		return kinds.New(kinds.Cancelled, "the caller has gone")
+	}
+	if s.mayRun == 0 {
+		return s.refuse(kinds.Overloaded, "no server took the request in time")
+	}
+	return kinds.New(kinds.DeadlineExceeded, "no answer within the deadline")
+}
+
+// refuse makes a "not run" error, which turns into "outcome unknown" where a
+// try may have run.
+func (s *sending) refuse(kind kinds.NotRunKind, why string) *kinds.Error {
+	if s.mayRun > 0 {
+		s.held.Send()
+	}
+	return s.held.Refuse(kind, "%s", why).WithRetryAfter(retryAfter)
+}
+
+// launch sends the request to one more server; false: there is none.
+func (s *sending) launch(ctx context.Context) bool {
+	server, ok := s.pick()
+	if !ok {
+		return false
+	}
+	s.tried[server.ID] = true
+	s.running++
+	s.mayRun++
+	tries.Add(1)
+	go func() { s.outcomes <- s.f.try(ctx, s.call, s.service, server) }()
+	return true
+}
+
+func (s *sending) pick() (members.Server, bool) {
+	servers := s.f.View.Now().Servers[s.service]
+	candidates := s.f.fleet.candidates(s.service, s.f.domain, servers, time.Now())
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	choice := s.f.policy.Pick(&route.Request{Tried: s.tried}, candidates, rng, &route.Scratch{})
+	if choice.Index < 0 {
+		return members.Server{}, false
+	}
+	return servers[choice.Index], true
+}
+
+// try sends the request to one server and reads its whole answer.
+func (f *Forwarder) try(ctx context.Context, call Call, service string, server members.Server) outcome {
+	begin := time.Now()
+	f.fleet.begun(server.ID)
+	o := outcome{server: server}
+	o.reply, o.err = f.exchange(ctx, call, server)
+	o.took = time.Since(begin)
+	o.notRun = errors.Is(o.err, backend.ErrNotSent) || o.err == nil && hosted.NotExecuted(o.reply.Status, o.reply.Header)
+	gone := ctx.Err() != nil
+	f.fleet.ended(service, server.ID, o.took, !gone && (o.err != nil || o.reply.Status >= http.StatusInternalServerError))
+	return o
+}
+
+func (f *Forwarder) exchange(ctx context.Context, call Call, server members.Server) (*Reply, error) {
+	header := call.Header.Clone()
+	hosted.SetAttemptID(header, call.ID)
+	hosted.SetExpectedServer(header, server.ID)
+	hosted.SetDeadline(header, time.Until(call.Deadline))
+	answer, err := f.Pool.Do(ctx, server.Addr, &backend.Request{
+		Method: call.Method, URI: call.URI, Host: call.Host, Header: header, Body: call.Body, ID: call.ID,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Close()
+	body, err := answer.ReadAll(bodyMost)
+	if err != nil {
+		return nil, err
+	}
+	// A success without the server's signature is not the server's answer.
+	if answer.Status < http.StatusMultipleChoices && hosted.Seal(answer.Header) == "" {
+		return nil, errors.Annotate(backend.ErrBroken, "success without a signature")
+	}
+	return &Reply{Status: answer.Status, Header: answer.Header, Body: body, Server: server.ID}, nil
+}
+
+// logTry writes one line for a try that did not simply succeed.
+func (f *Forwarder) logTry(call *Call, service string, o *outcome) {
+	if o.err == nil && o.reply.Status < http.StatusMultipleChoices {
+		return
+	}
+	status := 0
+	if o.reply != nil {
+		status = o.reply.Status
+	}
+	f.log.Info("Try failed.", zap.String("id", call.ID), zap.String("service", service), zap.String("server", o.server.ID),
+		zap.Int("status", status), zap.Bool("not_run", o.notRun), zap.Duration("took", o.took), zap.Error(o.err))
+}
--- /dev/null
+++ b/gateway/front/front.go
@@ -0,0 +1,282 @@
+// Package front takes the callers' requests: it finds the route, forwards the
+// request or hands it to the batch jobs, and writes the answer.
+package front
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"dandelionsill.org/base/metrics"
+	"dandelionsill.org/decide/table"
+	"dandelionsill.org/entry/answer"
+	"dandelionsill.org/gateway/forward"
+	"dandelionsill.org/gateway/jobs"
+	"dandelionsill.org/gateway/view"
+	"dandelionsill.org/kinds"
+	"dandelionsill.org/platform/hosted"
+)
+
+// Times and sizes of requests.
+const (
+	// defaultDeadline is for callers that state none.
+	defaultDeadline = 10 * time.Second
+	// answerMargin is left of the caller's time for the way back of the answer.
+	answerMargin = 20 * time.Millisecond
+	// bodyDefault bounds a body where no configuration says, in bytes.
+	bodyDefault = 32 << 20
+	// submitShare of the caller's time is spent on getting a batch job into
+	// the log; what is left is enough to try another entry.
+	submitShare = 0.6
+)
+
+var (
+	requests = metrics.Counter("front_requests_total")
+	answered = metrics.Counter("front_answers_ok_total")
+	refusals = metrics.Counter("front_answers_not_run_total")
+	failures = metrics.Counter("front_answers_failed_total")
+)
+
+// Front is the handler of callers' requests.
+type Front struct {
+	View    *view.View
+	Forward *forward.Forwarder
+	Jobs    *jobs.Service
+	Log     *zap.Logger
+	Latency *metrics.Histogram
+
+	open     atomic.Int64
+	leaving  atomic.Bool
+}
+
+// Leave makes each answer the last of its connection.
+func (f *Front) Leave() { f.leaving.Store(true) }
+
+// Open is the number of requests that are being served.
+func (f *Front) Open() int64 { return f.open.Load() }
+
+// ServeHTTP implements http.Handler.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.open.Add(1)
+	defer f.open.Add(-1)
+	requests.Add(1)
+	begin := time.Now()
+	if f.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	status, err := f.serve(w, r, begin)
+	if err != nil {
+		status = f.fail(w, r, err, begin)
+	}
+	f.count(status)
+	f.Latency.Observe(time.Since(begin))
+}
+
+func (f *Front) count(status int) {
+	switch {
+	case status < http.StatusBadRequest:
+		answered.Add(1)
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		refusals.Add(1)
+	default:
+		failures.Add(1)
+	}
+}
+
+// serve answers the request, or returns the error to be told.
+func (f *Front) serve(w http.ResponseWriter, r *http.Request, begin time.Time) (int, *kinds.Error) {
+	held := kinds.Hold()
+	snap := f.View.Now()
+	if snap.Table == nil {
+		return 0, held.Refuse(kinds.NotReady, "no configuration yet")
+	}
+	call, err := hosted.ParseCall(r)
+	if err != nil {
+		return 0, held.Refuse(kinds.BadRequest, "%v", err)
+	}
+	if call.Kind != hosted.CallNone {
+		return f.jobCall(w, r, call)
+	}
+	route := snap.Table.Match(r.Host, r.URL.Path)
+	if route == nil {
+		return 0, held.Refuse(kinds.NotFound, "no route in version %d", snap.Table.Version)
+	}
+	body, failed := readBody(r, snap.Table.Limits.BodyBytes)
+	if failed != nil {
+		return 0, failed
+	}
+	deadline := begin.Add(timeLeft(r, route))
+	if route.Kind == table.Batch {
+		return f.submit(w, r, body, begin)
+	}
+	return f.proxy(w, r, route, body, deadline)
+}
+
+// timeLeft is how long the caller may be kept waiting.
+func timeLeft(r *http.Request, route *table.Route) time.Duration {
+	left := hosted.Deadline(r.Header)
+	if left == 0 {
+		left = defaultDeadline
+	}
+	if route.Timeout > 0 && route.Timeout < left {
+		left = route.Timeout
+	}
+	return max(left-answerMargin, left/2)
+}
+
+func readBody(r *http.Request, limit int64) ([]byte, *kinds.Error) {
+	if limit <= 0 {
+		limit = bodyDefault
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return nil, kinds.New(kinds.Cancelled, "the request's body ended early: %v", err)
+	}
+	if int64(len(body)) > limit {
+		return nil, kinds.Hold().Refuse(kinds.TooLarge, "body of over %d bytes", limit)
+	}
+	return body, nil
+}
+
+func (f *Front) proxy(w http.ResponseWriter, r *http.Request, route *table.Route, body []byte, deadline time.Time) (int, *kinds.Error) {
+	call := forward.Call{
+		Route: route, ID: hosted.AttemptID(r.Header), Method: r.Method, URI: r.RequestURI, Host: r.Host,
+		Header: forward.EndToEnd(r.Header), Body: body, Deadline: deadline,
+	}
+	if route.Kind == table.Stream {
+		return f.Forward.Stream(r.Context(), call, w)
+	}
+	reply, err := f.Forward.Send(r.Context(), call)
+	if err != nil {
+		return 0, err
+	}
+	forward.CopyHeader(w.Header(), reply.Header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(reply.Body)))
+	w.WriteHeader(reply.Status)
+	_, _ = w.Write(reply.Body) // a caller that left shows in its own context
+	return reply.Status, nil
+}
+
+// submit accepts a batch job.
+func (f *Front) submit(w http.ResponseWriter, r *http.Request, body []byte, begin time.Time) (int, *kinds.Error) {
+	if r.Method != http.MethodPost {
+		return 0, kinds.Hold().Refuse(kinds.NotFound, "batch jobs are posted")
+	}
+	head, items, err := hosted.DecodeJob(r, body)
+	if err != nil {
+		return 0, kinds.Hold().Refuse(kinds.BadRequest, "%v", err)
+	}
+	left := hosted.Deadline(r.Header)
+	if left == 0 {
+		left = defaultDeadline
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), begin.Add(time.Duration(submitShare*float64(left))))
+	defer cancel()
+	failed := f.Jobs.Submit(ctx, head, items)
+	f.Log.Info("Submission.", zap.String("job", head.ID), zap.Int("step", head.Step), zap.Int("items", len(items)),
+		zap.Duration("took", time.Since(begin)), zap.Error(errorOrNil(failed)))
+	if failed != nil {
+		return 0, failed
+	}
+	w.WriteHeader(http.StatusAccepted)
+	return http.StatusAccepted, nil
+}
+
+// errorOrNil keeps a nil *kinds.Error from becoming an error that is not nil.
+func errorOrNil(err *kinds.Error) error {
+	if err == nil {
+		return nil
+	}
+	return err
+}
+
+// jobCall answers a call about a batch job.
+func (f *Front) jobCall(w http.ResponseWriter, r *http.Request, call hosted.Call) (int, *kinds.Error) {
+	switch call.Kind {
+	case hosted.CallEnd:
+		left := hosted.Deadline(r.Header)
+		if left == 0 {
+			left = defaultDeadline
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), left-left/5)
+		defer cancel()
+		if err := f.Jobs.End(ctx, call.Job); err != nil {
+			return 0, err
+		}
+		return writeJSON(w, []byte("{}")), nil
+	case hosted.CallBody:
+		body, err := f.Jobs.Body(r.Context(), call.Job, call.Item)
+		if err != nil {
+			return 0, err
+		}
+		w.Header().Set("Content-Type", "application/octet-stream")
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = w.Write(body)
+		return http.StatusOK, nil
+	default:
+		total, results, err := f.Jobs.Results(r.Context(), call.Job, call.After, call.Wait)
+		if err != nil {
+			return 0, err
+		}
+		data, encodeErr := hosted.EncodeResults(total, call.After, results)
+		if encodeErr != nil {
+			return 0, kinds.New(kinds.Internal, "%v", encodeErr)
+		}
+		return writeJSON(w, data), nil
+	}
+}
+
+func writeJSON(w http.ResponseWriter, data []byte) int {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	_, _ = w.Write(data)
+	return http.StatusOK
+}
+
+// fail tells the caller an error, and says "not run" only of what has not run.
+func (f *Front) fail(w http.ResponseWriter, r *http.Request, err *kinds.Error, begin time.Time) int {
+	id := hosted.AttemptID(r.Header)
+	row := err.Answer()
+	f.Log.Info("Request failed.", zap.String("id", id), zap.String("method", r.Method), zap.String("host", r.Host),
+		zap.String("path", r.URL.Path), zap.String("kind", err.Kind()), zap.Bool("not_run", row.NotRun), zap.Int("status", row.HTTP),
+		zap.Uint64("config", configVersion(f.View.Now())), zap.Duration("took", time.Since(begin)), zap.String("why", err.Message()))
+	if err.Kind() == string(kinds.Cancelled) {
+		panic(http.ErrAbortHandler) // nobody is there to read an answer
+	}
+	if row.NotRun {
+		hosted.SetNotExecuted(w.Header())
+	}
+	body, status := answer.Body(id, err)
+	if body.Error.RetryAfterMS > 0 {
+		hosted.SetRetryAfter(w.Header(), time.Duration(body.Error.RetryAfterMS)*time.Millisecond)
+	}
+	hosted.SetAttemptID(w.Header(), id)
+	answer.JSON(w, id, status, body)
+	return status
+}
+
+func configVersion(snap *view.Snapshot) uint64 {
+	if snap.Table == nil {
+		return 0
+	}
+	return snap.Table.Version
+}
+
+// Drain waits until no request is being served, or ctx ends.
+func (f *Front) Drain(ctx context.Context) error {
+	const look = 20 * time.Millisecond
+	for f.open.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return errors.Annotatef(ctx.Err(), "%d requests in flight", f.open.Load())
+		case <-time.After(look):
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/jobs/api.go
@@ -0,0 +1,210 @@
+package jobs
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"dandelionsill.org/base/sleep"
+	"dandelionsill.org/fold/jobs"
+	"dandelionsill.org/kinds"
+	"dandelionsill.org/platform"
+)
+
+// Times of calls.
+const (
+	// syncMost is how long a call about an unknown job waits for this process
+	// to be sure; a process that can't be sure says so.
+	syncMost = 900 * time.Millisecond
+	// comeBack is when a caller is told to try again: a store that refuses
+	// calls does so for seconds, and another entry may reach it.
+	comeBack = 400 * time.Millisecond
+	// acceptChunk is the size at which the part of a submission is closed, in
+	// bytes of bodies before their encoding.
+	acceptChunk = 100 << 10
+	// itemOverhead is what an item's names and headers take, in bytes.
+	itemOverhead = 500
+)
+
+// Service answers the calls about batch jobs.
+type Service struct {
+	book   *Book
+	log    Log
+	zlog   *zap.Logger
+	writer jobs.Writer
+	count  atomic.Uint64 // submissions of this process
+}
+
+// NewService returns the calls' side of a book.
+func NewService(book *Book, log Log, writer jobs.Writer, zlog *zap.Logger) *Service {
+	return &Service{book: book, log: log, writer: writer, zlog: zlog}
+}
+
+// Submit accepts a job durably: nil means that the log has it. It tries until
+// ctx ends, and says "not run" only if no try can have reached the log.
+func (s *Service) Submit(ctx context.Context, head jobs.Head, items []jobs.Item) *kinds.Error {
+	if s.has(head.ID) {
+		return nil
+	}
+	head.SubmittedMS = time.Now().UnixMilli()
+	records, err := s.submission(head, items)
+	if err != nil {
+		return kinds.Hold().Refuse(kinds.BadRequest, "%v", err)
+	}
+	done := func() bool { return s.has(head.ID) }
+	return s.appendUntil(ctx, records, done)
+}
+
+func (s *Service) has(job string) bool {
+	s.book.mu.Lock()
+	defer s.book.mu.Unlock()
+	return s.book.state.Jobs[job] != nil
+}
+
+// submission splits a job into records that the log takes.
+func (s *Service) submission(head jobs.Head, items []jobs.Item) ([][]byte, error) {
+	var parts [][]jobs.Item
+	size := 0
+	for _, item := range items {
+		if len(parts) == 0 || size > acceptChunk {
+			parts, size = append(parts, nil), 0
+		}
+		last := len(parts) - 1
+		parts[last] = append(parts[last], item)
+		size += len(item.Body) + itemOverhead
+		if item.Score != nil {
+			size += len(item.Score.Body)
+		}
+	}
+	name := s.writer.Node + "/" + s.writer.Life + "/" + strconv.FormatUint(s.count.Add(1), 10)
+	records := make([][]byte, 0, len(parts))
+	for i, part := range parts {
+		r := jobs.Record{Writer: s.writer, Accept: &jobs.Accept{Head: head, Submission: name, Part: i, Parts: len(parts), Items: part}}
+		data, err := r.Encode()
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		records = append(records, data)
+	}
+	return records, nil
+}
+
+// appendUntil appends until the log takes the records, done says that they are
+// not needed any more, or ctx ends.
+func (s *Service) appendUntil(ctx context.Context, records [][]byte, done func() bool) *kinds.Error {
+	held := kinds.Hold()
+	delay := retryFirst
+	for {
+		_, err := s.log.AppendAll(ctx, Stream, records)
+		if err == nil || done() {
+			return nil
+		}
+		appendFailures.Add(1)
+		if errors.Is(err, platform.ErrAppendUnknown) {
+			held.Send()
+		}
+		s.zlog.Warn("Append failed.", zap.Bool("may_stand", held.Sent()), zap.Error(err))
+		if !sleep.For(ctx, sleep.Jitter(delay)) {
+			return held.Refuse(kinds.LogUnavailable, "the log takes no records").WithRetryAfter(comeBack)
+		}
+		if done() {
+			return nil
+		}
+		delay = min(retryMost, 2*delay)
+	}
+}
+
+// End ends a job durably. kinds.NotFound: there is no such job.
+func (s *Service) End(ctx context.Context, job string) *kinds.Error {
+	if err := s.known(ctx, job); err != nil {
+		return err
+	}
+	ended := func() bool {
+		s.book.mu.Lock()
+		defer s.book.mu.Unlock()
+		j := s.book.state.Jobs[job]
+		return j == nil || j.Ended
+	}
+	if ended() {
+		return nil
+	}
+	r := jobs.Record{Writer: s.writer, Ends: []string{job}}
+	data, err := r.Encode()
+	if err != nil {
+		return kinds.New(kinds.Internal, "%v", err)
+	}
+	return s.appendUntil(ctx, [][]byte{data}, ended)
+}
+
+// known tells whether a job exists; it waits until this process is sure.
+func (s *Service) known(ctx context.Context, job string) *kinds.Error {
+	if s.has(job) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, syncMost)
+	defer cancel()
+	synced := s.book.Synced(ctx)
+	switch {
+	case s.has(job):
+		return nil
+	case synced:
+		return kinds.Hold().Refuse(kinds.NotFound, "no batch job %q", job)
+	default:
+		return kinds.Hold().Refuse(kinds.LogUnavailable, "this entry does not follow the log now").WithRetryAfter(comeBack)
+	}
+}
+
+// Results returns a job's number of items and its results from a position on.
+// Where there is none yet it waits for one, at most wait.
+func (s *Service) Results(ctx context.Context, job string, after int, wait time.Duration) (int, []jobs.Result, *kinds.Error) {
+	if err := s.known(ctx, job); err != nil {
+		return 0, nil, err
+	}
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		changed := s.book.Changed.Next()
+		total, results, over := s.results(job, after)
+		if len(results) > 0 || over || wait <= 0 {
+			return total, results, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return total, nil, nil
+		case <-ctx.Done():
+			return total, nil, nil
+		}
+	}
+}
+
+func (s *Service) results(job string, after int) (total int, results []jobs.Result, over bool) {
+	s.book.mu.Lock()
+	defer s.book.mu.Unlock()
+	j := s.book.state.Jobs[job]
+	if j == nil {
+		return 0, nil, true
+	}
+	if after < len(j.Results) {
+		results = j.Results[after:len(j.Results):len(j.Results)]
+	}
+	return j.Total, results, !j.Open()
+}
+
+// Body returns the body of an item of a job that was not ended.
+func (s *Service) Body(ctx context.Context, job, item string) ([]byte, *kinds.Error) {
+	if err := s.known(ctx, job); err != nil {
+		return nil, err
+	}
+	s.book.mu.Lock()
+	defer s.book.mu.Unlock()
+	j := s.book.state.Jobs[job]
+	if j == nil || j.Ended || j.Items[item] == nil {
+		return nil, kinds.Hold().Refuse(kinds.NotFound, "no item %q in batch job %q", item, job)
+	}
+	return j.Items[item].Body, nil
+}
--- /dev/null
+++ b/gateway/jobs/book.go
@@ -0,0 +1,205 @@
+// Package jobs accepts batch jobs, runs the items of those that this process
+// owns, and tells everybody the same results. What must last stands in the
+// log; a Book is its fold, and owners only save work.
+package jobs
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"dandelionsill.org/base/metrics"
+	"dandelionsill.org/base/sleep"
+	"dandelionsill.org/fold/jobs"
+	"dandelionsill.org/gateway/signal"
+	"dandelionsill.org/platform"
+)
+
+// Stream is the stream of the log with the records of batch jobs.
+const Stream = "jobs"
+
+// Times of reading the log.
+const (
+	// tailWait is how long a read waits for a record. An empty answer shows as
+	// well that this process is up to date.
+	tailWait  = 500 * time.Millisecond
+	tailRetry = 60 * time.Millisecond
+	// freshFor is how long after an answer of the log this process still
+	// counts as up to date.
+	freshFor = tailWait + 700*time.Millisecond
+	// keepFinished is how long a job that is over can still be read: the
+	// platform's callers may read it for two minutes.
+	keepFinished  = 130 * time.Second
+	forgetEvery   = 10 * time.Second
+	readGapLatest = 10 * time.Millisecond
+)
+
+var (
+	recordsFolded = metrics.Counter("jobs_records_folded_total")
+	recordsBad    = metrics.Counter("jobs_records_unreadable_total")
+	tailFailures  = metrics.Counter("jobs_tail_failures_total")
+)
+
+// Log is what the package needs of the platform's log.
+type Log interface {
+	platform.Log
+	// AppendAll adds records that stand together, all or none.
+	AppendAll(ctx context.Context, stream string, records [][]byte) (uint64, error)
+}
+
+// Book is the fold of the jobs' stream in this process.
+type Book struct {
+	Changed signal.Signal
+
+	log  Log
+	zlog *zap.Logger
+
+	mu    sync.Mutex
+	state *jobs.State
+	// heard is when each writer's newest record was read here.
+	heard map[jobs.Writer]time.Time
+	// engineAt is when the last word about an engine was read here.
+	engineAt map[jobs.EngineKey]time.Time
+	next     uint64
+	// asOf is when the read that last reached the log's end was sent: all that
+	// was acknowledged before it is folded.
+	asOf time.Time
+	// since is when reads began to succeed after the last failure.
+	since time.Time
+}
+
+// NewBook returns a book that has read nothing.
+func NewBook(log Log, zlog *zap.Logger) *Book {
+	return &Book{log: log, zlog: zlog, state: jobs.New(), heard: map[jobs.Writer]time.Time{}, engineAt: map[jobs.EngineKey]time.Time{}}
+}
+
+// Run follows the log until ctx ends.
+func (b *Book) Run(ctx context.Context) {
+	lost := false
+	forget := time.Now().Add(forgetEvery)
+	for ctx.Err() == nil {
+		sent := time.Now()
+		page, err := b.log.Read(ctx, Stream, b.next, 0, tailWait)
+		switch {
+		case err == nil:
+			if lost {
+				b.zlog.Info("The log is back.", zap.Uint64("offset", b.next))
+			}
+			lost = false
+			b.fold(page, sent)
+		case errors.Is(err, platform.ErrTruncated):
+			b.zlog.Warn("Records are no longer kept.", zap.Uint64("offset", b.next), zap.Uint64("first", page.First))
+			b.next = max(b.next, page.First)
+		case ctx.Err() != nil:
+			return
+		default:
+			tailFailures.Add(1)
+			if !lost {
+				b.zlog.Warn("Lost the log.", zap.Uint64("offset", b.next), zap.Error(err))
+			}
+			lost = true
+			b.failed()
+			sleep.For(ctx, sleep.Jitter(tailRetry))
+		}
+		if time.Now().After(forget) {
+			b.forget()
+			forget = time.Now().Add(forgetEvery)
+		}
+	}
+}
+
+func (b *Book) failed() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.since = time.Time{}
+}
+
+func (b *Book) forget() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state.Forget(time.Now().Add(-keepFinished).UnixMilli())
+}
+
+// fold applies a page that was asked for at a time.
+func (b *Book) fold(page platform.Page, sent time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	if b.since.IsZero() {
+		b.since = now
+	}
+	for _, rec := range page.Records {
+		b.apply(rec, now)
+	}
+	b.next = page.Next
+	if page.Next >= page.End {
+		b.asOf = sent
+	}
+	if len(page.Records) > 0 {
+		b.Changed.Notify()
+	}
+}
+
+func (b *Book) apply(rec platform.Record, now time.Time) {
+	r, err := jobs.Decode(rec.Data)
+	if err != nil {
+		recordsBad.Add(1)
+		b.zlog.Warn("A record can't be read and is left out.", zap.Uint64("offset", rec.Offset), zap.Error(err))
+		return
+	}
+	recordsFolded.Add(1)
+	b.heard[r.Writer] = now
+	for _, e := range r.Engines {
+		b.engineAt[jobs.EngineKey{Server: e.Server, Model: e.Model}] = now
+	}
+	change := b.state.Apply(rec.Offset, r)
+	for _, id := range change.Accepted {
+		j := b.state.Jobs[id]
+		b.zlog.Info("Batch job.", zap.String("job", id), zap.Int("step", j.Step), zap.String("model", j.Model),
+			zap.Int("items", j.Total), zap.Uint64("floor", j.MinVersion), zap.Uint64("offset", rec.Offset), zap.String("owner", j.Owner.Node))
+	}
+	for _, id := range change.Owned {
+		b.zlog.Info("Batch job has a new owner.", zap.String("job", id), zap.Uint64("offset", rec.Offset),
+			zap.String("owner", b.state.Jobs[id].Owner.Node), zap.Bool("released", b.state.Jobs[id].Released))
+	}
+	for _, id := range change.Ended {
+		j := b.state.Jobs[id]
+		b.zlog.Info("Batch job is over.", zap.String("job", id), zap.Int("results", len(j.Results)), zap.Int("items", j.Total),
+			zap.Bool("ended", j.Ended), zap.Uint64("offset", rec.Offset))
+	}
+}
+
+// Synced waits until all that was acknowledged before now is folded here, at
+// most until ctx ends.
+func (b *Book) Synced(ctx context.Context) bool {
+	begin := time.Now()
+	for {
+		changed := b.Changed.Next()
+		b.mu.Lock()
+		ok := b.asOf.After(begin)
+		b.mu.Unlock()
+		if ok {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-time.After(tailWait / 10):
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// UpToDate tells whether this process follows the log without a gap now.
+func (b *Book) UpToDate() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.upToDate(time.Now())
+}
+
+func (b *Book) upToDate(now time.Time) bool {
+	return !b.since.IsZero() && now.Sub(b.asOf) < freshFor
+}
--- /dev/null
+++ b/gateway/jobs/stream.go
@@ -0,0 +1,257 @@
+package jobs
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"dandelionsill.org/fold/jobs"
+	"dandelionsill.org/gateway/backend"
+	"dandelionsill.org/platform/hosted"
+)
+
+// ending is why a stream ended.
+type ending uint8
+
+const (
+	complete ending = iota
+	broken          // the connection ended before the stream did
+	refused         // the engine did not take the sample
+	failed          // the engine answered that it failed
+	never           // the engine answered that it can never be done
+	tooOld          // the engine's weights are older than the job allows
+	outdated        // this process has ended the stream
+)
+
+var endingNames = map[ending]string{
+	complete: "complete", broken: "broken", refused: "refused", failed: "failed", never: "never", tooOld: "too_old", outdated: "outdated",
+}
+
+// start opens a stream of an item at an engine; r.mu is held.
+func (r *Runner) start(parent context.Context, w *work, server, addr string, now time.Time) {
+	ctx, stop := context.WithCancel(parent)
+	w.phase, w.server, w.stop = running, server, stop
+	w.began, w.lastEvent, w.streamed = now, now, 0
+	w.stream++
+	if stale(w.events, w.job.MinVersion) {
+		samplesRestart.Add(1)
+		w.restart()
+	}
+	streamsStarted.Add(1)
+	s := &stream{r: r, w: w, number: w.stream, server: server, addr: addr, behind: len(w.events)}
+	r.note(w, true)
+	r.tasks.Go(func() {
+		defer stop()
+		end, status, err := s.exchange(ctx)
+		if ctx.Err() != nil {
+			return // the item was taken back before
+		}
+		r.streamEnded(parent, s, end, status, err)
+	})
+}
+
+// stream is one run of an item at an engine.
+type stream struct {
+	r      *Runner
+	w      *work
+	number uint64
+	server string
+	addr   string
+	behind int // events that were known before
+}
+
+// request is the item as the engine gets it.
+func (s *stream) request() *backend.Request {
+	item := &s.w.item.Item
+	header := make(http.Header, len(item.Header)+3)
+	for name, value := range item.Header {
+		header.Set(name, value)
+	}
+	hosted.SetAttemptID(header, item.ID)
+	hosted.SetExpectedServer(header, s.server)
+	if s.behind > 0 {
+		hosted.SetResume(header, s.behind)
+	}
+	return &backend.Request{Method: http.MethodPost, URI: item.Path, Host: item.Host, Header: header, Body: item.Body, ID: item.ID}
+}
+
+func (s *stream) exchange(ctx context.Context) (ending, int, error) {
+	answer, err := s.r.pool.Do(ctx, s.addr, s.request())
+	if errors.Is(err, backend.ErrNotSent) {
+		return refused, 0, err
+	}
+	if err != nil {
+		return broken, 0, err
+	}
+	defer answer.Close()
+	switch {
+	case hosted.NotExecuted(answer.Status, answer.Header):
+		return refused, answer.Status, nil
+	case answer.Status == http.StatusUnprocessableEntity:
+		return never, answer.Status, nil
+	case answer.Status >= http.StatusMultipleChoices:
+		return failed, answer.Status, nil
+	}
+	version := hosted.WeightVersion(answer.Header)
+	if version < s.w.job.MinVersion {
+		s.r.observe(s, version)
+		return tooOld, answer.Status, nil
+	}
+	end, err := s.events(answer, version)
+	return end, answer.Status, err
+}
+
+// events reads the stream's events. They have to follow on what is known.
+func (s *stream) events(answer *backend.Answer, version uint64) (ending, error) {
+	reader := hosted.NewEventReader(answer.Body)
+	next := s.behind + 1
+	for {
+		event, err := reader.Next()
+		if err == io.EOF {
+			answer.Finished()
+			return complete, nil
+		}
+		if err != nil {
+			return broken, errors.Trace(err)
+		}
+		if event.ID != next {
+			return broken, errors.Errorf("event %d where %d is due", event.ID, next)
+		}
+		next++
+		if event.Version > 0 {
+			version = event.Version
+		}
+		if version < s.w.job.MinVersion {
+			return tooOld, nil
+		}
+		if !s.r.event(s, jobs.Event{Data: event.Data, Version: version}) {
+			return outdated, nil
+		}
+	}
+}
+
+// observe notes the weight version that an engine's answer told.
+func (r *Runner) observe(s *stream, version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.observed[jobs.EngineKey{Server: s.server, Model: s.w.model()}] = version
+}
+
+// event adds an event to the item; false: the stream is no longer the item's.
+func (r *Runner) event(s *stream, e jobs.Event) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := s.w
+	if w.stream != s.number || w.phase != running {
+		return false
+	}
+	now := time.Now()
+	if w.streamed > 0 {
+		r.measure(w.server, now.Sub(w.lastEvent))
+	} else {
+		r.observed[jobs.EngineKey{Server: s.server, Model: w.model()}] = e.Version
+	}
+	w.streamed++
+	w.lastEvent = now
+	w.events = append(w.events, e)
+	if len(w.events)-w.noted >= noteEvents {
+		r.note(w, false)
+	}
+	return true
+}
+
+// noteEvents is how many events are gathered before they go to the outbox.
+const noteEvents = 6
+
+// measure updates an engine's pace with the time between two events.
+func (r *Runner) measure(server string, gap time.Duration) {
+	old, known := r.pace[server]
+	if !known {
+		r.pace[server] = gap.Seconds()
+		return
+	}
+	r.pace[server] = old + paceWeight*(gap.Seconds()-old)
+}
+
+// streamEnded decides what becomes of an item whose stream has ended.
+func (r *Runner) streamEnded(ctx context.Context, s *stream, end ending, status int, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := s.w
+	if w.stream != s.number || w.phase != running {
+		return
+	}
+	now := time.Now()
+	if end != complete {
+		r.zlog.Info("Stream ended early.", zap.String("id", w.item.ID), zap.String("job", w.job.ID), zap.String("server", s.server),
+			zap.String("why", endingNames[end]), zap.Int("status", status), zap.Int("behind", s.behind), zap.Int("events", len(w.events)),
+			zap.Duration("took", now.Sub(w.began)), zap.Error(err))
+	}
+	switch end {
+	case complete:
+		r.textComplete(ctx, w)
+	case refused:
+		r.requeue(w, avoidFull, now)
+	case tooOld:
+		versionsTooOld.Add(1)
+		w.restart()
+		r.requeue(w, avoidFull, now)
+	case never:
+		r.giveUp(w, "never")
+	case failed:
+		w.failures++
+		if w.failures >= r.attempts(w) {
+			r.giveUp(w, "failures")
+			break
+		}
+		r.requeue(w, avoidFailed, now)
+	default:
+		streamsBroken.Add(1)
+		r.requeue(w, avoidFailed, now)
+	}
+	r.rouse()
+}
+
+// attempts is how often an item may fail at engines.
+func (r *Runner) attempts(w *work) int {
+	t := r.view.Now().Table
+	if t == nil {
+		return 1
+	}
+	if job := t.Match(w.job.Host, w.job.Path); job != nil {
+		return job.MaxAttempts
+	}
+	return 1
+}
+
+// giveUp ends an item without a text.
+func (r *Runner) giveUp(w *work, why string) {
+	samplesGivenUp.Add(1)
+	r.zlog.Info("Sample given up.", zap.String("id", w.item.ID), zap.String("job", w.job.ID), zap.String("why", why), zap.Int("failures", w.failures))
+	r.deliver(w, jobs.Result{Job: w.job.ID, Item: w.item.ID, GivenUp: true})
+}
+
+// deliver sends an item's result to the log; r.mu is held.
+func (r *Runner) deliver(w *work, result jobs.Result) {
+	w.phase = ended
+	w.stop = nil
+	resultsWritten.Add(1)
+	r.out.add(true, func(rec *jobs.Record) { rec.Results = append(rec.Results, result) })
+}
+
+// textComplete asks for the score of a whole text; r.mu is held.
+func (r *Runner) textComplete(ctx context.Context, w *work) {
+	samplesFinished.Add(1)
+	w.stop, w.whole = nil, true
+	if w.item.Score == nil {
+		r.deliver(w, w.result(""))
+		return
+	}
+	w.phase = scoring
+	r.note(w, false)
+	r.tasks.Go(func() { r.score(ctx, w) })
+}
--- /dev/null
+++ b/gateway/jobs/work.go
@@ -0,0 +1,148 @@
+package jobs
+
+import (
+	"time"
+
+	"dandelionsill.org/decide/place"
+	"dandelionsill.org/decide/table"
+	"dandelionsill.org/fold/jobs"
+	"dandelionsill.org/platform/hosted"
+)
+
+// phase is what the owner is doing with an item.
+type phase uint8
+
+const (
+	waiting phase = iota
+	running       // a stream of it is open at an engine
+	scoring       // its text is whole, its score is being asked for
+	ended         // its result is on its way to the log
+)
+
+// work is an item in the hands of its job's owner. The runner's mutex guards it.
+type work struct {
+	job  *jobs.Job
+	item *jobs.ItemState
+	size hosted.ItemSize
+
+	phase    phase
+	run      int
+	events   []jobs.Event
+	whole    bool // no further event follows
+	failures int
+	noted    int // events that went to the outbox
+
+	server    string
+	stop      func() // ends the stream; nil unless running
+	stream    uint64 // counts the streams of this item
+	began     time.Time
+	lastEvent time.Time
+	streamed  int // events of this stream
+	avoid     map[string]time.Time
+}
+
+func newWork(j *jobs.Job, item *jobs.ItemState) *work {
+	w := &work{job: j, item: item, size: hosted.SizeOf(item.Header), run: item.Run, failures: item.Failures, avoid: map[string]time.Time{}}
+	w.events = append(w.events, item.Events...)
+	w.noted, w.whole = len(w.events), item.Whole
+	return w
+}
+
+// model is the model that has to make the item's text.
+func (w *work) model() string {
+	if w.size.Model != "" {
+		return w.size.Model
+	}
+	return w.job.Model
+}
+
+// restart drops the text so far.
+func (w *work) restart() {
+	w.run++
+	w.events, w.noted, w.whole = nil, 0, false
+}
+
+// stale tells whether an event was made by weights older than the job allows.
+func stale(events []jobs.Event, floor uint64) bool {
+	for _, e := range events {
+		if e.Version < floor {
+			return true
+		}
+	}
+	return false
+}
+
+// Guesses of a text's length.
+const (
+	// defaultTokens is for items of which nothing is known.
+	defaultTokens = 1000
+	// tokensPerEvent turns events into tokens until the stream has told more.
+	tokensPerEvent = 57
+)
+
+// left guesses the tokens still to be made. A text that is longer than its
+// hint is likely to be much longer: the hint was wrong.
+func (w *work) left() float64 {
+	expected := float64(w.size.Expected)
+	if expected == 0 {
+		expected = defaultTokens
+	}
+	made := float64(len(w.events) * tokensPerEvent)
+	if made >= expected {
+		return max(expected, made) / 2
+	}
+	return expected - made
+}
+
+func (w *work) sample(now time.Time) place.Sample {
+	s := place.Sample{
+		ID: w.item.ID, Model: w.model(), Floor: w.job.MinVersion, Left: w.left(), Prompt: w.size.Shared,
+	}
+	for server, until := range w.avoid {
+		if now.After(until) {
+			delete(w.avoid, server)
+			continue
+		}
+		if s.Avoid == nil {
+			s.Avoid = map[string]bool{}
+		}
+		s.Avoid[server] = true
+	}
+	return s
+}
+
+// result makes the item's result out of its whole text.
+func (w *work) result(score string) jobs.Result {
+	r := jobs.Result{Job: w.job.ID, Item: w.item.ID, Score: score}
+	size := 0
+	for _, e := range w.events {
+		size += len(e.Data) + 1
+	}
+	text := make([]byte, 0, size)
+	seen := map[uint64]bool{}
+	for i, e := range w.events {
+		if i > 0 {
+			text = append(text, '\n')
+		}
+		text = append(text, e.Data...)
+		if !seen[e.Version] {
+			seen[e.Version] = true
+			r.Versions = append(r.Versions, e.Version)
+		}
+	}
+	r.Text = string(text)
+	return r
+}
+
+// serviceOf returns the service that runs a job's items: that of the route of
+// the item's own path.
+func serviceOf(t *table.Table, host, path string, spread uint64) (*table.Route, string) {
+	if t == nil {
+		return nil, ""
+	}
+	r := t.Match(host, path)
+	if r == nil {
+		return nil, ""
+	}
+	return r, r.Pick(spread)
+}
--- /dev/null
+++ b/gateway/server/agent.go
@@ -0,0 +1,35 @@
+package server
+
+import (
+	"context"
+	"sync"
+
+	"github.com/go-kratos/kratos/v2/transport"
+	"go.uber.org/zap"
+
+	"dandelionsill.org/base/logs"
+	"dandelionsill.org/base/run"
+	"dandelionsill.org/gateway/orders"
+	"dandelionsill.org/gateway/view"
+	"dandelionsill.org/platform/hosted"
+)
+
+// BuildAgent makes the process beside an engine.
+func BuildAgent(ctx context.Context, set Agent) (*run.Process, error) {
+	log, out := newLogger("orders", set.Process.LogLevel)
+	store := hosted.NewStore(set.Store.Address)
+	v := view.New(store, logs.Part(log, "view"))
+	agent := orders.New(orders.Config{
+		Node: set.Process.Name, Life: life(), Addr: set.Engine.Address, View: v,
+		Engine: hosted.NewEngineClient(set.Engine.Address), Log: store, Logger: log,
+	})
+	var loops sync.WaitGroup
+	loops.Go(func() { v.Run(ctx) })
+	loops.Go(func() { agent.Run(ctx) })
+	log.Info("Starting.", zap.String("name", set.Process.Name), zap.String("engine", set.Engine.Address), zap.String("store", set.Store.Address))
+	var servers []transport.Server
+	if set.Process.Metrics != "" {
+		servers = append(servers, metricsServer(set.Process.Metrics))
+	}
+	return &run.Process{Servers: servers, Close: func() { loops.Wait(); out.Close() }, Logger: log}, nil
+}
--- /dev/null
+++ b/gateway/server/gateway.go
@@ -0,0 +1,125 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kratos/kratos/v2/transport"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"go.uber.org/zap"
+
+	"dandelionsill.org/base/logs"
+	"dandelionsill.org/base/metrics"
+	"dandelionsill.org/base/run"
+	"dandelionsill.org/fold/jobs"
+	"dandelionsill.org/gateway/backend"
+	"dandelionsill.org/gateway/forward"
+	"dandelionsill.org/gateway/front"
+	gatewayjobs "dandelionsill.org/gateway/jobs"
+	"dandelionsill.org/gateway/view"
+	"dandelionsill.org/platform/hosted"
+)
+
+// Times of the stop, as shares of the grace.
+const (
+	// serveOn is the share of the grace in which new connections are still
+	// served: the balancer goes on sending some until it has missed two
+	// answers to its question.
+	serveOn = 0.4
+	// drainShare is the share left for what is then in flight.
+	drainShare = 0.5
+	// idleTimeout is longer than any caller keeps an idle connection, so that
+	// no request crosses our close.
+	idleTimeout = 5 * time.Minute
+)
+
+// life names one start of a process.
+func life() string {
+	return strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid())
+}
+
+// newLogger returns the process's logger to standard output.
+func newLogger(part, level string) (*zap.Logger, *logs.Async) {
+	out := logs.NewAsync(os.Stdout)
+	metrics.Gauge("log_lines_dropped_total", func() any { return out.Dropped() })
+	return logs.NewTo(out, part, level), out
+}
+
+// BuildGateway makes the gateway's process.
+func BuildGateway(ctx context.Context, set Gateway) (*run.Process, error) {
+	log, out := newLogger("gateway", set.Process.LogLevel)
+	store := hosted.NewStore(set.Store.Address)
+	writer := jobs.Writer{Node: set.Process.Name, Life: life()}
+	v := view.New(store, logs.Part(log, "view"))
+	pool := backend.NewPool(hosted.AttemptID)
+	forwarder := forward.New(v, pool, set.Process.FailureDomain, logs.Part(log, "forward"))
+	book := gatewayjobs.NewBook(store, logs.Part(log, "jobs"))
+	runner := gatewayjobs.NewRunner(book, store, forwarder, writer, logs.Part(log, "runner"))
+	handler := &front.Front{
+		View: v, Forward: forwarder, Log: logs.Part(log, "front"), Latency: metrics.NewHistogram("front_latency"),
+		Jobs: gatewayjobs.NewService(book, store, writer, logs.Part(log, "jobs")),
+	}
+	ready := &readiness{view: v}
+	var loops sync.WaitGroup
+	loops.Go(func() { v.Run(ctx) })
+	loops.Go(func() { book.Run(ctx) })
+	loops.Go(func() { runner.Run(ctx) })
+	log.Info("Starting.", zap.String("name", writer.Node), zap.String("life", writer.Life), zap.String("callers", set.Listen.Callers), zap.String("store", set.Store.Address))
+	return &run.Process{
+		Servers:      gatewayServers(set, handler, ready),
+		Ready:        func(is bool) { ready.up.Store(is); stopJobs(is, handler, runner) },
+		StopDelay:    time.Duration(serveOn * float64(set.Process.Grace)),
+		Drain:        handler.Drain,
+		DrainTimeout: time.Duration(drainShare * float64(set.Process.Grace)),
+		Close:        func() { loops.Wait(); out.Close() },
+		Logger:       log,
+	}, nil
+}
+
+// releaseMost bounds the giving up of jobs at a stop.
+const releaseMost = 2 * time.Second
+
+// stopJobs gives this process's jobs up as soon as it is told to stop.
+func stopJobs(ready bool, handler *front.Front, runner *gatewayjobs.Runner) {
+	if ready {
+		return
+	}
+	handler.Leave()
+	ctx, cancel := context.WithTimeout(context.Background(), releaseMost)
+	defer cancel()
+	runner.Release(ctx)
+}
+
+func gatewayServers(set Gateway, handler http.Handler, ready *readiness) []transport.Server {
+	callers := run.NewHTTP(set.Listen.Callers)
+	callers.Handler = handler // no router between: paths go on as they came
+	callers.IdleTimeout = idleTimeout
+	questions := run.NewHTTP(set.Listen.Ready)
+	questions.HandleFunc(hosted.PathReady, ready.serve)
+	servers := []transport.Server{callers, questions}
+	if set.Process.Metrics != "" && set.Process.Metrics != set.Listen.Ready {
+		servers = append(servers, metricsServer(set.Process.Metrics))
+	}
+	return servers
+}
+
+func metricsServer(addr string) *khttp.Server { return run.NewHTTP(addr) }
+
+// readiness answers the platform's question whether callers may be sent here.
+type readiness struct {
+	view *view.View
+	up   atomic.Bool
+}
+
+func (r *readiness) serve(w http.ResponseWriter, _ *http.Request) {
+	if !r.up.Load() || r.view.Now().Table == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/gateway/server/settings.go
@@ -0,0 +1,87 @@
+// Package server builds the two processes of the prepared machines out of
+// their parts: the gateway on entry VMs and the agent beside each engine.
+package server
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+
+	"dandelionsill.org/base/settings"
+)
+
+// Common holds the settings of both processes.
+type Common struct {
+	Process Process
+	Store   Store
+}
+
+// Process says who this process is.
+type Process struct {
+	Name          string        `ini:"process.name" help:"name of this VM"`
+	FailureDomain string        `ini:"process.failure_domain" help:"failure domain of this VM"`
+	Metrics       string        `ini:"process.metrics" kind:"ip:port" help:"IP:port where counters are served at /debug/vars"`
+	LogLevel      string        `ini:"process.log_level" default:"info" help:"debug, info, warn or error"`
+	Grace         time.Duration `ini:"process.grace" default:"8s" min:"1s" max:"24h" help:"time between the request to stop and the kill"`
+}
+
+// Store says where the platform's store is.
+type Store struct {
+	Address string `ini:"store.address" kind:"ip:port" help:"IP:port of the platform's store"`
+}
+
+// Validate checks the settings.
+func (c *Common) Validate() error {
+	if c.Process.Name == "" {
+		return errors.New("process.name is empty; it must be the VM's name")
+	}
+	if _, err := netip.ParseAddrPort(c.Store.Address); err != nil {
+		return errors.Errorf("store.address: %q is not IP:port", c.Store.Address)
+	}
+	return nil
+}
+
+// Gateway holds the settings of the gateway.
+type Gateway struct {
+	Common
+	Listen Listen
+}
+
+// Listen says where the gateway listens.
+type Listen struct {
+	Callers string `ini:"listen.callers" kind:"ip:port" help:"IP:port for callers and trainers"`
+	Ready   string `ini:"listen.ready" kind:"ip:port" help:"IP:port where the platform asks whether this process is ready"`
+}
+
+// Validate checks the settings.
+func (g *Gateway) Validate() error {
+	if err := g.Common.Validate(); err != nil {
+		return errors.Trace(err)
+	}
+	for _, l := range []struct{ name, value string }{{"listen.callers", g.Listen.Callers}, {"listen.ready", g.Listen.Ready}} {
+		if err := settings.IPPort(l.value); err != nil {
+			return errors.Annotate(err, l.name)
+		}
+	}
+	return nil
+}
+
+// Agent holds the settings of the agent beside an engine.
+type Agent struct {
+	Common
+	Engine Engine
+}
+
+// Engine says which engine the agent orders.
+type Engine struct {
+	Address string `ini:"engine.address" kind:"ip:port" help:"IP:port of the engine on this VM"`
+}
+
+// Validate checks the settings.
+func (a *Agent) Validate() error {
+	if err := a.Common.Validate(); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Annotate(settings.IPPort(a.Engine.Address), "engine.address")
+}
