--- a/decide/loads/loads.go
+++ b/decide/loads/loads.go
@@ -11,7 +11,6 @@
 	"time"
 )
 
-
 // Want is what an engine should load.
 type Want struct {
 	Model   string
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -51,8 +51,8 @@
 	Log     *zap.Logger
 	Latency *metrics.Histogram
 
-	open     atomic.Int64
-	leaving  atomic.Bool
+	open    atomic.Int64
+	leaving atomic.Bool
 }
 
 // Leave makes each answer the last of its connection.
