--- a/base/run/daemon.go
+++ b/base/run/daemon.go
@@ -14,6 +14,8 @@
 // be right, 0 where they were only asked about (settings.Result.Done), else
 // that of Main.
 func Daemon[S any](name string, args []string, build func(context.Context, S) (*Process, error)) int {
+	hangups, ignore := catchHangups()
+	defer ignore()
 	var set S
 	result, err := settings.Load(name, args, &set, os.Stdout)
 	if err != nil {
@@ -23,5 +25,11 @@
 	if result.Done {
 		return exitOK
 	}
-	return Main(name, func(ctx context.Context) (*Process, error) { return build(ctx, set) })
+	return Main(name, func(ctx context.Context) (*Process, error) {
+		p, err := build(ctx, set)
+		if err == nil {
+			go newReloader(name, args, result.File, set, p).run(ctx, hangups)
+		}
+		return p, err
+	})
 }
--- a/base/run/run.go
+++ b/base/run/run.go
@@ -55,6 +55,10 @@
 	// Close is called last, after the servers have stopped and setup's ctx is
 	// done. Optional.
 	Close func()
+	// Reload takes over settings (a pointer to their struct) of which those with
+	// the names changed differ; it returns the names that wait for a restart.
+	// Optional.
+	Reload func(settings any, changed []string) []string
 	// Logger is where the lifecycle is logged; nil: standard error at info.
 	Logger *zap.Logger
 }
--- a/gateway/jobs/api.go
+++ b/gateway/jobs/api.go
@@ -165,14 +165,14 @@
 
 // known tells whether a job exists; it waits until this process is sure.
 func (s *Service) known(ctx context.Context, job string) *kinds.Error {
-	if s.has(job) {
+	if s.has(job) && s.book.CaughtUp() {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, syncMost)
 	defer cancel()
 	synced := s.book.Synced(ctx)
 	switch {
-	case s.has(job):
+	case s.has(job) && s.book.CaughtUp():
 		return nil
 	case synced:
 		return kinds.Hold().Refuse(kinds.NotFound, "no batch job %q", job)
@@ -192,19 +192,31 @@
 	for {
 		changed := s.book.Changed.Next()
 		total, results, over := s.results(job, after)
-		if len(results) > 0 || over || wait <= 0 {
+		if len(results) > 0 {
 			return total, results, nil
 		}
+		if over || wait <= 0 {
+			return total, nil, s.unsure()
+		}
 		select {
 		case <-changed:
 		case <-timeout.C:
-			return total, nil, nil
+			return total, nil, s.unsure()
 		case <-ctx.Done():
 			return total, nil, nil
 		}
 	}
 }
 
+// unsure is the answer in place of "no result yet" from a process that does not
+// follow the log now: others may have given results that it has not read.
+func (s *Service) unsure() *kinds.Error {
+	if s.book.UpToDate() {
+		return nil
+	}
+	return kinds.Hold().Refuse(kinds.LogUnavailable, "this entry does not follow the log now").WithRetryAfter(comeBack)
+}
+
 func (s *Service) results(job string, after int) (total int, results []jobs.Result, over bool) {
 	s.book.mu.Lock()
 	defer s.book.mu.Unlock()
--- a/gateway/jobs/book.go
+++ b/gateway/jobs/book.go
@@ -193,6 +193,15 @@
 	}
 }
 
+// CaughtUp tells whether this process has ever read to the log's end. Before
+// that it has folded a part of the past: it would give fewer results of a job
+// than others have given.
+func (b *Book) CaughtUp() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.asOf.IsZero()
+}
+
 // UpToDate tells whether this process follows the log without a gap now.
 func (b *Book) UpToDate() bool {
 	b.mu.Lock()
--- a/gateway/jobs/work.go
+++ b/gateway/jobs/work.go
@@ -33,8 +33,8 @@
 	noted    int // events that went to the outbox
 
 	server    string
-	stop      func() // ends the stream; nil unless running
-	stream    uint64 // counts the streams of this item
+	stop      func()    // ends the stream; nil unless running
+	stream    uint64    // counts the streams of this item
 	owned     time.Time // when this process took the item on
 	first     time.Time // when its first stream here was opened
 	texted    time.Time // when its text was whole
--- a/gateway/server/agent.go
+++ b/gateway/server/agent.go
@@ -31,5 +31,12 @@
 	if set.Process.Metrics != "" {
 		servers = append(servers, metricsServer(set.Process.Metrics))
 	}
-	return &run.Process{Servers: servers, Close: func() { loops.Wait(); out.Close() }, Logger: log}, nil
+	return &run.Process{
+		Servers: servers,
+		Close:   func() { loops.Wait(); out.Close() },
+		Reload: func(next any, changed []string) []string {
+			return reloadStore(store, &next.(*Agent).Common, changed)
+		},
+		Logger: log,
+	}, nil
 }
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -64,7 +64,7 @@
 		View: v, Forward: forwarder, Log: logs.Part(log, "front"), Latency: metrics.NewHistogram("front_latency"),
 		Jobs: gatewayjobs.NewService(book, store, writer, logs.Part(log, "jobs")),
 	}
-	ready := &readiness{view: v}
+	ready := &readiness{view: v, book: book}
 	var loops sync.WaitGroup
 	loops.Go(func() { v.Run(ctx) })
 	loops.Go(func() { book.Run(ctx) })
@@ -77,7 +77,10 @@
 		Drain:        handler.Drain,
 		DrainTimeout: time.Duration(drainShare * float64(set.Process.Grace)),
 		Close:        func() { loops.Wait(); out.Close() },
-		Logger:       log,
+		Reload: func(next any, changed []string) []string {
+			return reloadStore(store, &next.(*Gateway).Common, changed)
+		},
+		Logger: log,
 	}, nil
 }
 
@@ -113,11 +116,12 @@
 // readiness answers the platform's question whether callers may be sent here.
 type readiness struct {
 	view *view.View
+	book *gatewayjobs.Book
 	up   atomic.Bool
 }
 
 func (r *readiness) serve(w http.ResponseWriter, _ *http.Request) {
-	if !r.up.Load() || r.view.Now().Table == nil {
+	if !r.up.Load() || r.view.Now().Table == nil || !r.book.CaughtUp() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/gateway/server/settings.go
+++ b/gateway/server/settings.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"dandelionsill.org/base/settings"
+	"dandelionsill.org/platform/hosted"
 )
 
 // Common holds the settings of both processes.
@@ -85,3 +86,17 @@
 	}
 	return errors.Annotate(settings.IPPort(a.Engine.Address), "engine.address")
 }
+
+// reloadStore takes over a changed address of the store; whatever else changed
+// waits for a restart.
+func reloadStore(store *hosted.Store, now *Common, changed []string) []string {
+	var left []string
+	for _, name := range changed {
+		if name != "store.address" {
+			left = append(left, name)
+			continue
+		}
+		store.SetAddr(now.Store.Address)
+	}
+	return left
+}
