--- a/base/metrics/page_test.go
+++ b/base/metrics/page_test.go
@@ -16,7 +16,7 @@
 const root = "../.."
 
 var (
-	published = regexp.MustCompile(`metrics\.(?:Counter|Gauge)\(\s*"([^"]*)"`)
+	published = regexp.MustCompile(`metrics\.(?:Counter|Gauge|NewHistogram)\(\s*"([^"]*)"`)
 	quoted    = regexp.MustCompile("`([^`]+)`")
 )
 
--- /dev/null
+++ b/base/run/reload_test.go
@@ -0,0 +1,71 @@
+package run
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+)
+
+type reloadSettings struct {
+	Addr string `ini:"store.address" default:"a"`
+	Name string `ini:"process.name" default:"n"`
+}
+
+func settingsFile(t *testing.T, text string) string {
+	path := filepath.Join(t.TempDir(), "settings.ini")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func reloaderOf(t *testing.T, path string, p *Process) (*reloader[reloadSettings], *observer.ObservedLogs) {
+	core, lines := observer.New(zap.InfoLevel)
+	p.Logger = zap.New(core)
+	return newReloader("test", []string{"--config", path}, path, reloadSettings{Addr: "a", Name: "n"}, p), lines
+}
+
+// The platform changes the settings file and sends a hang-up, which would end
+// a process without a handler together with its requests in flight.
+func TestHangupReloadsSettings(t *testing.T) {
+	hangups, ignore := catchHangups()
+	defer ignore()
+	path := settingsFile(t, "[store]\naddress = b\n")
+	took := make(chan []string, 1)
+	p := &Process{Reload: func(next any, changed []string) []string {
+		require.Equal(t, "b", next.(*reloadSettings).Addr)
+		took <- changed
+		return nil
+	}}
+	r, _ := reloaderOf(t, path, p)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); r.run(ctx, hangups) }()
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	require.Equal(t, []string{"store.address"}, <-took)
+	cancel()
+	<-done
+}
+
+// Settings that can't be right change nothing and are told.
+func TestBadSettingsStayOut(t *testing.T) {
+	path := settingsFile(t, "[store]\nadress = b\n")
+	p := &Process{Reload: func(any, []string) []string { t.Fatal("reloaded"); return nil }}
+	r, lines := reloaderOf(t, path, p)
+	r.reload("hang-up")
+	require.Equal(t, 1, lines.FilterMessage("settings: Settings can't be read and stay as they are.").Len())
+	require.NoError(t, os.WriteFile(path, nil, 0o600))
+	r.reload("file changed")
+	require.Equal(t, 1, lines.FilterMessage("settings: Settings are unchanged.").Len())
+}
+
+// A process that can't take new settings over says so.
+func TestSettingsThatWaitForARestartAreNamed(t *testing.T) {
+	r, lines := reloaderOf(t, settingsFile(t, "[process]\nname = other\n"), &Process{})
+	r.reload("hang-up")
+	require.Equal(t, 1, lines.FilterMessage("settings: Changed settings are in force after a restart only.").Len())
+}
--- /dev/null
+++ b/gateway/front/front_test.go
@@ -0,0 +1,190 @@
+package front_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"dandelionsill.org/base/metrics"
+	fold "dandelionsill.org/fold/jobs"
+	"dandelionsill.org/gateway/front"
+	"dandelionsill.org/gateway/gatewaytest"
+	"dandelionsill.org/gateway/jobs"
+	"dandelionsill.org/gateway/view"
+	"dandelionsill.org/platform/hosted"
+	"dandelionsill.org/platform/hosted/hostedtest"
+)
+
+// newFront serves the platform's callers on loopback.
+func newFront(t *testing.T, pf *gatewaytest.Platform) (*front.Front, string) {
+	p := pf.NewProcess(t)
+	book := jobs.NewBook(p.Store, zap.NewNop())
+	writer := fold.Writer{Node: "a", Life: "1"}
+	runner := jobs.NewRunner(book, p.Store, p.Forward, writer, zap.NewNop())
+	p.Go(book.Run)
+	p.Go(runner.Run)
+	require.Eventually(t, book.CaughtUp, gatewaytest.Wait, time.Millisecond)
+	f := &front.Front{
+		View: p.View, Forward: p.Forward, Jobs: jobs.NewService(book, p.Store, writer, zap.NewNop()),
+		Log: zap.NewNop(), Latency: metrics.NewHistogram("front_test_latency"),
+	}
+	srv := httptest.NewServer(f)
+	t.Cleanup(srv.Close)
+	return f, srv.URL
+}
+
+func send(t *testing.T, method, url string, header map[string]string, body []byte) (*http.Response, string) {
+	r, err := http.NewRequestWithContext(t.Context(), method, url, bytes.NewReader(body))
+	require.NoError(t, err)
+	r.Host = "app.example"
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp, string(data)
+}
+
+func attempt(id string) map[string]string {
+	return map[string]string{"Dandelionsill-Attempt-Id": id, "Dandelionsill-Deadline-Ms": "2000"}
+}
+
+func TestCallersGetTheServersAnswer(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 1)
+	_, url := newFront(t, pf)
+	resp, body := send(t, "POST", url+"/score/x", attempt("r1"), []byte("b"))
+	require.Equal(t, 200, resp.StatusCode)
+	require.Equal(t, "answer to r1", body)
+	require.Equal(t, "seal-r1", resp.Header.Get("Dandelionsill-Server-Seal"))
+	require.Equal(t, "r1", resp.Header.Get("Dandelionsill-Attempt-Id"))
+}
+
+// Our own failures bear no server's signature, and say "not run" and when to
+// come back where that is so.
+func TestOwnFailures(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 1)
+	_, url := newFront(t, pf)
+	tests := []struct {
+		name, method, path string
+		body               string
+		status             int
+		retry              bool
+	}{
+		{"no route", "GET", "/nowhere/", "", 404, false},
+		{"body too large", "POST", "/score/x", strings.Repeat("x", 1<<20+1), 413, false},
+		{"job that is no JSON", "POST", "/jobs/x", "{", 400, false},
+		{"job read, not posted", "GET", "/jobs/x", "", 404, false},
+		{"unknown job", "GET", "/-/lots/none", "", 404, false},
+		{"bad position", "GET", "/-/lots/none?after=-1", "", 400, false},
+		{"unknown item", "GET", "/-/items/none?id=x", "", 404, false},
+		{"end of an unknown job", "DELETE", "/-/lots/none", "", 404, false},
+	}
+	for _, test := range tests {
+		resp, _ := send(t, test.method, url+test.path, attempt("r"), []byte(test.body))
+		require.Equal(t, test.status, resp.StatusCode, test.name)
+		require.Empty(t, resp.Header.Get("Dandelionsill-Server-Seal"), test.name)
+		require.Equal(t, "r", resp.Header.Get("Dandelionsill-Attempt-Id"), test.name)
+	}
+	pf.Plain[0].Fail(hostedtest.ServerFaults{Refuse: true})
+	resp, _ := send(t, "POST", url+"/score/x", map[string]string{"Dandelionsill-Attempt-Id": "r", "Dandelionsill-Deadline-Ms": "200"}, nil)
+	require.Equal(t, 503, resp.StatusCode)
+	require.Equal(t, "1", resp.Header.Get("Dandelionsill-Not-Executed"))
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+}
+
+// A request that no server answers gets its final answer when its time is up,
+// and one that may have run is not called "not run".
+func TestDeadlineIsAnswered(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 1)
+	_, url := newFront(t, pf)
+	pf.Plain[0].Fail(hostedtest.ServerFaults{Silent: true})
+	resp, _ := send(t, "POST", url+"/score/x", map[string]string{"Dandelionsill-Attempt-Id": "r", "Dandelionsill-Deadline-Ms": "200"}, nil)
+	require.Equal(t, 504, resp.StatusCode)
+	require.Empty(t, resp.Header.Get("Dandelionsill-Not-Executed"))
+}
+
+// Before the first configuration everything is refused as not run.
+func TestNoConfigurationIsNotRun(t *testing.T) {
+	store := hosted.NewStore("127.0.0.1:1")
+	f := &front.Front{View: view.New(store, zap.NewNop()), Log: zap.NewNop(), Latency: metrics.NewHistogram("front_test_latency")}
+	w := httptest.NewRecorder()
+	f.ServeHTTP(w, httptest.NewRequest("GET", "/score/x", nil))
+	require.Equal(t, 503, w.Code)
+	require.NotEmpty(t, w.Header().Get("Retry-After"))
+}
+
+// The whole path of a trainer over HTTP: submission, bodies, results, end.
+func TestBatchJobOverHTTP(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 1, 1)
+	_, url := newFront(t, pf)
+	data, err := json.Marshal(hostedtest.Job("j", "m", 4, 1))
+	require.NoError(t, err)
+	for range 2 {
+		resp, _ := send(t, "POST", url+"/jobs/x", attempt("j"), data)
+		require.Equal(t, http.StatusAccepted, resp.StatusCode)
+	}
+	_, body := send(t, "GET", url+"/-/items/j?id=j-i1", nil, nil)
+	require.Equal(t, "body of j-i1", body)
+	var got struct {
+		Total   int `json:"total"`
+		Next    int `json:"next"`
+		Results []struct{ ID, State, Text, Score string }
+	}
+	read := 0
+	for read < 4 {
+		resp, body := send(t, "GET", url+"/-/lots/j?after="+string(rune('0'+read)), map[string]string{"Dandelionsill-Wait-Ms": "1000"}, nil)
+		require.Equal(t, 200, resp.StatusCode)
+		require.NoError(t, json.Unmarshal([]byte(body), &got))
+		for _, r := range got.Results {
+			require.Equal(t, hostedtest.Text(r.ID, 5), r.Text)
+			require.Equal(t, "completed", r.State)
+		}
+		require.Equal(t, 4, got.Total)
+		read = got.Next
+	}
+	resp, _ := send(t, "DELETE", url+"/-/lots/j", nil, nil)
+	require.Equal(t, 200, resp.StatusCode)
+}
+
+// A stop begins: each answer ends its connection, and the drain waits for what
+// is in flight.
+func TestDrainWaitsForRequests(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 1)
+	f, url := newFront(t, pf)
+	pf.Plain[0].Fail(hostedtest.ServerFaults{Silent: true})
+	answered := make(chan int)
+	go func() {
+		r, _ := http.NewRequest("POST", url+"/score/x", nil)
+		r.Host = "app.example"
+		r.Header.Set("Dandelionsill-Attempt-Id", "r")
+		r.Header.Set("Dandelionsill-Deadline-Ms", "400")
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			answered <- 0
+			return
+		}
+		_ = resp.Body.Close()
+		answered <- resp.StatusCode
+	}()
+	require.Eventually(t, func() bool { return f.Open() == 1 }, gatewaytest.Wait, time.Millisecond)
+	f.Leave()
+	soon, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	require.Error(t, f.Drain(soon))
+	require.NoError(t, f.Drain(t.Context()))
+	require.Equal(t, 504, <-answered)
+	resp, _ := send(t, "GET", url+"/nowhere/", attempt("r"), nil)
+	require.True(t, resp.Close)
+}
