--- a/decide/members/members.go
+++ b/decide/members/members.go
@@ -50,10 +50,17 @@
 // than three heartbeats would leave no server at all right after it.
 func (s *Set) StoreReturned(now time.Time) { s.graceUntil = now.Add(s.wait) }
 
-// Put adds or replaces an entry.
+// Put adds or replaces an entry. A server that lapsed and whose address another
+// one now uses is gone for good: it would refuse all that is sent to it.
 func (s *Set) Put(server Server) {
 	delete(s.lapsed, server.ID)
 	s.servers[server.ID] = server
+	for id := range s.lapsed {
+		if s.servers[id].Addr == server.Addr {
+			delete(s.lapsed, id)
+			delete(s.servers, id)
+		}
+	}
 }
 
 // Remove takes the entry of a server away.
--- a/decide/members/members_test.go
+++ b/decide/members/members_test.go
@@ -24,12 +24,12 @@
 // for gone at once, they would leave callers without any server.
 func TestEntriesThatLapsedInAnOutageCountForAWhile(t *testing.T) {
 	s := New(2 * time.Second)
-	s.Put(Server{ID: "a", Service: "x"})
-	s.Put(Server{ID: "b", Service: "x"})
+	s.Put(Server{ID: "a", Service: "x", Addr: "1.1.1.1:1"})
+	s.Put(Server{ID: "b", Service: "x", Addr: "2.2.2.2:2"})
 	s.StoreReturned(at(0))
 	s.Replace(nil, at(100*time.Millisecond))
 	require.Equal(t, 2, count(s))
-	s.Put(Server{ID: "a", Service: "x"})
+	s.Put(Server{ID: "a", Service: "x", Addr: "1.1.1.1:1"})
 	require.False(t, s.Expire(at(1900*time.Millisecond)))
 	require.True(t, s.Expire(at(2*time.Second)))
 	require.Equal(t, 1, count(s), "b did not come back")
@@ -47,6 +47,18 @@
 	require.Zero(t, count(s))
 }
 
+// A server restarted in the outage and uses its address under another id. The
+// one before would be kept for two seconds, and refuse all that is sent there.
+func TestLapsedServerWhoseAddressIsUsedAgainIsGone(t *testing.T) {
+	s := New(2 * time.Second)
+	s.Put(Server{ID: "before", Service: "x", Addr: "1.2.3.4:5"})
+	s.StoreReturned(at(0))
+	s.Replace([]Server{{ID: "after", Service: "x", Addr: "1.2.3.4:5"}}, at(0))
+	s.Put(Server{ID: "after", Service: "x", Addr: "1.2.3.4:5"})
+	require.Equal(t, 1, count(s))
+	require.Equal(t, "after", s.ByService()["x"][0].ID)
+}
+
 func TestByServiceIsSorted(t *testing.T) {
 	s := New(time.Second)
 	for _, id := range []string{"c", "a", "b"} {
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -33,6 +33,13 @@
 	avoidSilent = 1500 * time.Millisecond
 	avoidFull   = 80 * time.Millisecond
 	avoidFailed = 400 * time.Millisecond
+	// shunFull, shunUnreached and shunGone are how long all samples stay away
+	// from an engine that refused one, did not let us connect, or has another
+	// server at its address. Each sample found out by itself before, with
+	// 1,400 refused requests in two seconds after a cut.
+	shunFull      = 60 * time.Millisecond
+	shunUnreached = 250 * time.Millisecond
+	shunGone      = 3 * time.Second
 	// takeOverAfter is how long an owner may be silent before others claim its
 	// jobs: several of its signs of life.
 	takeOverAfter = 1500 * time.Millisecond
@@ -77,6 +84,7 @@
 	works    map[string]map[string]*work // by job and item
 	pace     map[string]float64          // seconds an event, by engine
 	observed map[jobs.EngineKey]uint64   // versions as answers told them
+	shunned  map[string]time.Time        // engines that get no samples until then
 	claimed  map[string]time.Time        // when this process last claimed a job
 	owned    time.Time                   // when this process last owned a job
 	leaving  bool
@@ -89,7 +97,7 @@
 		book: book, view: f.View, forward: f, pool: f.Pool, zlog: zlog, writer: writer,
 		wake:  make(chan struct{}, 1),
 		works: map[string]map[string]*work{}, pace: map[string]float64{},
-		observed: map[jobs.EngineKey]uint64{}, claimed: map[string]time.Time{},
+		observed: map[jobs.EngineKey]uint64{}, shunned: map[string]time.Time{}, claimed: map[string]time.Time{},
 	}
 	r.out = newOutbox(log, writer, r.owning, zlog)
 	return r
@@ -373,7 +381,7 @@
 	out := make([]place.Engine, 0, len(servers))
 	addrs := make(map[string]string, len(servers))
 	for _, s := range servers {
-		if s.Leaving {
+		if s.Leaving || now.Before(r.shunned[s.ID]) {
 			continue
 		}
 		addrs[s.ID] = s.Addr
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -18,17 +18,19 @@
 type ending uint8
 
 const (
-	complete ending = iota
-	broken          // the connection ended before the stream did
-	refused         // the engine did not take the sample
-	failed          // the engine answered that it failed
-	never           // the engine answered that it can never be done
-	tooOld          // the engine's weights are older than the job allows
-	outdated        // this process has ended the stream
+	complete    ending = iota
+	broken             // the connection ended before the stream did
+	refused            // the engine did not take the sample
+	unreached          // no connection to the engine could be made
+	misdirected        // another server has the address
+	failed             // the engine answered that it failed
+	never              // the engine answered that it can never be done
+	tooOld             // the engine's weights are older than the job allows
+	outdated           // this process has ended the stream
 )
 
 var endingNames = map[ending]string{
-	complete: "complete", broken: "broken", refused: "refused", failed: "failed", never: "never", tooOld: "too_old", outdated: "outdated",
+	complete: "complete", broken: "broken", refused: "refused", unreached: "unreached", misdirected: "misdirected", failed: "failed", never: "never", tooOld: "too_old", outdated: "outdated",
 }
 
 // start opens a stream of an item at an engine; r.mu is held.
@@ -85,20 +87,16 @@
 func (s *stream) exchange(ctx context.Context) (ending, int, error) {
 	answer, err := s.r.pool.Do(ctx, s.addr, s.request())
 	if errors.Is(err, backend.ErrNotSent) {
-		return refused, 0, err
+		return unreached, 0, err
 	}
 	if err != nil {
 		return broken, 0, err
 	}
-	defer answer.Close()
-	switch {
-	case hosted.NotExecuted(answer.Status, answer.Header):
-		return refused, answer.Status, nil
-	case answer.Status == http.StatusUnprocessableEntity:
-		return never, answer.Status, nil
-	case answer.Status >= http.StatusMultipleChoices:
-		return failed, answer.Status, nil
+	if answer.Status >= http.StatusMultipleChoices {
+		answer.Discard() // a whole small answer keeps the connection
+		return endingOf(answer), answer.Status, nil
 	}
+	defer answer.Close()
 	version := hosted.WeightVersion(answer.Header)
 	if version < s.w.job.MinVersion {
 		s.r.observe(s, version)
@@ -108,6 +106,20 @@
 	return end, answer.Status, err
 }
 
+// endingOf is what an answer without a stream means.
+func endingOf(answer *backend.Answer) ending {
+	switch {
+	case answer.Status == http.StatusMisdirectedRequest:
+		return misdirected
+	case hosted.NotExecuted(answer.Status, answer.Header):
+		return refused
+	case answer.Status == http.StatusUnprocessableEntity:
+		return never
+	default:
+		return failed
+	}
+}
+
 // events reads the stream's events. They have to follow on what is known.
 func (s *stream) events(answer *backend.Answer, version uint64) (ending, error) {
 	reader := hosted.NewEventReader(answer.Body)
@@ -198,7 +210,14 @@
 	case complete:
 		r.textComplete(ctx, w)
 	case refused:
+		r.shun(s.server, shunFull, now)
 		r.requeue(w, avoidFull, now)
+	case unreached:
+		r.shun(s.server, shunUnreached, now)
+		r.requeue(w, avoidFailed, now)
+	case misdirected:
+		r.shun(s.server, shunGone, now)
+		r.requeue(w, avoidFailed, now)
 	case tooOld:
 		versionsTooOld.Add(1)
 		w.restart()
@@ -219,6 +238,13 @@
 	r.rouse()
 }
 
+// shun keeps all samples away from an engine for a while.
+func (r *Runner) shun(server string, d time.Duration, now time.Time) {
+	if until := now.Add(d); until.After(r.shunned[server]) {
+		r.shunned[server] = until
+	}
+}
+
 // attempts is how often an item may fail at engines.
 func (r *Runner) attempts(w *work) int {
 	t := r.view.Now().Table
--- a/gateway/server/agent.go
+++ b/gateway/server/agent.go
@@ -23,7 +23,9 @@
 		Node: set.Process.Name, Life: life(), Addr: set.Engine.Address, View: v,
 		Engine: hosted.NewEngineClient(set.Engine.Address), Log: store, Logger: log,
 	})
+	peers := withPeers(store, set.Process.Name, "", log)
 	var loops sync.WaitGroup
+	loops.Go(func() { peers.Run(ctx) })
 	loops.Go(func() { v.Run(ctx) })
 	loops.Go(func() { agent.Run(ctx) })
 	log.Info("Starting.", zap.String("name", set.Process.Name), zap.String("engine", set.Engine.Address), zap.String("store", set.Store.Address))
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -65,13 +65,15 @@
 		Jobs: gatewayjobs.NewService(book, store, writer, logs.Part(log, "jobs")),
 	}
 	ready := &readiness{view: v, book: book}
+	peers := withPeers(store, set.Process.Name, set.Listen.Peers, log)
 	var loops sync.WaitGroup
+	loops.Go(func() { peers.Run(ctx) })
 	loops.Go(func() { v.Run(ctx) })
 	loops.Go(func() { book.Run(ctx) })
 	loops.Go(func() { runner.Run(ctx) })
 	log.Info("Starting.", zap.String("name", writer.Node), zap.String("life", writer.Life), zap.String("callers", set.Listen.Callers), zap.String("store", set.Store.Address))
 	return &run.Process{
-		Servers:      gatewayServers(set, handler, ready),
+		Servers:      gatewayServers(set, handler, ready, store),
 		Ready:        func(is bool) { ready.up.Store(is); stopJobs(is, handler, runner) },
 		StopDelay:    time.Duration(serveOn * float64(set.Process.Grace)),
 		Drain:        handler.Drain,
@@ -98,19 +100,39 @@
 	runner.Release(ctx)
 }
 
-func gatewayServers(set Gateway, handler http.Handler, ready *readiness) []transport.Server {
+func gatewayServers(set Gateway, handler http.Handler, ready *readiness, store *hosted.Store) []transport.Server {
 	callers := run.NewHTTP(set.Listen.Callers)
 	callers.Handler = handler // no router between: paths go on as they came
 	callers.IdleTimeout = idleTimeout
 	questions := run.NewHTTP(set.Listen.Ready)
 	questions.HandleFunc(hosted.PathReady, ready.serve)
 	servers := []transport.Server{callers, questions}
+	if set.Listen.Peers != "" {
+		relay := run.NewHTTP(set.Listen.Peers)
+		relay.Handler = store.Relay()
+		servers = append(servers, relay)
+	}
 	if set.Process.Metrics != "" && set.Process.Metrics != set.Listen.Ready {
 		servers = append(servers, metricsServer(set.Process.Metrics))
 	}
 	return servers
 }
 
+// withPeers lets the store's calls go through other gateways; self is where
+// this process takes theirs, empty: nowhere.
+func withPeers(store *hosted.Store, node, self string, log *zap.Logger) *hosted.Peers {
+	log = logs.Part(log, "store")
+	peers := hosted.NewPeers(store, node, self, log)
+	store.SetPeers(peers.Addrs, func(away bool) {
+		if away {
+			log.Warn("Lost the store; calls go through peers.", zap.Int("peers", len(peers.Addrs())))
+			return
+		}
+		log.Info("The store answers directly again.")
+	})
+	return peers
+}
+
 func metricsServer(addr string) *khttp.Server { return run.NewHTTP(addr) }
 
 // readiness answers the platform's question whether callers may be sent here.
--- a/gateway/server/settings.go
+++ b/gateway/server/settings.go
@@ -53,6 +53,7 @@
 type Listen struct {
 	Callers string `ini:"listen.callers" kind:"ip:port" help:"IP:port for callers and trainers"`
 	Ready   string `ini:"listen.ready" kind:"ip:port" help:"IP:port where the platform asks whether this process is ready"`
+	Peers   string `ini:"listen.peers" kind:"ip:port" help:"IP:port where other processes' calls to the store are passed on; empty: nowhere"`
 }
 
 // Validate checks the settings.
