--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -101,9 +101,19 @@
 	return s.run(ctx)
 }
 
+// choice is why a server was asked.
+type choice struct {
+	server  members.Server
+	listed  int    // servers of the service
+	left    int    // of them after the filters
+	load    int    // this process's requests there
+	why     string // how it was picked
+	ejected bool   // the filter of outliers had to be passed over
+}
+
 // outcome is how one try ended.
 type outcome struct {
-	server members.Server
+	choice
 	reply  *Reply
 	err    error
 	notRun bool
@@ -117,6 +127,7 @@
 	held     *kinds.Held
 	service  string
 	tried    map[string]bool
+	asked    []string // servers in the order in which they were asked
 	outcomes chan outcome
 	start    time.Time
 
@@ -214,7 +225,7 @@
 	if s.mayRun == 0 {
 		return nil, s.refuse(kinds.Overloaded, "all servers refused the request"), true
 	}
-	return nil, kinds.New(kinds.OutcomeUnknown, "the servers asked gave no whole answer"), true
+	return nil, kinds.New(kinds.OutcomeUnknown, "no whole answer of the servers asked: %v", s.asked), true
 }
 
 func (s *sending) outOfTime(ctx context.Context) *kinds.Error {
@@ -224,7 +235,7 @@
 	if s.mayRun == 0 {
 		return s.refuse(kinds.Overloaded, "no server took the request in time")
 	}
-	return kinds.New(kinds.DeadlineExceeded, "no answer within the deadline")
+	return kinds.New(kinds.DeadlineExceeded, "no answer within %v of the servers asked: %v", time.Since(s.start).Round(time.Millisecond), s.asked)
 }
 
 // refuse makes a "not run" error, which turns into "outcome unknown" where a
@@ -238,37 +249,42 @@
 
 // launch sends the request to one more server; false: there is none.
 func (s *sending) launch(ctx context.Context) bool {
-	server, ok := s.pick()
+	c, ok := s.pick()
 	if !ok {
 		return false
 	}
-	s.tried[server.ID] = true
+	s.tried[c.server.ID] = true
+	s.asked = append(s.asked, c.server.ID)
 	s.running++
 	s.mayRun++
 	tries.Add(1)
-	go func() { s.outcomes <- s.f.try(ctx, s.call, s.service, server) }()
+	go func() { s.outcomes <- s.f.try(ctx, s.call, s.service, c) }()
 	return true
 }
 
-func (s *sending) pick() (members.Server, bool) {
+func (s *sending) pick() (choice, bool) {
 	servers := s.f.View.Now().Servers[s.service]
 	candidates := s.f.fleet.candidates(s.service, s.f.domain, servers, time.Now())
 	for i := range candidates {
 		candidates[i].Connected = s.f.Pool.Kept(servers[i].Addr)
 	}
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	choice := s.f.policy.Pick(&route.Request{Tried: s.tried}, candidates, rng, &route.Scratch{})
-	if choice.Index < 0 {
-		return members.Server{}, false
+	picked := s.f.policy.Pick(&route.Request{Tried: s.tried}, candidates, rng, &route.Scratch{})
+	if picked.Index < 0 {
+		return choice{}, false
 	}
-	return servers[choice.Index], true
+	return choice{
+		server: servers[picked.Index], listed: len(servers), left: picked.Left, load: picked.Load, why: picked.Why,
+		ejected: picked.Passed == route.StageEjected,
+	}, true
 }
 
 // try sends the request to one server and reads its whole answer.
-func (f *Forwarder) try(ctx context.Context, call Call, service string, server members.Server) outcome {
+func (f *Forwarder) try(ctx context.Context, call Call, service string, c choice) outcome {
 	begin := time.Now()
+	server := c.server
 	f.fleet.begun(server.ID)
-	o := outcome{server: server}
+	o := outcome{choice: c}
 	o.reply, o.err = f.exchange(ctx, call, server)
 	o.took = time.Since(begin)
 	o.notRun = errors.Is(o.err, backend.ErrNotSent) || o.err == nil && hosted.NotExecuted(o.reply.Status, o.reply.Header)
@@ -300,15 +316,18 @@
 	return &Reply{Status: answer.Status, Header: answer.Header, Body: body, Server: server.ID}, nil
 }
 
-// logTry writes one line for a try that did not simply succeed.
+// logTry writes one line for a try: why that server, and how it ended.
 func (f *Forwarder) logTry(call *Call, service string, o *outcome) {
-	if o.err == nil && o.reply.Status < http.StatusMultipleChoices {
-		return
-	}
 	status := 0
 	if o.reply != nil {
 		status = o.reply.Status
 	}
-	f.log.Info("Try failed.", zap.String("id", call.ID), zap.String("service", service), zap.String("server", o.server.ID),
-		zap.Int("status", status), zap.Bool("not_run", o.notRun), zap.Duration("took", o.took), zap.Error(o.err))
+	message := "Try."
+	if o.err != nil || status >= http.StatusMultipleChoices {
+		message = "Try failed."
+	}
+	f.log.Info(message, zap.String("id", call.ID), zap.String("service", service), zap.String("server", o.server.ID),
+		zap.Uint64("config", f.View.Now().Table.Version), zap.Int("listed", o.listed), zap.Int("left", o.left), zap.Int("load", o.load),
+		zap.String("picked", o.why), zap.Bool("outliers_too", o.ejected), zap.Int("status", status), zap.Bool("not_run", o.notRun),
+		zap.Duration("took", o.took), zap.Error(o.err))
 }
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -27,12 +27,13 @@
 	defer cancel()
 	s := &sending{f: f, call: call, held: kinds.Hold(), service: call.Route.Pick(route.Hash(call.ID)), tried: map[string]bool{}, start: time.Now()}
 	for {
-		server, ok := s.pick()
+		c, ok := s.pick()
 		if !ok || s.refusals > refusalsMost {
 			return 0, s.refuse(kinds.Overloaded, "no server took the stream")
 		}
-		s.tried[server.ID] = true
-		answer, err := f.open(ctx, call, server)
+		s.tried[c.server.ID] = true
+		s.asked = append(s.asked, c.server.ID)
+		answer, err := f.open(ctx, call, c.server)
 		switch {
 		case errors.Is(err, backend.ErrNotSent):
 			s.refusals++
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -343,6 +343,10 @@
 	for _, c := range place.Assign(engines, samples) {
 		w, e := queue[c.Sample], engines[c.Engine]
 		r.start(ctx, w, e.ID, addrs[e.ID], now)
+		r.zlog.Info("Sample starts.", zap.String("id", w.item.ID), zap.String("job", w.job.ID), zap.String("server", e.ID),
+			zap.Uint64("version", e.Versions[w.model()]), zap.Uint64("floor", w.job.MinVersion), zap.Int("load", e.Load), zap.Int("slots", e.Slots),
+			zap.Float64("pace_s", e.Pace), zap.Float64("left", samples[c.Sample].Left), zap.Int("behind", len(w.events)),
+			zap.Int("waiting", len(queue)), zap.Int("engines", len(engines)))
 	}
 	if len(queue) > 0 {
 		return
