--- a/gateway/forward/forward_test.go
+++ b/gateway/forward/forward_test.go
@@ -40,14 +40,14 @@
 	require.Nil(t, err)
 	require.Equal(t, 200, reply.Status)
 	require.Equal(t, "answer to r1", string(reply.Body))
-	require.Equal(t, "seal-r1", reply.Header.Get("Dandelionsill-Server-Seal"))
+	require.Equal(t, "seal-r1", reply.Header.Get(hostedtest.HeaderSeal))
 	a := pf.Plain[0].Arrivals()[0]
 	require.Equal(t, "/score/x?q=1", a.URI)
 	require.Equal(t, "app.example", a.Host)
 	require.Equal(t, "body", a.Body)
 	require.Equal(t, "kept", a.Header.Get("X-Own"))
-	require.Equal(t, "p0", a.Header.Get("Dandelionsill-Expect-Instance"))
-	require.NotEmpty(t, a.Header.Get("Dandelionsill-Deadline-Ms"))
+	require.Equal(t, "p0", a.Header.Get(hostedtest.HeaderExpect))
+	require.NotEmpty(t, a.Header.Get(hostedtest.HeaderDeadline))
 }
 
 // One server refuses without running the request; the caller gets the other's
@@ -157,8 +157,8 @@
 func TestAddressUsedAgainRunsNothing(t *testing.T) {
 	pf := gatewaytest.NewPlatform(t, 0, 1)
 	entry := pf.Plain[0].Entry("ready")
-	pf.Store.Put("keyed.servers", "gone", entry)
-	pf.Store.Drop("keyed.servers", "p0")
+	pf.Store.Put(hostedtest.TopicServers, "gone", entry)
+	pf.Store.Drop(hostedtest.TopicServers, "p0")
 	pf.Plain = pf.Plain[:1]
 	p := pf.NewProcess(t)
 	_, err := p.Forward.Send(t.Context(), call(t, p, "r", "/write/x"))
@@ -199,7 +199,7 @@
 	pf.Engines[0].Fail(hostedtest.ServerFaults{BreakAfter: 2})
 	p := pf.NewProcess(t)
 	c := call(t, p, "s", "/jobs/x")
-	c.Header.Set("Dandelionsill-Model-Name", "m")
+	c.Header.Set(hostedtest.HeaderModel, "m")
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = p.Forward.Stream(r.Context(), c, w)
 	}))
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -58,7 +58,7 @@
 }
 
 func attempt(id string) map[string]string {
-	return map[string]string{"Dandelionsill-Attempt-Id": id, "Dandelionsill-Deadline-Ms": "2000"}
+	return map[string]string{hostedtest.HeaderAttempt: id, hostedtest.HeaderDeadline: "2000"}
 }
 
 func TestCallersGetTheServersAnswer(t *testing.T) {
@@ -67,8 +67,8 @@
 	resp, body := send(t, "POST", url+"/score/x", attempt("r1"), []byte("b"))
 	require.Equal(t, 200, resp.StatusCode)
 	require.Equal(t, "answer to r1", body)
-	require.Equal(t, "seal-r1", resp.Header.Get("Dandelionsill-Server-Seal"))
-	require.Equal(t, "r1", resp.Header.Get("Dandelionsill-Attempt-Id"))
+	require.Equal(t, "seal-r1", resp.Header.Get(hostedtest.HeaderSeal))
+	require.Equal(t, "r1", resp.Header.Get(hostedtest.HeaderAttempt))
 }
 
 // Our own failures bear no server's signature, and say "not run" and when to
@@ -86,21 +86,21 @@
 		{"body too large", "POST", "/score/x", strings.Repeat("x", 1<<20+1), 413, false},
 		{"job that is no JSON", "POST", "/jobs/x", "{", 400, false},
 		{"job read, not posted", "GET", "/jobs/x", "", 404, false},
-		{"unknown job", "GET", "/-/lots/none", "", 404, false},
-		{"bad position", "GET", "/-/lots/none?after=-1", "", 400, false},
-		{"unknown item", "GET", "/-/items/none?id=x", "", 404, false},
-		{"end of an unknown job", "DELETE", "/-/lots/none", "", 404, false},
+		{"unknown job", "GET", hostedtest.PathJob + "none", "", 404, false},
+		{"bad position", "GET", hostedtest.PathJob + "none?after=-1", "", 400, false},
+		{"unknown item", "GET", hostedtest.PathItem + "none?id=x", "", 404, false},
+		{"end of an unknown job", "DELETE", hostedtest.PathJob + "none", "", 404, false},
 	}
 	for _, test := range tests {
 		resp, _ := send(t, test.method, url+test.path, attempt("r"), []byte(test.body))
 		require.Equal(t, test.status, resp.StatusCode, test.name)
-		require.Empty(t, resp.Header.Get("Dandelionsill-Server-Seal"), test.name)
-		require.Equal(t, "r", resp.Header.Get("Dandelionsill-Attempt-Id"), test.name)
+		require.Empty(t, resp.Header.Get(hostedtest.HeaderSeal), test.name)
+		require.Equal(t, "r", resp.Header.Get(hostedtest.HeaderAttempt), test.name)
 	}
 	pf.Plain[0].Fail(hostedtest.ServerFaults{Refuse: true})
-	resp, _ := send(t, "POST", url+"/score/x", map[string]string{"Dandelionsill-Attempt-Id": "r", "Dandelionsill-Deadline-Ms": "200"}, nil)
+	resp, _ := send(t, "POST", url+"/score/x", map[string]string{hostedtest.HeaderAttempt: "r", hostedtest.HeaderDeadline: "200"}, nil)
 	require.Equal(t, 503, resp.StatusCode)
-	require.Equal(t, "1", resp.Header.Get("Dandelionsill-Not-Executed"))
+	require.Equal(t, "1", resp.Header.Get(hostedtest.HeaderNotExecuted))
 	require.NotEmpty(t, resp.Header.Get("Retry-After"))
 }
 
@@ -110,9 +110,9 @@
 	pf := gatewaytest.NewPlatform(t, 0, 1)
 	_, url := newFront(t, pf)
 	pf.Plain[0].Fail(hostedtest.ServerFaults{Silent: true})
-	resp, _ := send(t, "POST", url+"/score/x", map[string]string{"Dandelionsill-Attempt-Id": "r", "Dandelionsill-Deadline-Ms": "200"}, nil)
+	resp, _ := send(t, "POST", url+"/score/x", map[string]string{hostedtest.HeaderAttempt: "r", hostedtest.HeaderDeadline: "200"}, nil)
 	require.Equal(t, 504, resp.StatusCode)
-	require.Empty(t, resp.Header.Get("Dandelionsill-Not-Executed"))
+	require.Empty(t, resp.Header.Get(hostedtest.HeaderNotExecuted))
 }
 
 // Before the first configuration everything is refused as not run.
@@ -135,7 +135,7 @@
 		resp, _ := send(t, "POST", url+"/jobs/x", attempt("j"), data)
 		require.Equal(t, http.StatusAccepted, resp.StatusCode)
 	}
-	_, body := send(t, "GET", url+"/-/items/j?id=j-i1", nil, nil)
+	_, body := send(t, "GET", url+hostedtest.PathItem + "j?id=j-i1", nil, nil)
 	require.Equal(t, "body of j-i1", body)
 	var got struct {
 		Total   int `json:"total"`
@@ -144,7 +144,7 @@
 	}
 	read := 0
 	for read < 4 {
-		resp, body := send(t, "GET", url+"/-/lots/j?after="+string(rune('0'+read)), map[string]string{"Dandelionsill-Wait-Ms": "1000"}, nil)
+		resp, body := send(t, "GET", url+hostedtest.PathJob + "j?after="+string(rune('0'+read)), map[string]string{hostedtest.HeaderWait: "1000"}, nil)
 		require.Equal(t, 200, resp.StatusCode)
 		require.NoError(t, json.Unmarshal([]byte(body), &got))
 		for _, r := range got.Results {
@@ -154,7 +154,7 @@
 		require.Equal(t, 4, got.Total)
 		read = got.Next
 	}
-	resp, _ := send(t, "DELETE", url+"/-/lots/j", nil, nil)
+	resp, _ := send(t, "DELETE", url+hostedtest.PathJob + "j", nil, nil)
 	require.Equal(t, 200, resp.StatusCode)
 }
 
@@ -168,8 +168,8 @@
 	go func() {
 		r, _ := http.NewRequest("POST", url+"/score/x", nil)
 		r.Host = "app.example"
-		r.Header.Set("Dandelionsill-Attempt-Id", "r")
-		r.Header.Set("Dandelionsill-Deadline-Ms", "400")
+		r.Header.Set(hostedtest.HeaderAttempt, "r")
+		r.Header.Set(hostedtest.HeaderDeadline, "400")
 		resp, err := http.DefaultClient.Do(r)
 		if err != nil {
 			answered <- 0
--- a/gateway/gatewaytest/gatewaytest.go
+++ b/gateway/gatewaytest/gatewaytest.go
@@ -33,7 +33,7 @@
 func NewPlatform(t testing.TB, engines, plain int) *Platform {
 	p := &Platform{Store: hostedtest.NewStore()}
 	t.Cleanup(p.Store.Close)
-	p.Store.Put("keyed.op", "config", hostedtest.Config(1))
+	p.Store.Put(hostedtest.TopicOperator, "config", hostedtest.Config(1))
 	for i := range engines {
 		p.Engines = append(p.Engines, p.add(t, hostedtest.NewEngine(name("e", i), "engines", "m")))
 	}
@@ -53,7 +53,7 @@
 
 // Register writes a server's entry into the store.
 func (p *Platform) Register(s *hostedtest.Server, state string) {
-	p.Store.Put("keyed.servers", s.ID, s.Entry(state))
+	p.Store.Put(hostedtest.TopicServers, s.ID, s.Entry(state))
 }
 
 // Process is what the parts of one process share.
--- a/gateway/jobs/jobs_test.go
+++ b/gateway/jobs/jobs_test.go
@@ -47,7 +47,7 @@
 	require.NoError(t, err)
 	r := httptest.NewRequest(http.MethodPost, "/jobs/"+id, nil)
 	r.Host = "app.example"
-	r.Header.Set("Dandelionsill-Attempt-Id", id)
+	r.Header.Set(hostedtest.HeaderAttempt, id)
 	head, items, err := hosted.DecodeJob(r, data)
 	require.NoError(t, err)
 	return head, items
@@ -213,7 +213,7 @@
 	t.Cleanup(fresh.Close)
 	entry := fresh.Entry("ready")
 	entry["models"] = []map[string]any{{"name": "m", "version": 2}}
-	pf.Store.Put("keyed.servers", "fresh", entry)
+	pf.Store.Put(hostedtest.TopicServers, "fresh", entry)
 	// The entry runs ahead of the engine, which still makes version 1: what it
 	// begins is dropped as soon as its answer tells.
 	require.Eventually(t, func() bool { return len(fresh.Arrivals()) > 0 }, gatewaytest.Wait, time.Millisecond)
--- a/gateway/orders/orders_test.go
+++ b/gateway/orders/orders_test.go
@@ -32,7 +32,7 @@
 }
 
 func name(pf *gatewaytest.Platform, version int) {
-	pf.Store.Put("keyed.op", "version/m", map[string]any{"model": "m", "version": version})
+	pf.Store.Put(hostedtest.TopicOperator, "version/m", map[string]any{"model": "m", "version": version})
 }
 
 func served(t *testing.T, engine *hostedtest.Server) uint64 {
@@ -157,8 +157,8 @@
 func TestSingleVersionRoutesWait(t *testing.T) {
 	pf := gatewaytest.NewPlatform(t, 1, 0)
 	config := hostedtest.Config(2)
-	config["routes"].([]map[string]any)[0]["single_version"] = true
-	pf.Store.Put("keyed.op", "config", config)
+	config["routes"].([]map[string]any)[0][hostedtest.FieldSingleVersion] = true
+	pf.Store.Put(hostedtest.TopicOperator, "config", config)
 	p := newAgent(t, pf, pf.Engines[0], nil)
 	require.Eventually(t, func() bool { return p.View.Now().Table.Version == 2 }, gatewaytest.Wait, time.Millisecond)
 	name(pf, 3)
