--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -135,7 +135,7 @@
 		resp, _ := send(t, "POST", url+"/jobs/x", attempt("j"), data)
 		require.Equal(t, http.StatusAccepted, resp.StatusCode)
 	}
-	_, body := send(t, "GET", url+hostedtest.PathItem + "j?id=j-i1", nil, nil)
+	_, body := send(t, "GET", url+hostedtest.PathItem+"j?id=j-i1", nil, nil)
 	require.Equal(t, "body of j-i1", body)
 	var got struct {
 		Total   int `json:"total"`
@@ -144,7 +144,7 @@
 	}
 	read := 0
 	for read < 4 {
-		resp, body := send(t, "GET", url+hostedtest.PathJob + "j?after="+string(rune('0'+read)), map[string]string{hostedtest.HeaderWait: "1000"}, nil)
+		resp, body := send(t, "GET", url+hostedtest.PathJob+"j?after="+string(rune('0'+read)), map[string]string{hostedtest.HeaderWait: "1000"}, nil)
 		require.Equal(t, 200, resp.StatusCode)
 		require.NoError(t, json.Unmarshal([]byte(body), &got))
 		for _, r := range got.Results {
@@ -154,7 +154,7 @@
 		require.Equal(t, 4, got.Total)
 		read = got.Next
 	}
-	resp, _ := send(t, "DELETE", url+hostedtest.PathJob + "j", nil, nil)
+	resp, _ := send(t, "DELETE", url+hostedtest.PathJob+"j", nil, nil)
 	require.Equal(t, 200, resp.StatusCode)
 }
 
