--- a/gateway/jobs/api.go
+++ b/gateway/jobs/api.go
@@ -127,8 +127,12 @@
 			return nil
 		}
 		appendFailures.Add(1)
-		if errors.Is(err, platform.ErrAppendUnknown) {
+		switch {
+		case errors.Is(err, platform.ErrAppendUnknown):
 			held.Send()
+		case errors.Is(err, platform.ErrLogRefused):
+			s.zlog.Error("The log refuses records.", zap.Int("records", len(records)), zap.Error(err))
+			return held.Refuse(kinds.TooLarge, "the log does not take a batch job of this size")
 		}
 		s.zlog.Warn("Append failed.", zap.Bool("may_stand", held.Sent()), zap.Error(err))
 		if !sleep.For(ctx, sleep.Jitter(delay)) {
--- a/gateway/jobs/outbox.go
+++ b/gateway/jobs/outbox.go
@@ -11,6 +11,7 @@
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/base/sleep"
 	"dandelionsill.org/fold/jobs"
+	"dandelionsill.org/platform"
 )
 
 // Times and sizes of appends.
@@ -28,6 +29,12 @@
 	// recordMost is the size at which a record is closed, in bytes of text; the
 	// platform takes 256 KB a record.
 	recordMost = 96 << 10
+	// callMost is the size of one append, in bytes; the platform takes 2 MB.
+	callMost = 1 << 20
+	// startBytes and eventBytes are what an entry and an event take beside
+	// their text.
+	startBytes = 150
+	eventBytes = 24
 )
 
 var (
@@ -100,6 +107,17 @@
 		o.zlog.Error("Records can't be encoded and are lost.", zap.Error(err))
 		return false
 	}
+	for _, call := range calls(records) {
+		if !o.append(ctx, call) {
+			return false
+		}
+	}
+	return true
+}
+
+// append appends records until the log takes them, refuses them for what they
+// are, or ctx ends.
+func (o *outbox) append(ctx context.Context, records [][]byte) bool {
 	delay := retryFirst
 	for {
 		_, err := o.log.AppendAll(ctx, Stream, records)
@@ -110,6 +128,11 @@
 		// Whether it was taken or not, the same records may follow: the fold
 		// passes over what it has seen.
 		appendFailures.Add(1)
+		if errors.Is(err, platform.ErrLogRefused) {
+			// A repeat would fail alike, and hold up all that comes after it.
+			o.zlog.Error("The log refuses records; they are lost.", zap.Int("records", len(records)), zap.Error(err))
+			return true
+		}
 		o.zlog.Warn("Append failed.", zap.Error(err))
 		if !sleep.For(ctx, sleep.Jitter(delay)) {
 			return false
@@ -120,39 +143,68 @@
 
 // encode splits r into records of a size that the log takes.
 func (o *outbox) encode(r *jobs.Record) ([][]byte, error) {
-	var out [][]byte
-	part := jobs.Record{Writer: o.writer, Claims: r.Claims, Releases: r.Releases, Leaving: r.Leaving, Starts: r.Starts, Ends: r.Ends, Engines: r.Engines}
-	size := 0
-	closePart := func() error {
-		data, err := part.Encode()
-		out = append(out, data)
-		part, size = jobs.Record{Writer: o.writer}, 0
-		return errors.Trace(err)
+	s := &splitter{writer: o.writer}
+	s.part = jobs.Record{Writer: o.writer, Claims: r.Claims, Leaving: r.Leaving, Engines: r.Engines, Ends: r.Ends}
+	for _, start := range r.Starts {
+		s.part.Starts = append(s.part.Starts, start)
+		s.grow(startBytes)
 	}
 	for _, p := range r.Progress {
-		part.Progress = append(part.Progress, p)
+		s.part.Progress = append(s.part.Progress, p)
+		size := startBytes
 		for _, e := range p.Events {
-			size += len(e.Data)
-		}
-		if size > recordMost {
-			if err := closePart(); err != nil {
-				return nil, err
-			}
+			size += len(e.Data) + eventBytes
 		}
+		s.grow(size)
 	}
 	for _, res := range r.Results {
-		part.Results = append(part.Results, res)
-		size += len(res.Text)
-		if size > recordMost {
-			if err := closePart(); err != nil {
-				return nil, err
-			}
-		}
+		s.part.Results = append(s.part.Results, res)
+		s.grow(len(res.Text) + startBytes)
+	}
+	// Jobs are given up behind the text that goes with them.
+	s.part.Releases = r.Releases
+	if !s.part.Empty() || len(s.records) == 0 {
+		s.close()
 	}
-	if !part.Empty() || len(out) == 0 {
-		if err := closePart(); err != nil {
-			return nil, err
+	return s.records, errors.Trace(s.err)
+}
+
+// splitter gathers parts of a record and closes them in time.
+type splitter struct {
+	writer  jobs.Writer
+	part    jobs.Record
+	size    int
+	records [][]byte
+	err     error
+}
+
+// grow notes what was added, in bytes.
+func (s *splitter) grow(size int) {
+	s.size += size
+	if s.size > recordMost {
+		s.close()
+	}
+}
+
+func (s *splitter) close() {
+	data, err := s.part.Encode()
+	if err != nil && s.err == nil {
+		s.err = err
+	}
+	s.records = append(s.records, data)
+	s.part, s.size = jobs.Record{Writer: s.writer}, 0
+}
+
+// calls groups records into appends of a size that the log takes.
+func calls(records [][]byte) [][][]byte {
+	var out [][][]byte
+	size := 0
+	for _, r := range records {
+		if len(out) == 0 || size+len(r) > callMost {
+			out, size = append(out, nil), 0
 		}
+		out[len(out)-1] = append(out[len(out)-1], r)
+		size += len(r)
 	}
-	return out, nil
+	return out
 }
--- /dev/null
+++ b/gateway/jobs/outbox_test.go
@@ -0,0 +1,101 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"dandelionsill.org/fold/jobs"
+	"dandelionsill.org/platform"
+)
+
+// strictLog refuses records and appends of a size that the platform refuses.
+type strictLog struct {
+	platform.Log
+	records [][]byte
+	refuse  int // appends refused for what they are
+}
+
+const (
+	platformRecord = 262144
+	platformCall   = 2097152
+)
+
+func (l *strictLog) AppendAll(_ context.Context, _ string, records [][]byte) (uint64, error) {
+	if l.refuse > 0 {
+		l.refuse--
+		return 0, platform.ErrLogRefused
+	}
+	size := 0
+	for _, r := range records {
+		size += len(r) + 4
+		if len(r) > platformRecord {
+			return 0, platform.ErrLogRefused
+		}
+	}
+	if size > platformCall {
+		return 0, platform.ErrLogRefused
+	}
+	l.records = append(l.records, records...)
+	return 0, nil
+}
+
+func newStrictOutbox(l *strictLog) *outbox {
+	return newOutbox(l, jobs.Writer{Node: "a", Life: "1"}, func() bool { return true }, zap.NewNop())
+}
+
+// The log is away for seconds while 250 samples run. What has piled up is more
+// than one append may hold; sent whole it was refused for ever, and with it
+// every result after it.
+func TestPiledUpNewsIsSplit(t *testing.T) {
+	l := &strictLog{}
+	o := newStrictOutbox(l)
+	o.add(false, func(r *jobs.Record) {
+		for i := range 20_000 {
+			r.Starts = append(r.Starts, jobs.Start{Job: "j", Item: fmt.Sprint(i), Server: "i-0123456789"})
+		}
+		for i := range 500 {
+			r.Results = append(r.Results, jobs.Result{Job: "j", Item: fmt.Sprint(i), Text: strings.Repeat("x", 20_000)})
+		}
+		r.Releases = []string{"j"}
+	})
+	require.True(t, o.flush(t.Context(), false))
+	starts, results, last := 0, 0, -1
+	for i, data := range l.records {
+		r, err := jobs.Decode(data)
+		require.NoError(t, err)
+		starts += len(r.Starts)
+		results += len(r.Results)
+		if len(r.Releases) > 0 {
+			last = i
+		}
+	}
+	require.Equal(t, 20_000, starts)
+	require.Equal(t, 500, results)
+	require.Equal(t, len(l.records)-1, last, "a job is given up behind its text")
+}
+
+// Records that the log refuses for what they are would hold up all that comes
+// after them; they are dropped, and the next go through.
+func TestRefusedRecordsHoldNothingUp(t *testing.T) {
+	l := &strictLog{refuse: 1}
+	o := newStrictOutbox(l)
+	o.add(false, func(r *jobs.Record) { r.Ends = []string{"bad"} })
+	require.True(t, o.flush(t.Context(), false))
+	o.add(false, func(r *jobs.Record) { r.Ends = []string{"good"} })
+	require.True(t, o.flush(t.Context(), false))
+	require.Len(t, l.records, 1)
+	require.Contains(t, string(l.records[0]), "good")
+}
+
+func TestNothingToSayIsNotAppended(t *testing.T) {
+	l := &strictLog{}
+	o := newStrictOutbox(l)
+	require.False(t, o.flush(t.Context(), false))
+	require.True(t, o.flush(t.Context(), true), "a sign of life")
+	require.Len(t, l.records, 1)
+}
