--- a/decide/loads/loads.go
+++ b/decide/loads/loads.go
@@ -66,10 +66,22 @@
 	return rank, size
 }
 
+// Parity is which versions an engine loads in its turn: the even or the odd ones.
+type Parity uint64
+
+// Parity returns the parity of an engine of a model by its place among the
+// others. An engine keeps what it got first: were it to follow its place, each
+// engine that comes or goes would turn half of the others over, and those then
+// hold versions too old for the step that runs.
+func (f Fleet) Parity(engine, model string) Parity {
+	rank, _ := f.rank(engine, model)
+	return Parity(max(0, rank) % 2)
+}
+
 // Choose returns what the engine self should load of a model whose newest
 // version is named; nil: nothing. have is what self serves now and took is how
 // long a load takes.
-func (f Fleet) Choose(self string, have uint64, model string, named uint64, took time.Duration) *Want {
+func (f Fleet) Choose(self string, have uint64, model string, named uint64, parity Parity, took time.Duration) *Want {
 	if have >= named {
 		return nil
 	}
@@ -77,7 +89,7 @@
 	if rank < 0 {
 		return nil
 	}
-	turn := (uint64(rank)+named)%2 == 0
+	turn := named%2 == uint64(parity)
 	urgent := have+1 < named
 	if !turn && !urgent {
 		return nil
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -38,6 +38,7 @@
 	// server at its address. Each sample found out by itself before, with
 	// 1,400 refused requests in two seconds after a cut.
 	shunFull      = 60 * time.Millisecond
+	shunDoublings = 4
 	shunUnreached = 250 * time.Millisecond
 	shunGone      = 3 * time.Second
 	// takeOverAfter is how long an owner may be silent before others claim its
@@ -88,6 +89,7 @@
 	pace     map[string]float64          // seconds an event, by engine
 	observed map[jobs.EngineKey]uint64   // versions as answers told them
 	shunned  map[string]time.Time        // engines that get no samples until then
+	refusals map[string]int              // in a row, by engine
 	claimed  map[string]time.Time        // when this process last claimed a job
 	owned    time.Time                   // when this process last owned a job
 	leaving  bool
@@ -101,7 +103,7 @@
 		book: book, log: log, view: f.View, forward: f, pool: f.Pool, zlog: zlog, writer: writer,
 		wake:  make(chan struct{}, 1),
 		works: map[string]map[string]*work{}, reading: map[string]bool{}, dropped: map[string]carried{}, pace: map[string]float64{},
-		observed: map[jobs.EngineKey]uint64{}, shunned: map[string]time.Time{}, claimed: map[string]time.Time{},
+		observed: map[jobs.EngineKey]uint64{}, shunned: map[string]time.Time{}, refusals: map[string]int{}, claimed: map[string]time.Time{},
 	}
 	r.out = newOutbox(log, writer, parts, r.owning, zlog)
 	return r
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -165,6 +165,7 @@
 		return false
 	}
 	now := time.Now()
+	delete(r.refusals, s.server)
 	if w.streamed > 0 {
 		r.measure(w.server, now.Sub(w.lastEvent))
 	} else {
@@ -210,7 +211,9 @@
 	case complete:
 		r.textComplete(ctx, w)
 	case refused:
-		r.shun(s.server, shunFull, now)
+		// A server that goes on refusing is left alone for longer each time.
+		r.refusals[s.server] = min(r.refusals[s.server]+1, shunDoublings)
+		r.shun(s.server, shunFull<<(r.refusals[s.server]-1), now)
 		r.requeue(w, avoidFull, now)
 	case unreached:
 		r.shun(s.server, shunUnreached, now)
--- a/gateway/jobs/work.go
+++ b/gateway/jobs/work.go
@@ -76,6 +76,14 @@
 	tokensPerEvent = 57
 )
 
+// rankBucket is how much older a job has to be for its samples to go before
+// longer ones of another. Where places are scarce the older step is the one
+// that can still be saved; within a bucket the longest go first.
+const rankBucket = 2 * time.Second
+
+// rankEpoch keeps ranks small.
+var rankEpoch = time.Unix(1_700_000_000, 0)
+
 // left guesses the tokens still to be made. A text that is longer than its
 // hint is likely to be much longer: the hint was wrong.
 func (w *work) left() float64 {
@@ -93,6 +101,7 @@
 func (w *work) sample(now time.Time) place.Sample {
 	s := place.Sample{
 		ID: w.item.ID, Model: w.model(), Floor: w.job.MinVersion, Left: w.left(), Prompt: w.size.Shared,
+		Rank: int(time.UnixMilli(w.job.SubmittedMS).Sub(rankEpoch) / rankBucket),
 	}
 	for server, until := range w.avoid {
 		if now.After(until) {
--- a/gateway/orders/orders.go
+++ b/gateway/orders/orders.go
@@ -70,11 +70,13 @@
 	fence uint64
 	lost  bool
 	told  map[jobs.EngineKey]jobs.Engine
+	// parity is kept for the life of the engine.
+	parity map[jobs.EngineKey]loads.Parity
 }
 
 // New returns an agent.
 func New(cfg Config) *Agent {
-	return &Agent{cfg: cfg, log: cfg.Logger, named: map[string]time.Time{}, seen: map[string]uint64{}, took: loadFirst, told: map[jobs.EngineKey]jobs.Engine{}}
+	return &Agent{cfg: cfg, log: cfg.Logger, named: map[string]time.Time{}, seen: map[string]uint64{}, took: loadFirst, told: map[jobs.EngineKey]jobs.Engine{}, parity: map[jobs.EngineKey]loads.Parity{}}
 }
 
 // Run orders the engine until ctx ends.
@@ -118,7 +120,7 @@
 		a.tellServed(ctx, self.ID, report)
 		return lookIdle
 	}
-	if due := a.named[want.Model].Add(want.Wait); !want.Urgent && time.Now().Before(due) {
+	if due := a.named[want.Model].Add(want.Wait); time.Now().Before(due) {
 		return max(time.Until(due), time.Millisecond)
 	}
 	return a.order(ctx, snap, self, report, want)
@@ -181,7 +183,10 @@
 	fleet := loads.Fleet{Engines: peers, Models: slices.Collect(maps.Keys(report.Versions))}
 	var chosen *loads.Want
 	for _, model := range slices.Sorted(maps.Keys(report.Versions)) {
-		want := fleet.Choose(self.ID, report.Versions[model], model, snap.Versions[model], a.took)
+		if snap.Versions[model] == 0 {
+			continue
+		}
+		want := fleet.Choose(self.ID, report.Versions[model], model, snap.Versions[model], a.parityOf(fleet, self.ID, model), a.took)
 		if want == nil {
 			continue
 		}
@@ -193,6 +198,18 @@
 	return chosen
 }
 
+// parityOf returns the parity that the engine got when a version of the model
+// was first named.
+func (a *Agent) parityOf(fleet loads.Fleet, server, model string) loads.Parity {
+	key := jobs.EngineKey{Server: server, Model: model}
+	parity, known := a.parity[key]
+	if !known && fleet.Serves(server, model) {
+		parity = fleet.Parity(server, model)
+		a.parity[key] = parity
+	}
+	return parity
+}
+
 // order gives one order and follows it to its end.
 func (a *Agent) order(ctx context.Context, snap *view.Snapshot, self *members.Server, report hosted.EngineReport, want *loads.Want) time.Duration {
 	begin := time.Now()
