--- a/gateway/jobs/api.go
+++ b/gateway/jobs/api.go
@@ -175,15 +175,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, syncMost)
 	defer cancel()
-	synced := s.book.Synced(ctx)
-	switch {
-	case s.has(job) && s.book.CaughtUp():
-		return nil
-	case synced:
-		return kinds.Hold().Refuse(kinds.NotFound, "no batch job %q", job)
-	default:
+	if !s.book.Synced(ctx) {
 		return kinds.Hold().Refuse(kinds.LogUnavailable, "this entry does not follow the log now").WithRetryAfter(comeBack)
 	}
+	if !s.has(job) {
+		return kinds.Hold().Refuse(kinds.NotFound, "no batch job %q", job)
+	}
+	return nil
 }
 
 // Results returns a job's number of items and its results from a position on.
