--- /dev/null
+++ b/gateway/jobs/history_test.go
@@ -0,0 +1,187 @@
+package jobs_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+
+	fold "dandelionsill.org/fold/jobs"
+	"dandelionsill.org/gateway/gatewaytest"
+	"dandelionsill.org/kinds"
+	"dandelionsill.org/platform/hosted/hostedtest"
+)
+
+// op is what a caller asks of a job, got what it heard.
+type op string
+
+const (
+	submit op = "submit"
+	look   op = "look"
+)
+
+type got string
+
+const (
+	yes    got = "yes"
+	no     got = "no"
+	unsure got = "unsure"
+)
+
+// existence is the model of a job: it does not exist, then it does for good. A
+// submission without a sure answer may have been carried out or not.
+var existence = porcupine.Model{
+	Init: func() any { return false },
+	Step: func(state, input, output any) (bool, any) {
+		exists, answer := state.(bool), output.(got)
+		switch {
+		case input.(op) == submit && answer == yes:
+			return true, true
+		case input.(op) == submit && answer == no:
+			return !exists, exists
+		case input.(op) == submit:
+			return true, true
+		case answer == yes:
+			return exists, exists
+		case answer == no:
+			return !exists, exists
+		default:
+			return true, exists
+		}
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// history records what callers asked and heard, by job.
+type history struct {
+	mu    sync.Mutex
+	start time.Time
+	ops   map[string][]porcupine.Operation
+	seen  map[string][]fold.Result // the longest list of results read
+	t     *testing.T
+}
+
+func (h *history) do(client int, job string, what op, ask func() got) {
+	call := time.Since(h.start).Nanoseconds()
+	answer := ask()
+	end := time.Since(h.start).Nanoseconds()
+	if what == submit && answer == unsure {
+		end = int64(time.Hour) // it may be carried out at any later time
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops[job] = append(h.ops[job], porcupine.Operation{ClientId: client, Input: what, Call: call, Output: answer, Return: end})
+}
+
+// read notes results; those that anybody has read before must be the same.
+func (h *history) read(job string, results []fold.Result) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	known := h.seen[job]
+	for i := range min(len(known), len(results)) {
+		require.Equal(h.t, known[i], results[i], "job %s position %d", job, i)
+	}
+	if len(results) > len(known) {
+		h.seen[job] = results
+	}
+}
+
+func answerOf(err *kinds.Error) got {
+	switch {
+	case err == nil:
+		return yes
+	case err.Kind() == string(kinds.NotFound):
+		return no
+	case err.NotRun():
+		return no
+	default:
+		return unsure
+	}
+}
+
+// Callers hand jobs in at three entries and look them up there, while the store
+// refuses, loses answers and carries appends out late, and an entry is killed.
+// The history has to be that of jobs which exist once and for good: after a 202
+// nobody is told "not found", after a "not run" the job is not there, and no
+// result that was read changes its position or content.
+func TestHistoryOfAcceptance(t *testing.T) {
+	t.Parallel()
+	pf := gatewaytest.NewPlatform(t, 3, 1)
+	entries := []*entry{newEntry(t, pf, "a"), newEntry(t, pf, "b"), newEntry(t, pf, "c")}
+	h := &history{start: time.Now(), ops: map[string][]porcupine.Operation{}, seen: map[string][]fold.Result{}, t: t}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	var clients, faults sync.WaitGroup
+	faults.Go(func() { breakStore(ctx, pf.Store) })
+	for client := range 6 {
+		clients.Go(func() {
+			rng := rand.New(rand.NewPCG(7, uint64(client)))
+			for n := range 20 {
+				askOnce(t, h, entries[rng.IntN(3)], client, fmt.Sprintf("j%d", (n+client)/4), rng)
+				if client == 0 && n == 10 {
+					entries[2].Stop()
+				}
+			}
+		})
+	}
+	clients.Wait()
+	stop()
+	faults.Wait()
+	pf.Store.Fail(hostedtest.StoreFaults{})
+	accepted := 0
+	for job, ops := range h.ops {
+		for _, o := range ops {
+			if o.Input == submit && o.Output == yes {
+				accepted++
+				h.read(job, entries[0].results(t, job, 2))
+				h.read(job, entries[1].results(t, job, 2))
+				break
+			}
+		}
+	}
+	require.Positive(t, accepted)
+	for job, ops := range h.ops {
+		result := porcupine.CheckOperationsTimeout(existence, ops, time.Minute)
+		require.Equal(t, porcupine.Ok, result, "job %s: %v", job, ops)
+	}
+}
+
+// breakStore brings about one fault after the other.
+func breakStore(ctx context.Context, s *hostedtest.Store) {
+	faults := []hostedtest.StoreFaults{{}, {LoseAppends: true}, {}, {Down: true}, {}, {LateAppends: 150 * time.Millisecond}}
+	for i := 0; ctx.Err() == nil; i++ {
+		s.Fail(faults[i%len(faults)])
+		select {
+		case <-ctx.Done():
+		case <-time.After(120 * time.Millisecond):
+		}
+	}
+}
+
+// askOnce hands a job in, or looks it up and reads its results.
+func askOnce(t *testing.T, h *history, e *entry, client int, job string, rng *rand.Rand) {
+	ctx, cancel := context.WithTimeout(t.Context(), 150*time.Millisecond+time.Duration(rng.IntN(300))*time.Millisecond)
+	defer cancel()
+	if rng.IntN(3) == 0 {
+		head, items := decode(t, job, hostedtest.Job(job, "m", 2, 1))
+		h.do(client, job, submit, func() got { return answerOf(e.service.Submit(ctx, head, items)) })
+		return
+	}
+	h.do(client, job, look, func() got {
+		_, results, err := e.service.Results(ctx, job, 0, 0)
+		switch {
+		case err == nil:
+			h.read(job, results)
+			return yes
+		case err.Kind() == string(kinds.NotFound):
+			return no
+		default:
+			return unsure
+		}
+	})
+}
