--- /dev/null
+++ b/soak/link_test.go
@@ -0,0 +1,121 @@
+package soak
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// mood is how a link treats the bytes on it.
+type mood struct {
+	delay        time.Duration
+	dropUp       bool // bytes towards the target vanish
+	dropDown     bool // bytes from the target vanish
+	resetOnBytes bool // connections are reset as soon as they carry bytes
+}
+
+// link is a proxy on loopback in front of a target.
+type link struct {
+	name   string
+	addr   string
+	target string
+
+	mu    sync.Mutex
+	mood  mood
+	conns map[net.Conn]bool
+}
+
+func newLink(t *testing.T, name, target string) *link {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	k := &link{name: name, addr: l.Addr().String(), target: target, conns: map[net.Conn]bool{}}
+	t.Cleanup(func() { _ = l.Close(); k.reset() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go k.serve(c)
+		}
+	}()
+	return k
+}
+
+func (k *link) serve(c net.Conn) {
+	up, err := net.Dial("tcp", k.target)
+	if err != nil {
+		_ = c.Close()
+		return
+	}
+	k.mu.Lock()
+	k.conns[c], k.conns[up] = true, true
+	k.mu.Unlock()
+	done := make(chan struct{}, 2)
+	go func() { k.copy(up, c, true); done <- struct{}{} }()
+	go func() { k.copy(c, up, false); done <- struct{}{} }()
+	<-done
+	_ = c.Close()
+	_ = up.Close()
+	<-done
+	k.mu.Lock()
+	delete(k.conns, c)
+	delete(k.conns, up)
+	k.mu.Unlock()
+}
+
+func (k *link) copy(to, from net.Conn, upward bool) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		m := k.now()
+		if m.resetOnBytes {
+			abort(to)
+			abort(from)
+			return
+		}
+		if m.delay > 0 {
+			time.Sleep(m.delay) // the fault itself
+		}
+		if upward && m.dropUp || !upward && m.dropDown {
+			continue
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func (k *link) now() mood {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.mood
+}
+
+func (k *link) set(m mood) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.mood = m
+}
+
+// reset ends all connections at once, with a reset.
+func (k *link) reset() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for c := range k.conns {
+		abort(c)
+	}
+}
+
+func abort(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
