--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The commands of the project. Each is a script that runs on its own as well.
 
-.PHONY: all build demo test race lint bench clean
+.PHONY: all build demo test race soak lint bench clean
 
 all: build
 
@@ -18,7 +18,13 @@
 
 # Every package under the race detector; see hack/test for why this is no verdict.
 race:
-	go test -race -timeout 300s $$(go list work | grep -v '^dandelionsill.org/e2e')
+	go test -race -timeout 300s $$(go list work | grep -vE '^dandelionsill.org/(e2e|soak)')
+
+# make soak [SEEDS=50] [SEED=0]: the real processes under randomized faults; SEED=0
+# takes seeds from the clock. Logs of each run stay in run/soak.
+soak:
+	mkdir -p run/soak
+	go test ./soak/ -v -timeout 4h -soak.seeds $(or $(SEEDS),10) -soak.seed $(or $(SEED),0) -soak.keep $(CURDIR)/run/soak
 
 lint:
 	bash hack/lint
