--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -10,9 +10,12 @@
 	"time"
 
 	"github.com/juju/errors"
+	"go.opentelemetry.io/otel/attribute"
+	oteltrace "go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
 	"dandelionsill.org/base/metrics"
+	"dandelionsill.org/base/trace"
 	"dandelionsill.org/decide/members"
 	"dandelionsill.org/decide/route"
 	"dandelionsill.org/decide/table"
@@ -283,6 +286,9 @@
 func (f *Forwarder) try(ctx context.Context, call Call, service string, c choice) outcome {
 	begin := time.Now()
 	server := c.server
+	ctx, span := trace.Tracer("gateway: forward").Start(ctx, "forward.try",
+		oteltrace.WithAttributes(attribute.String("id", call.ID), attribute.String("server", server.ID)))
+	defer span.End()
 	f.fleet.begun(server.ID)
 	o := outcome{choice: c}
 	o.reply, o.err = f.exchange(ctx, call, server)
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -11,9 +11,12 @@
 	"time"
 
 	"github.com/juju/errors"
+	"go.opentelemetry.io/otel/attribute"
+	oteltrace "go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
 	"dandelionsill.org/base/metrics"
+	"dandelionsill.org/base/trace"
 	"dandelionsill.org/decide/table"
 	"dandelionsill.org/entry/answer"
 	"dandelionsill.org/gateway/forward"
@@ -67,6 +70,10 @@
 	defer f.open.Add(-1)
 	requests.Add(1)
 	begin := time.Now()
+	ctx, span := trace.Tracer("gateway: front").Start(r.Context(), "front.serve",
+		oteltrace.WithAttributes(attribute.String("id", hosted.AttemptID(r.Header))))
+	defer span.End()
+	r = r.WithContext(ctx)
 	if f.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -7,8 +7,11 @@
 	"time"
 
 	"github.com/juju/errors"
+	"go.opentelemetry.io/otel/attribute"
+	oteltrace "go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
+	"dandelionsill.org/base/trace"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/backend"
 	"dandelionsill.org/platform/hosted"
@@ -85,6 +88,9 @@
 }
 
 func (s *stream) exchange(ctx context.Context) (ending, int, error) {
+	ctx, span := trace.Tracer("gateway: jobs").Start(ctx, "jobs.stream",
+		oteltrace.WithAttributes(attribute.String("id", s.w.item.ID), attribute.String("server", s.server)))
+	defer span.End()
 	answer, err := s.r.pool.Do(ctx, s.addr, s.request())
 	if errors.Is(err, backend.ErrNotSent) {
 		return unreached, 0, err
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -11,11 +11,13 @@
 
 	"github.com/go-kratos/kratos/v2/transport"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"dandelionsill.org/base/logs"
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/base/run"
+	"dandelionsill.org/base/trace"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/backend"
 	"dandelionsill.org/gateway/forward"
@@ -53,6 +55,10 @@
 // BuildGateway makes the gateway's process.
 func BuildGateway(ctx context.Context, set Gateway) (*run.Process, error) {
 	log, out := newLogger("gateway", set.Process.LogLevel)
+	flush, err := trace.Start(ctx, "dandelion-gateway", set.Trace)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
 	store := hosted.NewStore(set.Store.Address)
 	writer := jobs.Writer{Node: set.Process.Name, Life: life()}
 	v := view.New(store, logs.Part(log, "view"))
@@ -78,7 +84,7 @@
 		StopDelay:    time.Duration(serveOn * float64(set.Process.Grace)),
 		Drain:        handler.Drain,
 		DrainTimeout: time.Duration(drainShare * float64(set.Process.Grace)),
-		Close:        func() { loops.Wait(); out.Close() },
+		Close:        func() { loops.Wait(); endTraces(flush, log); out.Close() },
 		Reload: func(next any, changed []string) []string {
 			return reloadStore(store, &next.(*Gateway).Common, changed)
 		},
@@ -86,6 +92,17 @@
 	}, nil
 }
 
+// flushMost bounds the sending of the last spans at a stop.
+const flushMost = time.Second
+
+func endTraces(flush func(context.Context) error, log *zap.Logger) {
+	ctx, cancel := context.WithTimeout(context.Background(), flushMost)
+	defer cancel()
+	if err := flush(ctx); err != nil {
+		log.Warn("Spans are lost.", zap.Error(err))
+	}
+}
+
 // releaseMost bounds the giving up of jobs at a stop.
 const releaseMost = 2 * time.Second
 
--- a/gateway/server/settings.go
+++ b/gateway/server/settings.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"dandelionsill.org/base/settings"
+	"dandelionsill.org/base/trace"
 	"dandelionsill.org/platform/hosted"
 )
 
@@ -16,6 +17,7 @@
 type Common struct {
 	Process Process
 	Store   Store
+	Trace   trace.Config
 }
 
 // Process says who this process is.
@@ -41,7 +43,7 @@
 	if _, err := netip.ParseAddrPort(c.Store.Address); err != nil {
 		return errors.Errorf("store.address: %q is not IP:port", c.Store.Address)
 	}
-	return nil
+	return errors.Trace(c.Trace.Validate())
 }
 
 // Gateway holds the settings of the gateway.
