--- a/fold/jobs/jobs.go
+++ b/fold/jobs/jobs.go
@@ -72,11 +72,13 @@
 	order   []string // jobs in the order of acceptance
 	engines map[EngineKey]Engine
 	leaving map[Writer]bool
+	// capacity is how many items each process can run, by its own word.
+	capacity map[Writer]int
 }
 
 // New returns the state before the first record.
 func New() *State {
-	return &State{Jobs: map[string]*Job{}, pending: map[string]*submission{}, running: map[string]int{}, engines: map[EngineKey]Engine{}, leaving: map[Writer]bool{}}
+	return &State{Jobs: map[string]*Job{}, pending: map[string]*submission{}, running: map[string]int{}, engines: map[EngineKey]Engine{}, leaving: map[Writer]bool{}, capacity: map[Writer]int{}}
 }
 
 // Running is the number of items that run at a server, by their owners' word.
@@ -94,6 +96,9 @@
 	if r.Leaving {
 		s.leaving[r.Writer] = true
 	}
+	if r.Capacity > 0 {
+		s.capacity[r.Writer] = r.Capacity
+	}
 	if r.Accept != nil {
 		s.accept(offset, r, &c)
 	}
@@ -252,9 +257,9 @@
 	c.Ended = append(c.Ended, id)
 }
 
-// Owners returns the owners of jobs, the owner of the newest job first, with
-// the items that each still has to run. Those that have said that they leave
-// are left out.
+// Owners returns the processes that may be given jobs: owners first, that of the
+// newest job at the front, then the others in no order. Those that have said
+// that they leave are left out.
 func (s *State) Owners() []OwnerLoad {
 	var owners []OwnerLoad
 	at := map[Writer]int{}
@@ -267,19 +272,25 @@
 		if !known {
 			i = len(owners)
 			at[j.Owner] = i
-			owners = append(owners, OwnerLoad{Owner: j.Owner})
+			owners = append(owners, OwnerLoad{Owner: j.Owner, Capacity: s.capacity[j.Owner]})
 		}
 		if j.Open() {
 			owners[i].Items += j.Total - len(j.Results)
 		}
 	}
+	for w, capacity := range s.capacity {
+		if _, known := at[w]; !known && !s.leaving[w] {
+			owners = append(owners, OwnerLoad{Owner: w, Capacity: capacity})
+		}
+	}
 	return owners
 }
 
-// OwnerLoad is an owner with its work.
+// OwnerLoad is a process with its work.
 type OwnerLoad struct {
-	Owner Writer
-	Items int // without a result
+	Owner    Writer
+	Items    int // without a result
+	Capacity int // items that it can run; 0: not told
 }
 
 // Each calls f for each job in the order of acceptance.
--- a/fold/jobs/jobs_test.go
+++ b/fold/jobs/jobs_test.go
@@ -87,6 +87,18 @@
 	require.Empty(t, s.Owners())
 }
 
+// The owner of the newest job comes first, so that a trainer's next step goes
+// to who has its connections; processes that only told their capacity follow.
+func TestOwnersComeBeforeOthers(t *testing.T) {
+	s := New()
+	s.Apply(0, &Record{Writer: Writer{Node: "cyd", Life: "1"}, Capacity: 600})
+	s.Apply(1, &Record{Writer: ann, Capacity: 100})
+	s.Apply(2, accepted(ann, "j"))
+	s.Apply(3, accepted(bob, "k"))
+	s.Apply(4, &Record{Writer: bob, Results: []Result{{Job: "k", Item: "a"}}})
+	require.Equal(t, []OwnerLoad{{bob, 1, 0}, {ann, 2, 100}, {Writer{Node: "cyd", Life: "1"}, 0, 600}}, s.Owners())
+}
+
 // Jobs that are over and old are dropped; an open one never is.
 func TestForgetKeepsOpenJobs(t *testing.T) {
 	s := New()
--- a/fold/jobs/record.go
+++ b/fold/jobs/record.go
@@ -110,6 +110,7 @@
 	Claims   []Claim  `json:"c,omitempty"`
 	Releases []string `json:"r,omitempty"`  // jobs that their owner gives up
 	Leaving  bool     `json:"lv,omitempty"` // the writer takes no more jobs
+	Capacity int      `json:"cp,omitempty"` // items that the writer can run; 0: not told
 	Starts   []Start  `json:"st,omitempty"`
 	Results  []Result `json:"rs,omitempty"`
 	Ends     []string `json:"e,omitempty"` // jobs that their trainer ended
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -29,12 +29,12 @@
 	p := pf.NewProcess(t)
 	book := jobs.NewBook(p.Store, zap.NewNop())
 	writer := fold.Writer{Node: "a", Life: "1"}
-	runner := jobs.NewRunner(book, p.Store, p.Forward, writer, 3, zap.NewNop())
+	runner := jobs.NewRunner(book, p.Store, p.Forward, writer, 3, 600, zap.NewNop())
 	p.Go(book.Run)
 	p.Go(runner.Run)
 	require.Eventually(t, book.CaughtUp, gatewaytest.Wait, time.Millisecond)
 	f := &front.Front{
-		View: p.View, Forward: p.Forward, Jobs: jobs.NewService(book, p.Store, writer, 3, zap.NewNop()),
+		View: p.View, Forward: p.Forward, Jobs: jobs.NewService(book, p.Store, writer, 3, 600, zap.NewNop()),
 		Log: zap.NewNop(), Latency: metrics.NewHistogram("front_test_latency"),
 	}
 	srv := httptest.NewServer(f)
--- a/gateway/jobs/api.go
+++ b/gateway/jobs/api.go
@@ -26,10 +26,13 @@
 	// ownerHeard is how lately an owner must have shown that it lives to be
 	// given another job: two of its signs of life.
 	ownerHeard = 800 * time.Millisecond
-	// ownerItems is how many items an owner takes on by others' choice. One
-	// stream makes about 27 events a second, and 250 of them take a good part
-	// of a core.
+	// ownerItems is how many items an owner takes on that has not told its
+	// capacity.
 	ownerItems = 250
+	// ableItems is the capacity from which on a process can run a whole step.
+	ableItems = 250
+	// ableHeard is how lately such a process must have shown that it lives.
+	ableHeard = idleBeat + time.Second
 	// acceptChunk is the size at which the part of a submission is closed, in
 	// bytes.
 	acceptChunk = 100 << 10
@@ -44,14 +47,17 @@
 	zlog   *zap.Logger
 	writer jobs.Writer
 	parts  int // partitions of the texts' stream
-	texts  *textCache
-	count  atomic.Uint64 // submissions of this process
+	// capacity is how many items this process can run.
+	capacity int
+	texts    *textCache
+	count    atomic.Uint64 // submissions of this process
 }
 
 // NewService returns the calls' side of a book; parts is the number of
-// partitions of the texts' stream, the same in all processes.
-func NewService(book *Book, log Log, writer jobs.Writer, parts int, zlog *zap.Logger) *Service {
-	return &Service{book: book, log: log, writer: writer, parts: max(1, parts), zlog: zlog, texts: newTextCache()}
+// partitions of the texts' stream, the same in all processes, capacity the
+// number of items that this process can run.
+func NewService(book *Book, log Log, writer jobs.Writer, parts, capacity int, zlog *zap.Logger) *Service {
+	return &Service{book: book, log: log, writer: writer, parts: max(1, parts), capacity: capacity, zlog: zlog, texts: newTextCache()}
 }
 
 // Submit accepts a job durably: nil means that the log has it. It tries until
@@ -129,16 +135,45 @@
 // owner chooses who runs a job of some items: an owner of earlier jobs that
 // shows that it lives and has room. It has connections to the engines, knows
 // their pace and what else runs there; with a new owner for each step, seven of
-// ten connections were opened for that alone. nil: this process.
+// ten connections were opened for that alone. Else it is this process, or one
+// that can run the job where this one is too small. nil: this process.
 func (s *Service) owner(items int) *jobs.Writer {
 	s.book.mu.Lock()
 	defer s.book.mu.Unlock()
+	var able *jobs.Writer
 	for _, o := range s.book.state.Owners() {
-		if o.Items+items <= ownerItems && time.Since(s.book.heard[o.Owner]) <= ownerHeard {
+		silent := time.Since(s.book.heard[o.Owner])
+		switch {
+		case o.Items+items > capacityOr(o.Capacity):
+		case o.Items > 0 && silent <= ownerHeard, silent <= ownerHeard && o.Capacity >= ableItems:
 			return &o.Owner
+		case able == nil && silent <= ableHeard && o.Capacity >= ableItems:
+			able = &o.Owner
 		}
 	}
-	return nil
+	if s.capacity >= items {
+		return nil
+	}
+	return able
+}
+
+func capacityOr(told int) int {
+	if told == 0 {
+		return ownerItems
+	}
+	return told
+}
+
+// Capacity is how many items a VM can run: a stream makes 27 events of 350 B a
+// second, which go on to the log, and takes about 0.1% of a core. A share of
+// processor and link is left for callers.
+func Capacity(cpuShare, linkMbps float64) int {
+	const (
+		itemsPerCore = 750
+		itemsPerMbps = 2
+		most         = 600
+	)
+	return int(min(most, itemsPerCore*cpuShare, itemsPerMbps*linkMbps))
 }
 
 // appendUntil appends until the log takes the records, done says that they are
--- a/gateway/jobs/jobs_test.go
+++ b/gateway/jobs/jobs_test.go
@@ -33,8 +33,8 @@
 	p := pf.NewProcess(t)
 	writer := fold.Writer{Node: node, Life: "1"}
 	e := &entry{Process: p, book: jobs.NewBook(p.Store, zap.NewNop())}
-	e.service = jobs.NewService(e.book, p.Store, writer, 3, zap.NewNop())
-	e.runner = jobs.NewRunner(e.book, p.Store, p.Forward, writer, 3, zap.NewNop())
+	e.service = jobs.NewService(e.book, p.Store, writer, 3, 600, zap.NewNop())
+	e.runner = jobs.NewRunner(e.book, p.Store, p.Forward, writer, 3, 600, zap.NewNop())
 	p.Go(e.book.Run)
 	p.Go(e.runner.Run)
 	require.Eventually(t, e.book.CaughtUp, gatewaytest.Wait, time.Millisecond)
@@ -333,7 +333,7 @@
 	pf.Store.Fail(hostedtest.StoreFaults{Down: true})
 	p := hosted.NewStore(pf.Store.Addr())
 	book := jobs.NewBook(p, zap.NewNop())
-	service := jobs.NewService(book, p, fold.Writer{Node: "b", Life: "1"}, 3, zap.NewNop())
+	service := jobs.NewService(book, p, fold.Writer{Node: "b", Life: "1"}, 3, 600, zap.NewNop())
 	require.False(t, book.CaughtUp())
 	_, _, err := service.Results(t.Context(), "j", 0, 0)
 	require.Equal(t, string(kinds.LogUnavailable), err.Kind())
--- a/gateway/jobs/known_test.go
+++ b/gateway/jobs/known_test.go
@@ -35,7 +35,7 @@
 	require.NoError(t, err)
 	book.fold(platform.Page{Records: []platform.Record{{Data: data}}, Next: 1, End: 9}, time.Now())
 	require.False(t, book.CaughtUp())
-	service := NewService(book, endlessLog{end: 1}, jobs.Writer{Node: "b"}, 1, zap.NewNop())
+	service := NewService(book, endlessLog{end: 1}, jobs.Writer{Node: "b"}, 1, 600, zap.NewNop())
 	require.Nil(t, service.known(t.Context(), "j"))
 	require.Equal(t, "not_found", service.known(t.Context(), "other").Kind())
 }
--- a/gateway/jobs/outbox.go
+++ b/gateway/jobs/outbox.go
@@ -23,7 +23,11 @@
 	// one moment share an append.
 	flushGap = 15 * time.Millisecond
 	// beatEvery is how often an owner shows that it lives.
-	beatEvery  = 350 * time.Millisecond
+	beatEvery = 350 * time.Millisecond
+	// idleBeat is how often a process that can run a whole step shows that it
+	// lives while it owns nothing, so that a step is given to it rather than to
+	// a small one.
+	idleBeat   = 3 * time.Second
 	retryFirst = 40 * time.Millisecond
 	retryMost  = 300 * time.Millisecond
 	// recordMost is the size at which a record is closed, in bytes of text; the
@@ -49,6 +53,9 @@
 	zlog   *zap.Logger
 	writer jobs.Writer
 	parts  int // partitions of the texts' stream
+	// capacity is how many items this process can run; it is told with each
+	// record.
+	capacity int
 	// owning tells whether this process has to show that it lives.
 	owning func() bool
 
@@ -123,7 +130,7 @@
 
 // run appends until ctx ends; what is left then is appended by flush.
 func (o *outbox) run(ctx context.Context) {
-	last := time.Now()
+	last := time.Time{} // tells its capacity at once
 	tick := time.NewTicker(flushEvery)
 	defer tick.Stop()
 	for {
@@ -134,7 +141,8 @@
 			sleep.For(ctx, flushGap-time.Since(last))
 		case <-tick.C:
 		}
-		if o.flush(ctx, time.Since(last) >= beatEvery && o.owning()) {
+		beat := time.Since(last) >= beatEvery && o.owning() || time.Since(last) >= idleBeat && o.capacity >= ableItems
+		if o.flush(ctx, beat) {
 			last = time.Now()
 		}
 	}
@@ -193,7 +201,7 @@
 // encode splits r into records of a size that the log takes.
 func (o *outbox) encode(r *jobs.Record) ([][]byte, error) {
 	s := &splitter{writer: o.writer}
-	s.part = jobs.Record{Writer: o.writer, Claims: r.Claims, Leaving: r.Leaving, Engines: r.Engines, Ends: r.Ends}
+	s.part = jobs.Record{Writer: o.writer, Capacity: o.capacity, Claims: r.Claims, Leaving: r.Leaving, Engines: r.Engines, Ends: r.Ends}
 	for _, start := range r.Starts {
 		s.part.Starts = append(s.part.Starts, start)
 		s.grow(startBytes)
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -47,6 +47,9 @@
 	takeOverAfter = 1500 * time.Millisecond
 	// takeOverSpread keeps all processes from claiming at one moment.
 	takeOverSpread = 500 * time.Millisecond
+	// smallWaits is how much longer a process that can't run a whole step waits
+	// before it claims one, so that an able one is faster.
+	smallWaits = 600 * time.Millisecond
 	// ownerLinger is how long an owner without jobs goes on showing that it
 	// lives; trainers ask for the next step within seconds.
 	ownerLinger = 6 * time.Second
@@ -98,8 +101,9 @@
 }
 
 // NewRunner returns a runner that owns nothing yet; parts is the number of
-// partitions of the texts' stream, the same in all processes.
-func NewRunner(book *Book, log Log, f *forward.Forwarder, writer jobs.Writer, parts int, zlog *zap.Logger) *Runner {
+// partitions of the texts' stream, the same in all processes, capacity the
+// number of items that this process can run.
+func NewRunner(book *Book, log Log, f *forward.Forwarder, writer jobs.Writer, parts, capacity int, zlog *zap.Logger) *Runner {
 	r := &Runner{
 		book: book, log: log, view: f.View, forward: f, pool: f.Pool, zlog: zlog, writer: writer,
 		wake:  make(chan struct{}, 1),
@@ -107,6 +111,7 @@
 		observed: map[jobs.EngineKey]uint64{}, shunned: map[string]time.Time{}, refusals: map[string]int{}, claimed: map[string]time.Time{},
 	}
 	r.out = newOutbox(log, writer, parts, r.owning, zlog)
+	r.out.capacity = capacity
 	return r
 }
 
@@ -197,14 +202,20 @@
 	if !r.book.upToDate(now) || now.Sub(r.claimed[j.ID]) < takeOverAfter {
 		return false
 	}
-	if j.Released || j.Owner.Node == r.writer.Node {
+	if j.Owner.Node == r.writer.Node || j.Released && r.out.capacity >= ableItems {
 		return true
 	}
 	heard := r.book.heard[j.Owner]
+	if j.Released {
+		return now.Sub(heard) > smallWaits
+	}
 	if heard.Before(r.book.since) {
 		heard = r.book.since
 	}
 	silent := now.Sub(heard)
+	if r.out.capacity < ableItems {
+		silent -= smallWaits
+	}
 	return silent > takeOverAfter+time.Duration(rand.Float64()*float64(takeOverSpread))
 }
 
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -61,14 +61,15 @@
 	}
 	store := hosted.NewStore(set.Store.Address)
 	writer := jobs.Writer{Node: set.Process.Name, Life: life()}
+	capacity := gatewayjobs.Capacity(set.VM.CPUShare, set.VM.LinkMbps)
 	v := view.New(store, logs.Part(log, "view"))
 	pool := backend.NewPool(hosted.AttemptID)
 	forwarder := forward.New(v, pool, set.Process.FailureDomain, logs.Part(log, "forward"))
 	book := gatewayjobs.NewBook(store, logs.Part(log, "jobs"))
-	runner := gatewayjobs.NewRunner(book, store, forwarder, writer, set.Store.Parts, logs.Part(log, "runner"))
+	runner := gatewayjobs.NewRunner(book, store, forwarder, writer, set.Store.Parts, capacity, logs.Part(log, "runner"))
 	handler := &front.Front{
 		View: v, Forward: forwarder, Log: logs.Part(log, "front"), Latency: metrics.NewHistogram("front_latency"),
-		Jobs: gatewayjobs.NewService(book, store, writer, set.Store.Parts, logs.Part(log, "jobs")),
+		Jobs: gatewayjobs.NewService(book, store, writer, set.Store.Parts, capacity, logs.Part(log, "jobs")),
 	}
 	ready := &readiness{view: v, book: book}
 	peers := withPeers(store, set.Process.Name, set.Listen.Peers, log)
--- a/gateway/server/settings.go
+++ b/gateway/server/settings.go
@@ -50,6 +50,13 @@
 type Gateway struct {
 	Common
 	Listen Listen
+	VM     VM
+}
+
+// VM says what the process may use of its VM.
+type VM struct {
+	CPUShare float64 `ini:"vm.cpu_share" default:"1" min:"0.01" max:"1024" help:"cores that this process may use"`
+	LinkMbps float64 `ini:"vm.link_mbps" default:"1000" min:"1" max:"1000000" help:"bandwidth of the VM's link, Mbit/s"`
 }
 
 // Listen says where the gateway listens.
