--- a/Makefile
+++ b/Makefile
@@ -9,9 +9,11 @@
 	CGO_ENABLED=1 go build -o bin/ ./cmd/...
 
 # The system on loopback with stand-ins for the platform; one agent is killed
-# and one entry stopped on the way. Ends with "demo: ok" or "demo: FAILED".
+# and one entry stopped on the way. Ends with "demo: ok" or "demo: FAILED". Then
+# the prepared machines' path, which ends with "demo-hosted: ok".
 demo: build
 	bash examples/demo.sh
+	bash examples/demo-hosted.sh
 
 test:
 	bash hack/test
--- a/cmd/dandelion-standin/main.go
+++ b/cmd/dandelion-standin/main.go
@@ -13,6 +13,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"dandelionsill.org/standin/engine"
+	"dandelionsill.org/standin/hosted"
 	"dandelionsill.org/standin/logsvc"
 	"dandelionsill.org/standin/scorer"
 	"dandelionsill.org/standin/service"
@@ -68,6 +69,7 @@
 			return scorer.New(scorerConfig), nil
 		}),
 		trainer.Command(),
+		hosted.Command(),
 	}
 }
 
