--- a/platform/adapters_test.go
+++ b/adapters/adapters_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package adapters_test
 
 import (
 	"bytes"
@@ -15,12 +15,12 @@
 
 	"github.com/stretchr/testify/require"
 
+	"dandelionsill.org/adapters/httpengine"
+	"dandelionsill.org/adapters/httplog"
+	"dandelionsill.org/adapters/httpstore"
+	"dandelionsill.org/adapters/httpvms"
+	"dandelionsill.org/adapters/protocol"
 	"dandelionsill.org/platform"
-	"dandelionsill.org/platform/httpengine"
-	"dandelionsill.org/platform/httplog"
-	"dandelionsill.org/platform/httpstore"
-	"dandelionsill.org/platform/httpvms"
-	"dandelionsill.org/platform/protocol"
 )
 
 const self = "entry-1"
--- a/platform/httpengine/engine.go
+++ b/adapters/httpengine/engine.go
@@ -16,9 +16,9 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
 
+	"dandelionsill.org/adapters/internal/rest"
+	"dandelionsill.org/adapters/protocol"
 	"dandelionsill.org/platform"
-	"dandelionsill.org/platform/internal/rest"
-	"dandelionsill.org/platform/protocol"
 )
 
 const (
--- a/platform/httplog/log.go
+++ b/adapters/httplog/log.go
@@ -11,8 +11,8 @@
 
 	"github.com/juju/errors"
 
+	"dandelionsill.org/adapters/internal/rest"
 	"dandelionsill.org/platform"
-	"dandelionsill.org/platform/internal/rest"
 )
 
 const (
--- a/platform/httpstore/store.go
+++ b/adapters/httpstore/store.go
@@ -14,9 +14,9 @@
 
 	"github.com/juju/errors"
 
+	"dandelionsill.org/adapters/internal/rest"
+	"dandelionsill.org/adapters/protocol"
 	"dandelionsill.org/platform"
-	"dandelionsill.org/platform/internal/rest"
-	"dandelionsill.org/platform/protocol"
 )
 
 const latestTimeout = 5 * time.Second
--- a/platform/internal/rest/rest.go
+++ b/adapters/internal/rest/rest.go
@@ -15,7 +15,7 @@
 
 	"github.com/juju/errors"
 
-	"dandelionsill.org/platform/protocol"
+	"dandelionsill.org/adapters/protocol"
 )
 
 const (
--- a/platform/internal/rest/rest_test.go
+++ b/adapters/internal/rest/rest_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"dandelionsill.org/platform/internal/rest"
+	"dandelionsill.org/adapters/internal/rest"
 )
 
 // The worst case for a silent repeat: a kept-alive connection breaks under a
--- a/agent/calls/rig_test.go
+++ b/agent/calls/rig_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc"
 
+	"dandelionsill.org/adapters/httplog"
 	"dandelionsill.org/agent/admission"
 	"dandelionsill.org/agent/once"
 	"dandelionsill.org/base/explain"
@@ -20,7 +21,6 @@
 	"dandelionsill.org/confsync"
 	fold "dandelionsill.org/fold/once"
 	"dandelionsill.org/manifest"
-	"dandelionsill.org/platform/httplog"
 	"dandelionsill.org/standin/logsvc"
 	"dandelionsill.org/wire/pb"
 )
--- a/agent/generate/standin_test.go
+++ b/agent/generate/standin_test.go
@@ -10,11 +10,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"dandelionsill.org/adapters/httpengine"
 	"dandelionsill.org/agent/admission"
 	"dandelionsill.org/agent/weights"
 	"dandelionsill.org/confsync"
 	"dandelionsill.org/manifest"
-	"dandelionsill.org/platform/httpengine"
 	"dandelionsill.org/standin/engine"
 	"dandelionsill.org/standin/truth"
 	"dandelionsill.org/wire/pb"
--- a/agent/generate/swaps_bench_test.go
+++ b/agent/generate/swaps_bench_test.go
@@ -9,12 +9,12 @@
 	"testing"
 	"time"
 
+	"dandelionsill.org/adapters/httpengine"
 	"dandelionsill.org/agent/admission"
 	"dandelionsill.org/agent/weights"
 	"dandelionsill.org/confsync"
 	"dandelionsill.org/decide/fresh"
 	"dandelionsill.org/manifest"
-	"dandelionsill.org/platform/httpengine"
 	"dandelionsill.org/standin/engine"
 	"dandelionsill.org/wire/pb"
 )
--- a/agent/server/build.go
+++ b/agent/server/build.go
@@ -11,6 +11,10 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"dandelionsill.org/adapters/httpengine"
+	"dandelionsill.org/adapters/httplog"
+	"dandelionsill.org/adapters/httpstore"
+	"dandelionsill.org/adapters/httpvms"
 	"dandelionsill.org/agent/admission"
 	"dandelionsill.org/agent/calls"
 	"dandelionsill.org/agent/generate"
@@ -24,10 +28,6 @@
 	fold "dandelionsill.org/fold/once"
 	"dandelionsill.org/manifest"
 	"dandelionsill.org/platform"
-	"dandelionsill.org/platform/httpengine"
-	"dandelionsill.org/platform/httplog"
-	"dandelionsill.org/platform/httpstore"
-	"dandelionsill.org/platform/httpvms"
 	"dandelionsill.org/wire/pb"
 )
 
--- a/agent/server/build_test.go
+++ b/agent/server/build_test.go
@@ -11,12 +11,12 @@
 	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 
+	"dandelionsill.org/adapters/httplog"
 	"dandelionsill.org/base/run"
 	"dandelionsill.org/base/settings"
 	"dandelionsill.org/fold/control"
 	"dandelionsill.org/manifest"
 	"dandelionsill.org/platform"
-	"dandelionsill.org/platform/httplog"
 	"dandelionsill.org/standin/logsvc"
 	"dandelionsill.org/standin/service"
 	"dandelionsill.org/standin/vms"
--- a/capacity/keeper_test.go
+++ b/capacity/keeper_test.go
@@ -13,12 +13,12 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc"
 
+	"dandelionsill.org/adapters/httplog"
 	"dandelionsill.org/base/run"
 	"dandelionsill.org/confsync"
 	"dandelionsill.org/fold/control"
 	"dandelionsill.org/manifest"
 	"dandelionsill.org/platform"
-	"dandelionsill.org/platform/httplog"
 	"dandelionsill.org/standin/logsvc"
 	"dandelionsill.org/wire/pb"
 )
--- a/capacity/log_test.go
+++ b/capacity/log_test.go
@@ -14,11 +14,11 @@
 	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 
+	"dandelionsill.org/adapters/httplog"
+	"dandelionsill.org/adapters/httpvms"
 	"dandelionsill.org/agent/once"
 	fold "dandelionsill.org/fold/once"
 	"dandelionsill.org/platform"
-	"dandelionsill.org/platform/httplog"
-	"dandelionsill.org/platform/httpvms"
 	"dandelionsill.org/standin/logsvc"
 	"dandelionsill.org/standin/vms"
 )
--- a/capacity/process_test.go
+++ b/capacity/process_test.go
@@ -16,10 +16,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"dandelionsill.org/adapters/httplog"
 	"dandelionsill.org/base/run"
 	"dandelionsill.org/manifest"
 	"dandelionsill.org/platform"
-	"dandelionsill.org/platform/httplog"
 	"dandelionsill.org/standin/engine"
 	"dandelionsill.org/standin/logsvc"
 	"dandelionsill.org/standin/vms"
--- a/capacity/spread_test.go
+++ b/capacity/spread_test.go
@@ -17,12 +17,12 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc"
 
+	"dandelionsill.org/adapters/httpstore"
 	"dandelionsill.org/agent/weights"
 	"dandelionsill.org/base/run"
 	"dandelionsill.org/confsync"
 	"dandelionsill.org/manifest"
 	"dandelionsill.org/platform"
-	"dandelionsill.org/platform/httpstore"
 	standin "dandelionsill.org/standin/weights"
 	"dandelionsill.org/wire/pb"
 )
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -14,10 +14,10 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"dandelionsill.org/adapters/httplog"
+	"dandelionsill.org/adapters/httpvms"
 	"dandelionsill.org/base/settings"
 	"dandelionsill.org/platform"
-	"dandelionsill.org/platform/httplog"
-	"dandelionsill.org/platform/httpvms"
 )
 
 // Exit codes.
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -14,6 +14,9 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"dandelionsill.org/adapters/httplog"
+	"dandelionsill.org/adapters/httpstore"
+	"dandelionsill.org/adapters/httpvms"
 	"dandelionsill.org/base/explain"
 	"dandelionsill.org/base/logs"
 	"dandelionsill.org/base/metrics"
@@ -27,9 +30,6 @@
 	"dandelionsill.org/entry/steps"
 	"dandelionsill.org/manifest"
 	"dandelionsill.org/platform"
-	"dandelionsill.org/platform/httplog"
-	"dandelionsill.org/platform/httpstore"
-	"dandelionsill.org/platform/httpvms"
 	"dandelionsill.org/wire/pb"
 )
 
--- a/load/rollout/rollout.go
+++ b/load/rollout/rollout.go
@@ -18,8 +18,8 @@
 
 	"github.com/juju/errors"
 
+	"dandelionsill.org/adapters/protocol"
 	"dandelionsill.org/load/judge"
-	"dandelionsill.org/platform/protocol"
 	standin "dandelionsill.org/standin/trainer"
 	"dandelionsill.org/standin/truth"
 	"dandelionsill.org/standin/weights"
--- a/load/site/control.go
+++ b/load/site/control.go
@@ -18,11 +18,11 @@
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 
+	"dandelionsill.org/adapters/httplog"
 	"dandelionsill.org/fold/control"
 	"dandelionsill.org/load/client"
 	"dandelionsill.org/manifest"
 	"dandelionsill.org/platform"
-	"dandelionsill.org/platform/httplog"
 )
 
 const (
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"dandelionsill.org/adapters/httpengine"
 	"dandelionsill.org/platform"
-	"dandelionsill.org/platform/httpengine"
 	"dandelionsill.org/standin/engine"
 	"dandelionsill.org/standin/truth"
 )
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -10,8 +10,8 @@
 	"strconv"
 	"time"
 
+	"dandelionsill.org/adapters/protocol"
 	"dandelionsill.org/platform"
-	"dandelionsill.org/platform/protocol"
 	"dandelionsill.org/standin/web"
 )
 
--- a/standin/logsvc/log.go
+++ b/standin/logsvc/log.go
@@ -15,7 +15,7 @@
 
 	"golang.org/x/time/rate"
 
-	"dandelionsill.org/platform/protocol"
+	"dandelionsill.org/adapters/protocol"
 	"dandelionsill.org/standin/web"
 )
 
--- a/standin/logsvc/log_test.go
+++ b/standin/logsvc/log_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"dandelionsill.org/adapters/httplog"
 	"dandelionsill.org/platform"
-	"dandelionsill.org/platform/httplog"
 	"dandelionsill.org/standin/logsvc"
 )
 
--- a/standin/vms/vms_test.go
+++ b/standin/vms/vms_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"dandelionsill.org/adapters/httpvms"
 	"dandelionsill.org/platform"
-	"dandelionsill.org/platform/httpvms"
 	"dandelionsill.org/standin/vms"
 )
 
--- a/standin/weights/weights.go
+++ b/standin/weights/weights.go
@@ -18,8 +18,8 @@
 
 	"golang.org/x/time/rate"
 
+	"dandelionsill.org/adapters/protocol"
 	"dandelionsill.org/platform"
-	"dandelionsill.org/platform/protocol"
 	"dandelionsill.org/standin/web"
 )
 
--- a/standin/weights/weights_test.go
+++ b/standin/weights/weights_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"dandelionsill.org/adapters/httpstore"
 	"dandelionsill.org/platform"
-	"dandelionsill.org/platform/httpstore"
 	"dandelionsill.org/standin/weights"
 )
 
