--- a/decide/place/place.go
+++ b/decide/place/place.go
@@ -31,6 +31,8 @@
 	Model string
 	// Floor is the oldest weight version that may make it.
 	Floor uint64
+	// Only is the one version that may go on with it; 0: any from the floor on.
+	Only uint64
 	// Left is how much of it is still to be made, in any unit that all
 	// samples share.
 	Left float64
@@ -110,7 +112,7 @@
 
 func fits(e *Engine, s *Sample) bool {
 	version, serves := e.Versions[s.Model]
-	return serves && version >= s.Floor && e.Load < e.Slots
+	return serves && version >= s.Floor && (s.Only == 0 || version == s.Only) && e.Load < e.Slots
 }
 
 // score rates an engine; less is better.
@@ -182,3 +184,14 @@
 	}
 	return false
 }
+
+// Served tells whether any engine has the one version that may go on with a
+// sample, with room or without.
+func Served(engines []Engine, s *Sample) bool {
+	for i := range engines {
+		if version, serves := engines[i].Versions[s.Model]; serves && version == s.Only {
+			return true
+		}
+	}
+	return false
+}
--- a/decide/place/place_test.go
+++ b/decide/place/place_test.go
@@ -26,6 +26,10 @@
 	avoiding.Avoid = map[string]bool{"e1": true}
 	carried := sample("carried", 1)
 	carried.Rank = -1
+	newer := engine("newer", 8, 0)
+	newer.Versions = map[string]uint64{"m": 6}
+	only := sample("only", 1)
+	only.Only = 5
 	tests := []struct {
 		name    string
 		engines []Engine
@@ -39,6 +43,7 @@
 		{"no weights older than the floor", []Engine{stale}, []Sample{sample("s", 1)}, nil},
 		{"no engine that loads the model", []Engine{loading}, []Sample{sample("s", 1)}, nil},
 		{"not where it failed lately", []Engine{engine("e1", 8, 0), engine("e2", 8, 7)}, []Sample{avoiding}, []Choice{{0, 1}}},
+		{"only the version that began it", []Engine{newer, engine("e1", 8, 7)}, []Sample{only}, []Choice{{0, 1}}},
 		{"a slow engine last", []Engine{slow, usual, usual2}, []Sample{sample("s", 1)}, []Choice{{0, 1}}},
 		{"a slow engine rather than none", []Engine{slow}, []Sample{sample("s", 1)}, []Choice{{0, 0}}},
 	}
@@ -66,6 +71,14 @@
 	require.Equal(t, choices[0].Engine, choices[1].Engine)
 }
 
+func TestServed(t *testing.T) {
+	only := sample("only", 1)
+	only.Only = 5
+	require.True(t, Served([]Engine{engine("full", 8, 8)}, &only))
+	only.Only = 4
+	require.False(t, Served([]Engine{engine("newer", 8, 0)}, &only))
+}
+
 func TestLeave(t *testing.T) {
 	slow, usual, full := engine("slow", 8, 2), engine("usual", 8, 3), engine("full", 8, 8)
 	slow.Pace, usual.Pace, full.Pace = 0.12, 0.037, 0.038
--- a/gateway/jobs/jobs_test.go
+++ b/gateway/jobs/jobs_test.go
@@ -229,6 +229,34 @@
 	}
 }
 
+// A route wants each sample made by one weight version. Its engine loads the
+// next version in the middle, and another engine breaks streams off: a sample
+// goes on only with the version that began it, or begins anew.
+func TestSingleVersionSamplesAreNeverMixed(t *testing.T) {
+	t.Parallel()
+	pf := gatewaytest.NewPlatform(t, 2, 1)
+	config := hostedtest.Config(2)
+	config["routes"].([]map[string]any)[0][hostedtest.FieldSingleVersion] = true
+	pf.Store.Put(hostedtest.TopicOperator, "config", config)
+	for _, e := range pf.Engines {
+		e.Pace, e.Events = 5*time.Millisecond, 40
+	}
+	a := newEntry(t, pf, "a")
+	require.Eventually(t, func() bool { return a.View.Now().Table.Version == 2 }, gatewaytest.Wait, time.Millisecond)
+	a.submit(t, "j", 8, 1)
+	require.Eventually(t, func() bool { return noted(pf, "j") >= 12 }, gatewaytest.Wait, time.Millisecond)
+	pf.Engines[1].Fail(hostedtest.ServerFaults{BreakAfter: 1})
+	client := hosted.NewEngineClient(pf.Engines[0].Addr())
+	outcome, err := client.Order(t.Context(), hosted.LoadOrder{Server: "e0", Model: "m", Version: 2, Mode: hosted.LoadRetain, Holder: "test", Fence: 1})
+	require.NoError(t, err)
+	require.Equal(t, hosted.OrderTaken, outcome)
+	results := a.results(t, "j", 8)
+	requireWhole(t, results, 40)
+	for _, r := range results {
+		require.Len(t, r.Versions, 1)
+	}
+}
+
 // A trainer ends its job: the samples that run are stopped at their engines.
 func TestEndedJobStops(t *testing.T) {
 	t.Parallel()
--- a/gateway/jobs/ownership.go
+++ b/gateway/jobs/ownership.go
@@ -112,6 +112,7 @@
 func (r *Runner) begin(j *jobs.Job, texts *jobs.Texts) {
 	works := make(map[string]*work, len(j.Items))
 	r.works[j.ID] = works
+	single := r.singleVersion(j)
 	for id, item := range j.Items {
 		if item.Done() {
 			continue
@@ -122,10 +123,22 @@
 		}
 		body, _ := texts.Body(id)
 		works[id] = newWork(j, item, body, made)
+		works[id].single = single
 	}
 	r.zlog.Info("Owning a batch job.", zap.String("job", j.ID), zap.Int("items", len(works)), zap.Uint64("claim", j.Claim))
 }
 
+// singleVersion tells whether a job's route wants samples that one weight
+// version made.
+func (r *Runner) singleVersion(j *jobs.Job) bool {
+	t := r.view.Now().Table
+	if t == nil {
+		return false
+	}
+	route := t.Match(j.Host, j.Path)
+	return route != nil && route.SingleVersion
+}
+
 // carried is the text of an item whose job was ended before it was whole.
 type carried struct {
 	model  string
--- a/gateway/jobs/placing.go
+++ b/gateway/jobs/placing.go
@@ -79,8 +79,15 @@
 	var movers []*work
 	for _, w := range works {
 		if w.phase == waiting {
+			sample := w.sample(now)
+			if sample.Only != 0 && !place.Served(engines, &sample) {
+				// Engines only move forward: nobody will ever go on with it.
+				samplesRestart.Add(1)
+				w.restart()
+				sample = w.sample(now)
+			}
 			queue = append(queue, w)
-			samples = append(samples, w.sample(now))
+			samples = append(samples, sample)
 			continue
 		}
 		moving = append(moving, place.Running{Sample: w.sample(now), Engine: w.server})
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -33,7 +33,7 @@
 )
 
 var endingNames = map[ending]string{
-	complete: "complete", broken: "broken", refused: "refused", unreached: "unreached", misdirected: "misdirected", failed: "failed", never: "never", tooOld: "too_old", outdated: "outdated",
+	complete: "complete", broken: "broken", refused: "refused", unreached: "unreached", misdirected: "misdirected", failed: "failed", never: "never", tooOld: "too_old", mixed: "mixed", outdated: "outdated",
 }
 
 // start opens a stream of an item at an engine; r.mu is held.
@@ -50,7 +50,7 @@
 		w.restart()
 	}
 	streamsStarted.Add(1)
-	s := &stream{r: r, w: w, number: w.stream, server: server, addr: addr, behind: len(w.events)}
+	s := &stream{r: r, w: w, number: w.stream, server: server, addr: addr, behind: len(w.events), only: w.only()}
 	r.note(w, true)
 	r.tasks.Go(func() {
 		defer stop()
@@ -70,6 +70,7 @@
 	server string
 	addr   string
 	behind int // events that were known before
+	only   uint64
 }
 
 // request is the item as the engine gets it.
@@ -108,6 +109,10 @@
 		s.r.observe(s, version)
 		return tooOld, answer.Status, nil
 	}
+	if s.only != 0 && version != s.only {
+		s.r.observe(s, version)
+		return mixed, answer.Status, nil
+	}
 	end, err := s.events(answer, version)
 	return end, answer.Status, err
 }
@@ -149,6 +154,12 @@
 		if version < s.w.job.MinVersion {
 			return tooOld, nil
 		}
+		if s.w.single && s.only == 0 {
+			s.only = version
+		}
+		if s.only != 0 && version != s.only {
+			return mixed, nil
+		}
 		if !s.r.event(s, jobs.Event{Data: event.Data, Version: version}) {
 			return outdated, nil
 		}
@@ -231,6 +242,10 @@
 		versionsTooOld.Add(1)
 		w.restart()
 		r.requeue(w, avoidFull, now)
+	case mixed:
+		samplesRestart.Add(1)
+		w.restart()
+		r.requeue(w, avoidFull, now)
 	case never:
 		r.giveUp(w, "never")
 	case failed:
--- a/gateway/jobs/work.go
+++ b/gateway/jobs/work.go
@@ -26,6 +26,9 @@
 	body jobs.ItemBody
 	size hosted.ItemSize
 
+	// single: one weight version makes the whole text.
+	single bool
+
 	phase    phase
 	run      int
 	events   []jobs.Event
@@ -55,6 +58,14 @@
 	}
 }
 
+// only is the one version that may go on with the item; 0: any.
+func (w *work) only() uint64 {
+	if !w.single || len(w.events) == 0 {
+		return 0
+	}
+	return w.events[0].Version
+}
+
 // model is the model that has to make the item's text.
 func (w *work) model() string {
 	if w.size.Model != "" {
@@ -104,6 +115,7 @@
 		ID: w.item.ID, Model: w.model(), Floor: w.job.MinVersion, Left: w.left(), Prompt: w.size.Shared,
 		Rank: int(time.UnixMilli(w.job.SubmittedMS).Sub(rankEpoch) / rankBucket),
 	}
+	s.Only = w.only()
 	for server, until := range w.avoid {
 		if now.After(until) {
 			delete(w.avoid, server)
