--- a/gateway/jobs/jobs_test.go
+++ b/gateway/jobs/jobs_test.go
@@ -239,7 +239,7 @@
 	config["routes"].([]map[string]any)[0][hostedtest.FieldSingleVersion] = true
 	pf.Store.Put(hostedtest.TopicOperator, "config", config)
 	for _, e := range pf.Engines {
-		e.Pace, e.Events = 5*time.Millisecond, 40
+		e.Pace, e.Events = 5*time.Millisecond, 200
 	}
 	a := newEntry(t, pf, "a")
 	require.Eventually(t, func() bool { return a.View.Now().Table.Version == 2 }, gatewaytest.Wait, time.Millisecond)
@@ -251,7 +251,7 @@
 	require.NoError(t, err)
 	require.Equal(t, hosted.OrderTaken, outcome)
 	results := a.results(t, "j", 8)
-	requireWhole(t, results, 40)
+	requireWhole(t, results, 200)
 	for _, r := range results {
 		require.Len(t, r.Versions, 1)
 	}
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -29,6 +29,7 @@
 	failed             // the engine answered that it failed
 	never              // the engine answered that it can never be done
 	tooOld             // the engine's weights are older than the job allows
+	mixed              // the weights are not those that began the text
 	outdated           // this process has ended the stream
 )
 
