--- a/decide/table/table.go
+++ b/decide/table/table.go
@@ -161,11 +161,3 @@
 	}
 	return nil
 }
-
-// HasHost tells whether any route is of host.
-func (t *Table) HasHost(host string) bool {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	return len(t.byHost[host]) > 0
-}
--- a/decide/table/table_test.go
+++ b/decide/table/table_test.go
@@ -37,8 +37,6 @@
 		require.NotNil(t, r, test.path)
 		require.Equal(t, test.want, r.Name)
 	}
-	require.True(t, tb.HasHost("h:1"))
-	require.False(t, tb.HasHost("x"))
 }
 
 func TestPickFollowsTheWeights(t *testing.T) {
--- a/gateway/backend/backend.go
+++ b/gateway/backend/backend.go
@@ -274,7 +274,6 @@
 		_ = a.conn.Close()
 		return
 	}
-	a.conn.fresh = false
 	a.conn.expires = time.Now().Add(keepFor(a.Header.Get("Keep-Alive")))
 	a.pool.keep(a.addr, a.conn)
 }
--- a/gateway/backend/conn.go
+++ b/gateway/backend/conn.go
@@ -14,8 +14,6 @@
 	net.Conn
 	r *bufio.Reader
 	w *bufio.Writer
-	// fresh is false once the connection has carried a request.
-	fresh bool
 	// expires is when the server may close it by itself.
 	expires time.Time
 }
@@ -27,7 +25,7 @@
 )
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, r: bufio.NewReaderSize(c, readBuffer), w: bufio.NewWriterSize(c, writeBuffer), fresh: true}
+	return &conn{Conn: c, r: bufio.NewReaderSize(c, readBuffer), w: bufio.NewWriterSize(c, writeBuffer)}
 }
 
 // usable tells whether a kept connection can carry another request. A server
