gateway: one head of a request, one look-up of a job's route, one word for 'does not follow the log'

What stood twice is called now: forward.exchange uses open; attempts and begin use routeOf; the caller's own wait is read in one place of the front. Behaviour and tests unchanged; gateway, platform/hosted and base/metrics pass.

--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -300,13 +300,7 @@
 }
 
 func (f *Forwarder) exchange(ctx context.Context, call Call, server members.Server) (*Reply, error) {
-	header := call.Header.Clone()
-	hosted.SetAttemptID(header, call.ID)
-	hosted.SetExpectedServer(header, server.ID)
-	hosted.SetDeadline(header, time.Until(call.Deadline))
-	answer, err := f.Pool.Do(ctx, server.Addr, &backend.Request{
-		Method: call.Method, URI: call.URI, Host: call.Host, Header: header, Body: call.Body, ID: call.ID,
-	})
+	answer, err := f.open(ctx, call, server)
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -56,6 +56,7 @@
 	}
 }
 
+// open sends the request to a server and reads the head of its answer.
 func (f *Forwarder) open(ctx context.Context, call Call, server members.Server) (*backend.Answer, error) {
 	header := call.Header.Clone()
 	hosted.SetAttemptID(header, call.ID)
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -125,12 +125,17 @@
 	return f.proxy(w, r, route, body, deadline)
 }
 
+// callerWaits is how long the caller will wait by its own word.
+func callerWaits(r *http.Request) time.Duration {
+	if left := hosted.Deadline(r.Header); left > 0 {
+		return left
+	}
+	return defaultDeadline
+}
+
 // timeLeft is how long the caller may be kept waiting.
 func timeLeft(r *http.Request, route *table.Route) time.Duration {
-	left := hosted.Deadline(r.Header)
-	if left == 0 {
-		left = defaultDeadline
-	}
+	left := callerWaits(r)
 	if route.Timeout > 0 && route.Timeout < left {
 		left = route.Timeout
 	}
@@ -179,10 +184,7 @@
 	if err != nil {
 		return 0, kinds.Hold().Refuse(kinds.BadRequest, "%v", err)
 	}
-	left := hosted.Deadline(r.Header)
-	if left == 0 {
-		left = defaultDeadline
-	}
+	left := callerWaits(r)
 	ctx, cancel := context.WithDeadline(r.Context(), begin.Add(time.Duration(submitShare*float64(left))))
 	defer cancel()
 	failed := f.Jobs.Submit(ctx, head, items)
@@ -207,10 +209,7 @@
 func (f *Front) jobCall(w http.ResponseWriter, r *http.Request, call hosted.Call) (int, *kinds.Error) {
 	switch call.Kind {
 	case hosted.CallEnd:
-		left := hosted.Deadline(r.Header)
-		if left == 0 {
-			left = defaultDeadline
-		}
+		left := callerWaits(r)
 		ctx, cancel := context.WithTimeout(r.Context(), left-left/5)
 		defer cancel()
 		if err := f.Jobs.End(ctx, call.Job); err != nil {
--- a/gateway/jobs/api.go
+++ b/gateway/jobs/api.go
@@ -236,7 +236,7 @@
 	ctx, cancel := context.WithTimeout(ctx, syncMost)
 	defer cancel()
 	if !s.book.Synced(ctx) {
-		return kinds.Hold().Refuse(kinds.LogUnavailable, "this entry does not follow the log now").WithRetryAfter(comeBack)
+		return notFollowing()
 	}
 	if !s.has(job) {
 		return kinds.Hold().Refuse(kinds.NotFound, "no batch job %q", job)
@@ -282,6 +282,10 @@
 	if s.book.UpToDate() {
 		return nil
 	}
+	return notFollowing()
+}
+
+func notFollowing() *kinds.Error {
 	return kinds.Hold().Refuse(kinds.LogUnavailable, "this entry does not follow the log now").WithRetryAfter(comeBack)
 }
 
--- a/gateway/jobs/ownership.go
+++ b/gateway/jobs/ownership.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"dandelionsill.org/base/sleep"
+	"dandelionsill.org/decide/table"
 	"dandelionsill.org/fold/jobs"
 )
 
@@ -112,7 +113,8 @@
 func (r *Runner) begin(j *jobs.Job, texts *jobs.Texts) {
 	works := make(map[string]*work, len(j.Items))
 	r.works[j.ID] = works
-	single := r.singleVersion(j)
+	route := r.routeOf(j)
+	single := route != nil && route.SingleVersion
 	for id, item := range j.Items {
 		if item.Done() {
 			continue
@@ -128,15 +130,13 @@
 	r.zlog.Info("Owning a batch job.", zap.String("job", j.ID), zap.Int("items", len(works)), zap.Uint64("claim", j.Claim))
 }
 
-// singleVersion tells whether a job's route wants samples that one weight
-// version made.
-func (r *Runner) singleVersion(j *jobs.Job) bool {
+// routeOf returns the route to which a job was handed in; nil: it is gone.
+func (r *Runner) routeOf(j *jobs.Job) *table.Route {
 	t := r.view.Now().Table
 	if t == nil {
-		return false
+		return nil
 	}
-	route := t.Match(j.Host, j.Path)
-	return route != nil && route.SingleVersion
+	return t.Match(j.Host, j.Path)
 }
 
 // carried is the text of an item whose job was ended before it was whole.
--- a/gateway/jobs/placing.go
+++ b/gateway/jobs/placing.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -59,7 +60,7 @@
 			if w.phase != waiting && w.phase != running {
 				continue
 			}
-			_, service := serviceOf(snap.Table, w.item.Host, w.item.Path, route.Hash(w.item.ID))
+			service := serviceOf(snap.Table, w.item.Host, w.item.Path, route.Hash(w.item.ID))
 			if service != "" {
 				byService[service] = append(byService[service], w)
 			}
@@ -71,7 +72,7 @@
 }
 
 func (r *Runner) placeService(ctx context.Context, servers []members.Server, works []*work, now time.Time) {
-	slices.SortFunc(works, func(a, b *work) int { return compareIDs(a.item.ID, b.item.ID) })
+	slices.SortFunc(works, func(a, b *work) int { return cmp.Compare(a.item.ID, b.item.ID) })
 	engines, addrs := r.engines(servers, now)
 	var queue []*work
 	var samples []place.Sample
@@ -114,13 +115,6 @@
 	}
 }
 
-func compareIDs(a, b string) int {
-	if a < b {
-		return -1
-	}
-	return 1
-}
-
 // engines describes the engines of a service, with the load that this process
 // and the other owners put on them.
 func (r *Runner) engines(servers []members.Server, now time.Time) ([]place.Engine, map[string]string) {
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -272,12 +272,8 @@
 
 // attempts is how often an item may fail at engines.
 func (r *Runner) attempts(w *work) int {
-	t := r.view.Now().Table
-	if t == nil {
-		return 1
-	}
-	if job := t.Match(w.job.Host, w.job.Path); job != nil {
-		return job.MaxAttempts
+	if route := r.routeOf(w.job); route != nil {
+		return route.MaxAttempts
 	}
 	return 1
 }
--- a/gateway/jobs/texts.go
+++ b/gateway/jobs/texts.go
@@ -19,8 +19,8 @@
 const (
 	// cacheBytes bounds the texts that a process keeps to answer reads with.
 	cacheBytes = 8 << 20
-	// textsWait bounds the reading of a job's texts by its new owner; what it
-	// has by then is gone on from.
+	// textsWait bounds one try to read a job's bodies and earlier texts; its
+	// owner tries again.
 	textsWait = 3 * time.Second
 	// resultsBytes bounds the texts of one answer, in bytes.
 	resultsBytes = 900 << 10
--- a/gateway/jobs/work.go
+++ b/gateway/jobs/work.go
@@ -152,15 +152,14 @@
 	return r
 }
 
-// serviceOf returns the service that runs a job's items: that of the route of
-// the item's own path.
-func serviceOf(t *table.Table, host, path string, spread uint64) (*table.Route, string) {
+// serviceOf returns the service that runs an item: that of the route of the
+// item's own path; empty: none.
+func serviceOf(t *table.Table, host, path string, spread uint64) string {
 	if t == nil {
-		return nil, ""
+		return ""
 	}
-	r := t.Match(host, path)
-	if r == nil {
-		return nil, ""
+	if r := t.Match(host, path); r != nil {
+		return r.Pick(spread)
 	}
-	return r, r.Pick(spread)
+	return ""
 }
