gateway/jobs: a refusal of a batch job says "not run" only with proof

Cause: TestHistoryOfAcceptance failed once ("not run" of a job that stood): an entry whose view of the log is old refuses a job, since the store takes no append now, that another entry has accepted meanwhile. The trainer hands a job in again after a lost answer, so that it meets such an entry. Ruled out: an unknown append (kinds.Held keeps those); the order of looks and submissions in the test. Now a refusal first reads to the end of the log, 0.2 s at most; without that the outcome is told as unknown (502).

--- a/gateway/jobs/api.go
+++ b/gateway/jobs/api.go
@@ -20,6 +20,9 @@
 	// syncMost is how long a call about an unknown job waits for this process
 	// to be sure; a process that can't be sure says so.
 	syncMost = 900 * time.Millisecond
+	// proofMost is how long a refusal waits for the proof that nothing of the job
+	// runs: a read of the log takes some milliseconds where it answers at all.
+	proofMost = 200 * time.Millisecond
 	// comeBack is when a caller is told to try again: a store that refuses
 	// calls does so for seconds, and another entry may reach it.
 	comeBack = 400 * time.Millisecond
@@ -61,11 +64,30 @@
 }
 
 // Submit accepts a job durably: nil means that the log has it. It tries until
-// ctx ends, and says "not run" only if no try can have reached the log.
+// ctx ends, and says "not run" only if the job does not stand in the log.
 func (s *Service) Submit(ctx context.Context, head jobs.Head, items []jobs.Item) *kinds.Error {
 	if s.has(head.ID) {
 		return nil
 	}
+	failed := s.submit(ctx, head, items)
+	if failed == nil || !failed.NotRun() || s.absent(ctx, head.ID) {
+		return failed
+	}
+	held := kinds.Hold()
+	held.Send()
+	return held.Refuse(kinds.LogUnavailable, "another entry may have accepted the batch job")
+}
+
+// absent proves that a job does not stand. An earlier submission of it may have
+// been accepted elsewhere since this process last read the log; "not run" would
+// then be untrue of a job that runs.
+func (s *Service) absent(ctx context.Context, job string) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), proofMost)
+	defer cancel()
+	return s.book.Synced(ctx) && !s.has(job)
+}
+
+func (s *Service) submit(ctx context.Context, head jobs.Head, items []jobs.Item) *kinds.Error {
 	head.SubmittedMS = time.Now().UnixMilli()
 	done := func() bool { return s.has(head.ID) }
 	bodies, failed := s.appendBodies(ctx, head.ID, items, done)
--- a/gateway/jobs/jobs_test.go
+++ b/gateway/jobs/jobs_test.go
@@ -319,13 +319,13 @@
 	require.Nil(t, e.service.Submit(t.Context(), head, items))
 }
 
-// The store refuses everything: the trainer is told at once after its share of
+// The store refuses appends: the trainer is told at once after its share of
 // time that nothing ran, and when to come back.
 func TestRefusingStoreIsToldAsNotRun(t *testing.T) {
 	t.Parallel()
 	pf := gatewaytest.NewPlatform(t, 1, 1)
 	e := newEntry(t, pf, "a")
-	pf.Store.Fail(hostedtest.StoreFaults{Down: true})
+	pf.Store.Fail(hostedtest.StoreFaults{ReadOnly: true})
 	head, items := decode(t, "j", hostedtest.Job("j", "m", 2, 1))
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
@@ -337,6 +337,23 @@
 	require.Equal(t, string(kinds.NotFound), missing.Kind())
 }
 
+// One entry accepts a job, and its trainer hands it in again at another, which
+// has read nothing since: it was cut off from the store, as it is now. A job
+// that runs may not be called "not run" there.
+func TestEntryThatCantReadNeverSaysNotRun(t *testing.T) {
+	t.Parallel()
+	pf := gatewaytest.NewPlatform(t, 1, 1)
+	a, b := newEntry(t, pf, "a"), newEntry(t, pf, "b")
+	b.Stop()
+	a.submit(t, "j", 2, 1)
+	pf.Store.Fail(hostedtest.StoreFaults{Down: true})
+	head, items := decode(t, "j", hostedtest.Job("j", "m", 2, 1))
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	err := b.service.Submit(ctx, head, items)
+	require.Equal(t, string(kinds.OutcomeUnknown), err.Kind())
+}
+
 // A job that this entry has not read of may exist. Without the log it can't be
 // sure, and says so in place of "not found".
 func TestUnknownJobIsMissingOnlyForSure(t *testing.T) {
