gateway/jobs: a trainer notices at once that its step is whole; failing scores count by server

Cause 1: a trainer pauses half a second between the starts of two reads. A waiting read now gathers results for as long as its caller would pause (decide/gather), unless the trainer has enough. Cause 2: a score that always fails was asked for as often as the square of the route's attempts (16), up to 3.3 s at the end of a step: each server that answered 500 counts now. Reads of results are logged.

--- a/fold/jobs/jobs.go
+++ b/fold/jobs/jobs.go
@@ -31,6 +31,13 @@
 	Results []Result
 	Ended   bool
 
+	groups map[string]*group
+	// complete is the number of groups all of whose items have a result.
+	complete int
+	// awaited is the number of groups without all results that an earlier job
+	// had as well.
+	awaited int
+
 	Owner Writer
 	// Accepted is the offset of the record that made the job.
 	Accepted uint64
@@ -41,6 +48,18 @@
 	Bodies TextRef
 }
 
+// group is the items of a job that share their prompt.
+type group struct {
+	left  int  // items without a result
+	again bool // an earlier job had it as well
+}
+
+// Enough tells whether the trainer has all that it waits for: as many complete
+// groups as it said, those that it handed in a second time among them.
+func (j *Job) Enough() bool {
+	return len(j.Results) == j.Total || j.Groups > 0 && j.complete >= j.Groups && j.awaited == 0
+}
+
 // Open tells whether there is still work for an owner.
 func (j *Job) Open() bool { return !j.Ended && len(j.Results) < j.Total }
 
@@ -74,11 +93,13 @@
 	leaving map[Writer]bool
 	// capacity is how many items each process can run, by its own word.
 	capacity map[Writer]int
+	// groups are those of the jobs that are known.
+	groups map[groupKey]bool
 }
 
 // New returns the state before the first record.
 func New() *State {
-	return &State{Jobs: map[string]*Job{}, pending: map[string]*submission{}, running: map[string]int{}, engines: map[EngineKey]Engine{}, leaving: map[Writer]bool{}, capacity: map[Writer]int{}}
+	return &State{Jobs: map[string]*Job{}, pending: map[string]*submission{}, running: map[string]int{}, engines: map[EngineKey]Engine{}, leaving: map[Writer]bool{}, capacity: map[Writer]int{}, groups: map[groupKey]bool{}}
 }
 
 // Running is the number of items that run at a server, by their owners' word.
@@ -149,7 +170,7 @@
 
 // add makes the job of a whole submission and forgets what others handed in of it.
 func (s *State) add(offset uint64, owner Writer, sub *submission, last *Accept) {
-	j := &Job{Head: last.Head, Items: map[string]*ItemState{}, Owner: owner, Accepted: offset, Claim: offset, Bodies: last.Bodies}
+	j := &Job{Head: last.Head, Items: map[string]*ItemState{}, Owner: owner, Accepted: offset, Claim: offset, Bodies: last.Bodies, groups: map[string]*group{}}
 	for part := range last.Parts {
 		for _, item := range sub.parts[part].Items {
 			if j.Items[item.ID] != nil {
@@ -157,6 +178,7 @@
 			}
 			j.Items[item.ID] = &ItemState{Item: item, Position: -1}
 			j.Order = append(j.Order, item.ID)
+			s.join(j, item.Group)
 		}
 	}
 	j.Total = len(j.Order)
@@ -169,6 +191,35 @@
 	}
 }
 
+// groupKey names a group of items: trainers draw the names of their own.
+type groupKey struct{ model, group string }
+
+// join adds an item to its group.
+func (s *State) join(j *Job, name string) {
+	g := j.groups[name]
+	if g == nil {
+		key := groupKey{j.Model, name}
+		g = &group{again: s.groups[key]}
+		j.groups[name], s.groups[key] = g, true
+		if g.again {
+			j.awaited++
+		}
+	}
+	g.left++
+}
+
+// listed notes that one more item of a group has its result.
+func (j *Job) listed(g *group) {
+	g.left--
+	if g.left > 0 {
+		return
+	}
+	j.complete++
+	if g.again {
+		j.awaited--
+	}
+}
+
 // owned returns the job if the writer owns it.
 func (s *State) owned(id string, w Writer) *Job {
 	j := s.Jobs[id]
@@ -242,6 +293,7 @@
 	s.move(item, "")
 	j.Results = append(j.Results, r)
 	c.Results++
+	j.listed(j.groups[item.Group])
 	if len(j.Results) == j.Total {
 		c.Ended = append(c.Ended, j.ID)
 	}
@@ -309,6 +361,9 @@
 			return false
 		}
 		delete(s.Jobs, id)
+		for name := range j.groups {
+			delete(s.groups, groupKey{j.Model, name})
+		}
 		return true
 	})
 }
--- a/fold/jobs/jobs_test.go
+++ b/fold/jobs/jobs_test.go
@@ -44,6 +44,37 @@
 	require.Equal(t, []string{"a", "b"}, s.Jobs["j"].Order)
 }
 
+// A trainer waits for one of two groups, and for a group that it hands in again
+// whatever else is complete. It has enough once all of these are listed.
+func TestEnoughForTheTrainer(t *testing.T) {
+	step := func(id string, groups ...string) *Record {
+		a := &Accept{Head: Head{ID: id, Model: "m", Groups: 1}, Parts: 1}
+		for _, g := range groups {
+			a.Items = append(a.Items, Item{Request: Request{ID: g + "1"}, Group: g}, Item{Request: Request{ID: g + "2"}, Group: g})
+		}
+		return &Record{Writer: ann, Accept: a}
+	}
+	list := func(job, item string) *Record {
+		return &Record{Writer: ann, Results: []Result{{Job: job, Item: item}}}
+	}
+	s := New()
+	s.Apply(0, step("j", "x", "y"))
+	s.Apply(1, list("j", "x1"))
+	s.Apply(2, list("j", "y1"))
+	require.False(t, s.Jobs["j"].Enough())
+	s.Apply(3, list("j", "x2"))
+	require.True(t, s.Jobs["j"].Enough())
+
+	s.Apply(4, &Record{Writer: ann, Ends: []string{"j"}})
+	s.Apply(5, step("k", "y", "z"))
+	s.Apply(6, list("k", "z1"))
+	s.Apply(7, list("k", "z2"))
+	require.False(t, s.Jobs["k"].Enough())
+	s.Apply(8, list("k", "y1"))
+	s.Apply(9, list("k", "y2"))
+	require.True(t, s.Jobs["k"].Enough())
+}
+
 // Two owners finish an item, or the store carries an append out twice. The
 // trainer has read the first result: its position and text must not change.
 func TestFirstResultStands(t *testing.T) {
--- a/fold/jobs/record.go
+++ b/fold/jobs/record.go
@@ -42,6 +42,8 @@
 	Total      int    `json:"t"`            // number of items
 	// SubmittedMS is the accepting process's time of day, in Unix milliseconds.
 	SubmittedMS int64 `json:"at"`
+	// DueMS is how long after that results are due, in milliseconds; 0: not told.
+	DueMS int64 `json:"du,omitempty"`
 }
 
 // Accept is a batch job, or the part of one that fits into a record. The parts
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -71,6 +71,8 @@
 	Header http.Header
 	Body   []byte
 	Server string
+	// Failures is how many servers answered the call with an internal error.
+	Failures int
 }
 
 // Forwarder sends calls to the servers of the view.
@@ -137,6 +139,7 @@
 	running  int // tries without an outcome
 	mayRun   int // tries that may have run, running ones included
 	refusals int
+	failures int      // internal errors that servers answered
 	last     *outcome // the newest failure that a server answered itself
 }
 
@@ -188,6 +191,9 @@
 		if o.reply.Status < http.StatusInternalServerError {
 			return o.reply, nil, true
 		}
+		if o.reply.Status == http.StatusInternalServerError {
+			s.failures++
+		}
 		s.last = &o
 	}
 	if s.again(ctx) || s.running > 0 {
@@ -223,6 +229,7 @@
 // failed is the answer when no try is left.
 func (s *sending) failed() (*Reply, *kinds.Error, bool) {
 	if s.last != nil {
+		s.last.reply.Failures = s.failures
 		return s.last.reply, nil, true
 	}
 	if s.mayRun == 0 {
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -120,7 +120,7 @@
 	}
 	deadline := begin.Add(timeLeft(r, route))
 	if route.Kind == table.Batch {
-		return f.submit(w, r, body, begin)
+		return f.submit(w, r, route, body, begin)
 	}
 	return f.proxy(w, r, route, body, deadline)
 }
@@ -176,7 +176,7 @@
 }
 
 // submit accepts a batch job.
-func (f *Front) submit(w http.ResponseWriter, r *http.Request, body []byte, begin time.Time) (int, *kinds.Error) {
+func (f *Front) submit(w http.ResponseWriter, r *http.Request, route *table.Route, body []byte, begin time.Time) (int, *kinds.Error) {
 	if r.Method != http.MethodPost {
 		return 0, kinds.Hold().Refuse(kinds.NotFound, "batch jobs are posted")
 	}
@@ -184,6 +184,7 @@
 	if err != nil {
 		return 0, kinds.Hold().Refuse(kinds.BadRequest, "%v", err)
 	}
+	head.DueMS = route.Due.Milliseconds()
 	left := callerWaits(r)
 	ctx, cancel := context.WithDeadline(r.Context(), begin.Add(time.Duration(submitShare*float64(left))))
 	defer cancel()
@@ -226,10 +227,13 @@
 		_, _ = w.Write(body)
 		return http.StatusOK, nil
 	default:
+		begin := time.Now()
 		total, results, err := f.Jobs.Results(r.Context(), call.Job, call.After, call.Wait)
 		if err != nil {
 			return 0, err
 		}
+		f.Log.Info("Results read.", zap.String("job", call.Job), zap.Int("after", call.After), zap.Int("results", len(results)),
+			zap.Int("items", total), zap.Duration("wait", call.Wait), zap.Duration("took", time.Since(begin)))
 		data, encodeErr := hosted.EncodeResults(total, call.After, results)
 		if encodeErr != nil {
 			return 0, kinds.New(kinds.Internal, "%v", encodeErr)
--- a/gateway/jobs/api.go
+++ b/gateway/jobs/api.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"dandelionsill.org/base/sleep"
+	"dandelionsill.org/decide/gather"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/platform"
@@ -267,17 +268,22 @@
 }
 
 // Results returns a job's number of items and its results from a position on.
-// Where there is none yet it waits for one, at most wait.
+// Where there is none yet it waits for one, at most wait, and as long as
+// gather.Hold says for more.
 func (s *Service) Results(ctx context.Context, job string, after int, wait time.Duration) (int, []jobs.Result, *kinds.Error) {
 	if err := s.known(ctx, job); err != nil {
 		return 0, nil, err
 	}
+	began := time.Now()
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
 		changed := s.book.Changed.Next()
-		total, results, over := s.results(job, after)
-		if len(results) > 0 {
+		total, results, over, read := s.results(job, after)
+		read.Waited, read.Most = time.Since(began), wait
+		if hold := gather.Hold(read); len(results) > 0 && hold > 0 {
+			timeout.Reset(hold)
+		} else if len(results) > 0 {
 			filled, err := s.fillTexts(ctx, results)
 			if err != nil {
 				s.zlog.Warn("A text can't be read.", zap.String("job", job), zap.Int("after", after), zap.Error(err))
@@ -285,13 +291,12 @@
 			}
 			return total, filled, nil
 		}
-		if over || wait <= 0 {
+		if over || read.Waited >= wait {
 			return total, nil, s.unsure()
 		}
 		select {
 		case <-changed:
 		case <-timeout.C:
-			return total, nil, s.unsure()
 		case <-ctx.Done():
 			return total, nil, nil
 		}
@@ -311,17 +316,19 @@
 	return kinds.Hold().Refuse(kinds.LogUnavailable, "this entry does not follow the log now").WithRetryAfter(comeBack)
 }
 
-func (s *Service) results(job string, after int) (total int, results []jobs.Result, over bool) {
+func (s *Service) results(job string, after int) (total int, results []jobs.Result, over bool, read gather.Read) {
 	s.book.mu.Lock()
 	defer s.book.mu.Unlock()
 	j := s.book.state.Jobs[job]
 	if j == nil {
-		return 0, nil, true
+		return 0, nil, true, read
 	}
 	if after < len(j.Results) {
 		results = j.Results[after:len(j.Results):len(j.Results)]
 	}
-	return j.Total, results, !j.Open()
+	read.Enough = j.Ended || j.Enough()
+	read.Due = time.Until(time.UnixMilli(j.SubmittedMS + j.DueMS))
+	return j.Total, results, !j.Open(), read
 }
 
 // Body returns the body of an item of a job that was not ended.
--- a/gateway/jobs/jobs_test.go
+++ b/gateway/jobs/jobs_test.go
@@ -206,6 +206,55 @@
 	}
 }
 
+// The call for a score fails at every server. Each answer counts as one of the
+// route's attempts: a step's last group would else wait for as many calls as
+// their square, some seconds, while the servers work in vain.
+func TestFailingScoreIsAskedForOnceAnAttempt(t *testing.T) {
+	t.Parallel()
+	pf := gatewaytest.NewPlatform(t, 1, 3)
+	for _, s := range pf.Plain {
+		s.Fail(hostedtest.ServerFaults{Status: 500})
+	}
+	e := newEntry(t, pf, "a")
+	e.submit(t, "j", 2, 1)
+	e.results(t, "j", 2)
+	asked := 0
+	for _, s := range pf.Plain {
+		asked += len(s.Arrivals())
+	}
+	require.Equal(t, 2*2, asked) // two samples, two attempts each
+}
+
+// A trainer's read waits, and the results of its last group are listed one after
+// the other. Were it answered with the first, the trainer would pause before it
+// reads the other: it gets both at once, and before its read has waited long.
+func TestWaitingReadGathersTheLastResults(t *testing.T) {
+	t.Parallel()
+	pf := gatewaytest.NewPlatform(t, 1, 1)
+	pf.Engines[0].Fail(hostedtest.ServerFaults{Mute: 1})
+	e := newEntry(t, pf, "a")
+	e.submit(t, "j", 2, 1)
+	list := func(item string) {
+		r := fold.Record{Writer: fold.Writer{Node: "b", Life: "1"}, Results: []fold.Result{{Job: "j", Item: item, GivenUp: true}}}
+		data, err := r.Encode()
+		require.NoError(t, err)
+		_, err = e.Store.Append(t.Context(), jobs.Stream, data)
+		require.NoError(t, err)
+	}
+	read := make(chan []fold.Result, 1)
+	go func() {
+		_, results, _ := e.service.Results(t.Context(), "j", 0, gatewaytest.Wait)
+		read <- results
+	}()
+	list("j-i0")
+	require.Eventually(t, func() bool {
+		_, results, err := e.service.Results(t.Context(), "j", 0, 0)
+		return err == nil && len(results) == 1
+	}, gatewaytest.Wait, time.Millisecond)
+	list("j-i1")
+	require.Len(t, <-read, 2)
+}
+
 // No engine has weights as new as the step wants. Its samples wait, and run
 // once one has: older weights never make one of them.
 func TestSamplesWaitForFreshWeights(t *testing.T) {
