gateway/jobs: an outage of the store no longer costs a leaving owner its texts, nor a trainer what is listed

Samples now go on until the release is read back (Runner.Leave, Left); the drain waits for that. A failing read of texts is logged once. Both tests failed before.

--- a/fold/jobs/jobs.go
+++ b/fold/jobs/jobs.go
@@ -130,6 +130,7 @@
 		s.start(r.Writer, start)
 	}
 	for _, result := range r.Results {
+		result.Writer = r.Node
 		s.result(result, &c)
 	}
 	for _, e := range r.Engines {
@@ -220,8 +221,8 @@
 	}
 }
 
-// owned returns the job if the writer owns it.
-func (s *State) owned(id string, w Writer) *Job {
+// Owned returns the job if the writer owns it and has not given it up.
+func (s *State) Owned(id string, w Writer) *Job {
 	j := s.Jobs[id]
 	if j == nil || j.Owner != w || j.Released {
 		return nil
@@ -240,7 +241,7 @@
 }
 
 func (s *State) release(id string, w Writer, c *Change) {
-	j := s.owned(id, w)
+	j := s.Owned(id, w)
 	if j == nil {
 		return
 	}
@@ -270,7 +271,7 @@
 }
 
 func (s *State) start(w Writer, start Start) {
-	j := s.owned(start.Job, w)
+	j := s.Owned(start.Job, w)
 	if j == nil || !j.Open() {
 		return
 	}
--- a/fold/jobs/record.go
+++ b/fold/jobs/record.go
@@ -94,6 +94,8 @@
 	Score    string   `json:"s,omitempty"`
 	// Text is filled in by whoever has it; it is not in the record.
 	Text string `json:"-"`
+	// Writer is the VM of the process that listed it, from the record's head.
+	Writer string `json:"-"`
 }
 
 // Engine is what the process beside an engine says of it.
--- a/gateway/jobs/api.go
+++ b/gateway/jobs/api.go
@@ -53,7 +53,6 @@
 	parts  int // partitions of the texts' stream
 	// capacity is how many items this process can run.
 	capacity int
-	texts    *textCache
 	count    atomic.Uint64 // submissions of this process
 }
 
@@ -61,7 +60,7 @@
 // partitions of the texts' stream, the same in all processes, capacity the
 // number of items that this process can run.
 func NewService(book *Book, log Log, writer jobs.Writer, parts, capacity int, zlog *zap.Logger) *Service {
-	return &Service{book: book, log: log, writer: writer, parts: max(1, parts), capacity: capacity, zlog: zlog, texts: newTextCache()}
+	return &Service{book: book, log: log, writer: writer, parts: max(1, parts), capacity: capacity, zlog: zlog}
 }
 
 // Submit accepts a job durably: nil means that the log has it. It tries until
@@ -284,7 +283,7 @@
 		if hold := gather.Hold(read); len(results) > 0 && hold > 0 {
 			timeout.Reset(hold)
 		} else if len(results) > 0 {
-			filled, err := s.fillTexts(ctx, results)
+			filled, err := s.book.Texts.fill(ctx, results)
 			if err != nil {
 				s.zlog.Warn("A text can't be read.", zap.String("job", job), zap.Int("after", after), zap.Error(err))
 				return 0, nil, kinds.Hold().Refuse(kinds.LogUnavailable, "the texts can't be read now").WithRetryAfter(comeBack)
--- a/gateway/jobs/book.go
+++ b/gateway/jobs/book.go
@@ -52,6 +52,8 @@
 // Book is the fold of the jobs' stream in this process.
 type Book struct {
 	Changed signal.Signal
+	// Texts has the texts of results.
+	Texts *Library
 
 	log  Log
 	zlog *zap.Logger
@@ -72,7 +74,7 @@
 
 // NewBook returns a book that has read nothing.
 func NewBook(log Log, zlog *zap.Logger) *Book {
-	return &Book{log: log, zlog: zlog, state: jobs.New(), heard: map[jobs.Writer]time.Time{}, engineAt: map[jobs.EngineKey]time.Time{}}
+	return &Book{Texts: newLibrary(log), log: log, zlog: zlog, state: jobs.New(), heard: map[jobs.Writer]time.Time{}, engineAt: map[jobs.EngineKey]time.Time{}}
 }
 
 // Run follows the log until ctx ends.
@@ -178,6 +180,13 @@
 	}
 }
 
+// owned tells whether a writer owns a job and has not given it up.
+func (b *Book) owned(job string, w jobs.Writer) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state.Owned(job, w) != nil
+}
+
 // Synced waits until all that was acknowledged before the call is folded here;
 // false: ctx ended first. It asks the log for its end, for the tail's own read
 // may wait there for long.
--- a/gateway/jobs/jobs_test.go
+++ b/gateway/jobs/jobs_test.go
@@ -156,11 +156,34 @@
 	a, b := newEntry(t, pf, "a"), newEntry(t, pf, "b")
 	a.submit(t, "j", 4, 1)
 	require.Eventually(t, func() bool { return noted(pf, "j") >= 6 }, gatewaytest.Wait, time.Millisecond)
-	a.runner.Release(t.Context())
+	a.runner.Leave()
+	require.True(t, a.runner.Left(t.Context()))
 	requireWhole(t, b.results(t, "j", 4), 60)
 	require.Positive(t, resumed(pf.Engines))
 }
 
+// An entry is told to stop in an outage of the store. Nobody can take its jobs
+// over then: cut off at once, its samples would lose all text since the outage
+// began. They go on until the store is back and has taken the release.
+func TestLeavingOwnerGoesOnInAnOutage(t *testing.T) {
+	t.Parallel()
+	pf := gatewaytest.NewPlatform(t, 1, 1)
+	pf.Engines[0].Pace, pf.Engines[0].Events = 10*time.Millisecond, 300
+	a, b := newEntry(t, pf, "a"), newEntry(t, pf, "b")
+	a.submit(t, "j", 4, 1)
+	require.Eventually(t, func() bool { return noted(pf, "j") >= 6 }, gatewaytest.Wait, time.Millisecond)
+	pf.Store.Fail(hostedtest.StoreFaults{Down: true})
+	a.runner.Leave()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	require.False(t, a.runner.Left(ctx))
+	require.Equal(t, 4, pf.Engines[0].Open())
+	pf.Store.Fail(hostedtest.StoreFaults{})
+	require.True(t, a.runner.Left(t.Context()))
+	requireWhole(t, b.results(t, "j", 4), 300)
+	require.Positive(t, resumed(pf.Engines))
+}
+
 // One engine breaks streams off, another falls silent in the middle. Samples
 // go on elsewhere behind the events that came; their texts stay whole.
 func TestSamplesLeaveFailingEngines(t *testing.T) {
@@ -403,6 +426,27 @@
 	require.Equal(t, string(kinds.OutcomeUnknown), err.Kind())
 }
 
+// A step is whole, and the store goes away before its trainer has read the last
+// results. They are listed, and the process that wrote them still has the texts:
+// whichever entry is asked, the trainer need not wait for the outage's end.
+func TestListedResultsAreReadInAnOutage(t *testing.T) {
+	t.Parallel()
+	pf := gatewaytest.NewPlatform(t, 1, 1)
+	a, b := newEntry(t, pf, "a"), newEntry(t, pf, "b")
+	peer := httptest.NewServer(a.book.Texts)
+	t.Cleanup(peer.Close)
+	b.book.Texts.SetPeers(func(node string) string {
+		return map[string]string{"a": strings.TrimPrefix(peer.URL, "http://")}[node]
+	})
+	a.submit(t, "j", 4, 1)
+	here := a.results(t, "j", 4)
+	require.True(t, b.book.Synced(t.Context()))
+	pf.Store.Fail(hostedtest.StoreFaults{Down: true})
+	_, there, err := b.service.Results(t.Context(), "j", 0, 0)
+	require.Nil(t, err)
+	require.Equal(t, here, there)
+}
+
 // A job that this entry has not read of may exist. Without the log it can't be
 // sure, and says so in place of "not found".
 func TestUnknownJobIsMissingOnlyForSure(t *testing.T) {
--- a/gateway/jobs/outbox.go
+++ b/gateway/jobs/outbox.go
@@ -58,6 +58,8 @@
 	capacity int
 	// owning tells whether this process has to show that it lives.
 	owning func() bool
+	// kept is told each text that the log has taken.
+	kept func(textKey, string)
 
 	mu      sync.Mutex
 	pending jobs.Record
@@ -72,9 +74,9 @@
 	results  []jobs.Result // with their texts
 }
 
-func newOutbox(log Log, writer jobs.Writer, parts int, owning func() bool, zlog *zap.Logger) *outbox {
+func newOutbox(log Log, writer jobs.Writer, parts int, owning func() bool, kept func(textKey, string), zlog *zap.Logger) *outbox {
 	return &outbox{
-		log: log, zlog: zlog, writer: writer, parts: max(1, parts), owning: owning,
+		log: log, zlog: zlog, writer: writer, parts: max(1, parts), owning: owning, kept: kept,
 		texts: map[string]*jobTexts{}, urgent: make(chan struct{}, 1),
 	}
 }
--- a/gateway/jobs/outbox_test.go
+++ b/gateway/jobs/outbox_test.go
@@ -45,7 +45,7 @@
 }
 
 func newStrictOutbox(l *strictLog) *outbox {
-	return newOutbox(l, jobs.Writer{Node: "a", Life: "1"}, 4, func() bool { return true }, zap.NewNop())
+	return newOutbox(l, jobs.Writer{Node: "a", Life: "1"}, 4, func() bool { return true }, func(textKey, string) {}, zap.NewNop())
 }
 
 // The log is away for seconds while 250 samples run. What has piled up is more
--- a/gateway/jobs/ownership.go
+++ b/gateway/jobs/ownership.go
@@ -18,14 +18,15 @@
 	r.book.mu.Lock()
 	defer r.book.mu.Unlock()
 	for id := range r.works {
-		j := r.book.state.Jobs[id]
-		if j == nil || !j.Open() || j.Owner != r.writer || j.Released {
+		if j := r.book.state.Owned(id, r.writer); j == nil || !j.Open() {
 			r.drop(id)
 		}
 	}
 	r.book.state.Each(func(j *jobs.Job) {
 		switch {
 		case !j.Open():
+		case j.Owner == r.writer && !j.Released && r.leaving:
+			r.release(j)
 		case j.Owner == r.writer && !j.Released:
 			r.own(ctx, j)
 		case !r.leaving && r.shouldClaim(j, now):
@@ -71,14 +72,8 @@
 // own makes the work of a job's items that have no result yet, or lets go of
 // those that have one now.
 func (r *Runner) own(ctx context.Context, j *jobs.Job) {
-	works := r.works[j.ID]
-	if works != nil {
-		for id, w := range works {
-			if j.Items[id].Done() {
-				r.finish(w)
-				delete(works, id)
-			}
-		}
+	if works := r.works[j.ID]; works != nil {
+		r.letGo(j, works)
 		return
 	}
 	if r.reading[j.ID] {
@@ -90,20 +85,31 @@
 	r.tasks.Go(func() { r.take(ctx, &head, bodies, taken) })
 }
 
+// letGo ends the work of items that have a result.
+func (r *Runner) letGo(j *jobs.Job, works map[string]*work) {
+	for id, w := range works {
+		if j.Items[id].Done() {
+			r.finish(w)
+			delete(works, id)
+		}
+	}
+}
+
 // take reads what a job's owner needs and begins its work.
 func (r *Runner) take(ctx context.Context, head *jobs.Head, bodies jobs.TextRef, taken bool) {
 	texts, err := readTexts(ctx, r.log, head, bodies, taken)
-	if err != nil && ctx.Err() == nil {
+	if err != nil {
 		r.zlog.Warn("A job's texts can't be read yet.", zap.String("job", head.ID), zap.Uint64("offset", bodies.Offset), zap.Error(err))
-		sleep.For(ctx, tailRetry)
+	}
+	for err != nil && sleep.For(ctx, sleep.Jitter(tailRetry)) && r.book.owned(head.ID, r.writer) {
+		texts, err = readTexts(ctx, r.log, head, bodies, taken)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	delete(r.reading, head.ID)
 	r.book.mu.Lock()
 	defer r.book.mu.Unlock()
-	delete(r.reading, head.ID)
-	j := r.book.state.Jobs[head.ID]
-	if err == nil && j != nil && j.Open() && j.Owner == r.writer && !j.Released && r.works[head.ID] == nil {
+	if j := r.book.state.Owned(head.ID, r.writer); err == nil && j != nil && j.Open() && r.works[head.ID] == nil {
 		r.begin(j, texts)
 	}
 	r.rouse()
@@ -190,29 +196,51 @@
 	}
 }
 
-// Release gives all jobs up, with the text so far, so that others go on at
-// once. It is the first step of a stop.
-func (r *Runner) Release(ctx context.Context) {
+// Leave gives all jobs up, those too that are still given to this process, and
+// takes no others. It is the first step of a stop. Samples go on here until the
+// log has taken their release: in an outage of the store nobody else could go on,
+// and all text made since it began would be lost with their streams.
+func (r *Runner) Leave() {
 	r.mu.Lock()
 	r.leaving = true
-	var released []string
-	for id, works := range r.works {
-		released = append(released, id)
-		for _, w := range works {
-			if w.phase == running || w.phase == waiting {
-				r.note(w, false)
-			}
-		}
-	}
+	owned := len(r.works)
 	r.mu.Unlock()
-	r.out.add(false, func(rec *jobs.Record) { rec.Releases, rec.Leaving = append(rec.Releases, released...), true })
-	r.out.flush(ctx, false)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for id := range r.works {
-		r.drop(id)
+	r.out.add(true, func(rec *jobs.Record) { rec.Leaving = true })
+	r.zlog.Info("Giving batch jobs up.", zap.Int("jobs", owned))
+	r.rouse()
+}
+
+// release gives one job up behind the text so far.
+func (r *Runner) release(j *jobs.Job) {
+	works := r.works[j.ID]
+	r.letGo(j, works)
+	if r.released[j.ID] == j.Claim {
+		return
 	}
-	if len(released) > 0 {
-		r.zlog.Info("Released batch jobs.", zap.Int("jobs", len(released)))
+	r.released[j.ID] = j.Claim
+	for _, w := range works {
+		if w.phase == running || w.phase == waiting {
+			r.note(w, false)
+		}
+	}
+	r.out.add(true, func(rec *jobs.Record) { rec.Releases = append(rec.Releases, j.ID) })
+}
+
+// Left waits until all jobs are given up, or ctx ends.
+func (r *Runner) Left(ctx context.Context) bool {
+	for {
+		changed := r.book.Changed.Next()
+		r.mu.Lock()
+		left := len(r.works) == 0
+		r.mu.Unlock()
+		if left {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-time.After(planEvery):
+		case <-ctx.Done():
+			return false
+		}
 	}
 }
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -88,6 +88,7 @@
 	shunned  map[string]time.Time        // engines that get no samples until then
 	refusals map[string]int              // in a row, by engine
 	claimed  map[string]time.Time        // when this process last claimed a job
+	released map[string]uint64           // claims that this process has given up, by job
 	owned    time.Time                   // when this process last owned a job
 	leaving  bool
 	tasks    sync.WaitGroup
@@ -101,9 +102,9 @@
 		book: book, log: log, view: f.View, forward: f, pool: f.Pool, zlog: zlog, writer: writer,
 		wake:  make(chan struct{}, 1),
 		works: map[string]map[string]*work{}, reading: map[string]bool{}, dropped: map[string]carried{}, pace: map[string]float64{},
-		observed: map[jobs.EngineKey]uint64{}, shunned: map[string]time.Time{}, refusals: map[string]int{}, claimed: map[string]time.Time{},
+		observed: map[jobs.EngineKey]uint64{}, shunned: map[string]time.Time{}, refusals: map[string]int{}, claimed: map[string]time.Time{}, released: map[string]uint64{},
 	}
-	r.out = newOutbox(log, writer, parts, r.owning, zlog)
+	r.out = newOutbox(log, writer, parts, r.owning, book.Texts.put, zlog)
 	r.out.capacity = capacity
 	return r
 }
@@ -159,7 +160,7 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	r.adopt(ctx, now)
-	if len(r.works) == 0 || r.leaving {
+	if len(r.works) == 0 {
 		return
 	}
 	r.dropSilent(now)
--- a/gateway/jobs/texts.go
+++ b/gateway/jobs/texts.go
@@ -9,24 +9,14 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
-	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/decide/route"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/platform"
 )
 
-// Limits of texts in memory and of reads of them.
-const (
-	// cacheBytes bounds the texts that a process keeps to answer reads with.
-	cacheBytes = 8 << 20
-	// textsWait bounds one try to read a job's bodies and earlier texts; its
-	// owner tries again.
-	textsWait = 3 * time.Second
-	// resultsBytes bounds the texts of one answer, in bytes.
-	resultsBytes = 900 << 10
-)
-
-var textReads = metrics.Counter("jobs_text_reads_total")
+// textsWait bounds one try to read a job's bodies and earlier texts; its owner
+// tries again.
+const textsWait = 3 * time.Second
 
 // textStream is the stream with the texts of a partition.
 func textStream(part int) string { return fmt.Sprintf("texts/%d", part) }
@@ -68,6 +58,7 @@
 		}
 		for _, res := range group.results {
 			res.Ref = &jobs.TextRef{Part: part, Offset: offset, Bytes: len(res.Text)}
+			o.kept(textKey{part, offset, res.Item}, res.Text)
 			results = append(results, res)
 		}
 	}
@@ -108,100 +99,6 @@
 	return groups
 }
 
-// textCache keeps texts by where they stand, the oldest leave first.
-type textCache struct {
-	mu    sync.Mutex
-	texts map[textKey]string
-	order []textKey
-	bytes int
-}
-
-type textKey struct {
-	part   int
-	offset uint64
-	item   string
-}
-
-func newTextCache() *textCache { return &textCache{texts: map[textKey]string{}} }
-
-func (c *textCache) put(key textKey, text string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if _, known := c.texts[key]; known {
-		return
-	}
-	c.texts[key] = text
-	c.order = append(c.order, key)
-	c.bytes += len(text)
-	for c.bytes > cacheBytes && len(c.order) > 1 {
-		c.bytes -= len(c.texts[c.order[0]])
-		delete(c.texts, c.order[0])
-		c.order = c.order[1:]
-	}
-}
-
-func (c *textCache) get(key textKey) (string, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	text, ok := c.texts[key]
-	return text, ok
-}
-
-// fillTexts puts the texts into results, as many as an answer holds; at least
-// the first one, unless the log can't be read.
-func (s *Service) fillTexts(ctx context.Context, results []jobs.Result) ([]jobs.Result, error) {
-	filled := make([]jobs.Result, 0, len(results))
-	size := 0
-	for _, r := range results {
-		if r.Ref != nil {
-			if size += r.Ref.Bytes; size > resultsBytes && len(filled) > 0 {
-				break
-			}
-			text, err := s.text(ctx, r)
-			if err != nil && len(filled) > 0 {
-				break
-			}
-			if err != nil {
-				return nil, err
-			}
-			r.Text = text
-		}
-		filled = append(filled, r)
-	}
-	return filled, nil
-}
-
-// text returns the text of a result, from memory or from the log.
-func (s *Service) text(ctx context.Context, r jobs.Result) (string, error) {
-	key := textKey{r.Ref.Part, r.Ref.Offset, r.Item}
-	if text, ok := s.texts.get(key); ok {
-		return text, nil
-	}
-	textReads.Add(1)
-	page, err := s.log.Read(ctx, textStream(r.Ref.Part), r.Ref.Offset, readKB, 0)
-	if err != nil {
-		return "", errors.Trace(err)
-	}
-	for _, rec := range page.Records {
-		record, err := jobs.DecodeText(rec.Data)
-		if err != nil {
-			continue // another record's fault; ours shows as missing below
-		}
-		for _, text := range record.Texts {
-			s.texts.put(textKey{r.Ref.Part, rec.Offset, text.Item}, text.Text)
-		}
-	}
-	text, ok := s.texts.get(key)
-	if !ok {
-		return "", errors.NotFoundf("text of item %s at offset %d", r.Item, r.Ref.Offset)
-	}
-	return text, nil
-}
-
-// readKB is how much a read of texts returns at least in part: the results of
-// one moment stand side by side, and are read together.
-const readKB = 256
-
 // errNoBodies: the bodies of a job are not to be had now.
 var errNoBodies = errors.New("the bodies of the job's items can't be read")
 
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -73,6 +73,7 @@
 	}
 	ready := &readiness{view: v, book: book}
 	peers := withPeers(store, set.Process.Name, set.Listen.Peers, log)
+	book.Texts.SetPeers(peers.Addr)
 	var loops sync.WaitGroup
 	loops.Go(func() { peers.Run(ctx) })
 	loops.Go(func() { v.Run(ctx) })
@@ -80,10 +81,10 @@
 	loops.Go(func() { runner.Run(ctx) })
 	log.Info("Starting.", zap.String("name", writer.Node), zap.String("life", writer.Life), zap.String("callers", set.Listen.Callers), zap.String("store", set.Store.Address))
 	return &run.Process{
-		Servers:      gatewayServers(set, handler, ready, store),
-		Ready:        func(is bool) { ready.up.Store(is); stopJobs(is, handler, runner) },
+		Servers:      gatewayServers(set, handler, book.Texts, ready, store),
+		Ready:        func(is bool) { ready.up.Store(is); leave(is, handler, runner) },
 		StopDelay:    time.Duration(serveOn * float64(set.Process.Grace)),
-		Drain:        handler.Drain,
+		Drain:        func(ctx context.Context) error { return drain(ctx, handler, runner, log) },
 		DrainTimeout: time.Duration(drainShare * float64(set.Process.Grace)),
 		Close:        func() { loops.Wait(); endTraces(flush, log); out.Close() },
 		Reload: func(next any, changed []string) []string {
@@ -104,21 +105,25 @@
 	}
 }
 
-// releaseMost bounds the giving up of jobs at a stop.
-const releaseMost = 2 * time.Second
-
-// stopJobs gives this process's jobs up as soon as it is told to stop.
-func stopJobs(ready bool, handler *front.Front, runner *gatewayjobs.Runner) {
+// leave gives this process's jobs up as soon as it is told to stop.
+func leave(ready bool, handler *front.Front, runner *gatewayjobs.Runner) {
 	if ready {
 		return
 	}
 	handler.Leave()
-	ctx, cancel := context.WithTimeout(context.Background(), releaseMost)
-	defer cancel()
-	runner.Release(ctx)
+	runner.Leave()
+}
+
+// drain waits until no caller's request is in flight and others may go on with
+// this process's jobs.
+func drain(ctx context.Context, handler *front.Front, runner *gatewayjobs.Runner, log *zap.Logger) error {
+	if !runner.Left(ctx) {
+		log.Warn("Batch jobs could not be given up.")
+	}
+	return handler.Drain(ctx)
 }
 
-func gatewayServers(set Gateway, handler http.Handler, ready *readiness, store *hosted.Store) []transport.Server {
+func gatewayServers(set Gateway, handler, texts http.Handler, ready *readiness, store *hosted.Store) []transport.Server {
 	callers := run.NewHTTP(set.Listen.Callers)
 	callers.Handler = handler // no router between: paths go on as they came
 	callers.IdleTimeout = idleTimeout
@@ -127,7 +132,10 @@
 	servers := []transport.Server{callers, questions}
 	if set.Listen.Peers != "" {
 		relay := run.NewHTTP(set.Listen.Peers)
-		relay.Handler = store.Relay()
+		mux := http.NewServeMux()
+		mux.Handle(gatewayjobs.PathTexts, texts)
+		mux.Handle("/", store.Relay())
+		relay.Handler = mux
 		servers = append(servers, relay)
 	}
 	if set.Process.Metrics != "" && set.Process.Metrics != set.Listen.Ready {
