--- a/gateway/jobs/api.go
+++ b/gateway/jobs/api.go
@@ -24,6 +24,10 @@
 	// proofMost is how long a refusal waits for the proof that nothing of the job
 	// runs: a read of the log takes some milliseconds where it answers at all.
 	proofMost = 200 * time.Millisecond
+	// callerRetry lies between two appends for a caller that waits. Trainers give
+	// a step up after some 5 s: one was lost 70 ms after a store that had been
+	// away for that long was back, as the next append was due 0.3 s later.
+	callerRetry = 50 * time.Millisecond
 	// comeBack is when a caller is told to try again: a store that refuses
 	// calls does so for seconds, and another entry may reach it.
 	comeBack = 400 * time.Millisecond
@@ -202,7 +206,6 @@
 // not needed any more, or ctx ends.
 func (s *Service) appendUntil(ctx context.Context, stream string, records [][]byte, done func() bool) (uint64, *kinds.Error) {
 	held := kinds.Hold()
-	delay := retryFirst
 	for {
 		offset, err := s.log.AppendAll(ctx, stream, records)
 		if err == nil || done() {
@@ -217,13 +220,12 @@
 			return 0, held.Refuse(kinds.TooLarge, "the log does not take a batch job of this size")
 		}
 		s.zlog.Warn("Append failed.", zap.Bool("may_stand", held.Sent()), zap.Error(err))
-		if !sleep.For(ctx, sleep.Jitter(delay)) {
+		if !sleep.For(ctx, sleep.Jitter(callerRetry)) {
 			return 0, held.Refuse(kinds.LogUnavailable, "the log takes no records").WithRetryAfter(comeBack)
 		}
 		if done() {
 			return 0, nil
 		}
-		delay = min(retryMost, 2*delay)
 	}
 }
 
