gateway/jobs: owners are given more time where appends take long

The silence that counts now grows with three times this process's own last append. The test failed before.

--- a/gateway/jobs/outbox.go
+++ b/gateway/jobs/outbox.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -61,6 +62,10 @@
 	// kept is told each text that the log has taken.
 	kept func(textKey, string)
 
+	// took is how long the last append that the log took was on its way, in
+	// nanoseconds.
+	took atomic.Int64
+
 	mu      sync.Mutex
 	pending jobs.Record
 	texts   map[string]*jobTexts // by job
@@ -179,8 +184,10 @@
 func (o *outbox) append(ctx context.Context, stream string, records [][]byte) (uint64, bool) {
 	delay := retryFirst
 	for {
+		begun := time.Now()
 		offset, err := o.log.AppendAll(ctx, stream, records)
 		if err == nil {
+			o.took.Store(int64(time.Since(begun)))
 			appends.Add(1)
 			return offset, true
 		}
--- a/gateway/jobs/ownership.go
+++ b/gateway/jobs/ownership.go
@@ -56,7 +56,9 @@
 	if r.out.capacity < ableItems {
 		silent -= smallWaits
 	}
-	return silent > takeOverAfter+time.Duration(rand.Float64()*float64(takeOverSpread))
+	// Where appends take long, so do an owner's signs of life.
+	late := slowLog * time.Duration(r.out.took.Load())
+	return silent > takeOverAfter+late+time.Duration(rand.Float64()*float64(takeOverSpread))
 }
 
 func (r *Runner) claim(j *jobs.Job, now time.Time) {
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -40,6 +40,9 @@
 	takeOverAfter = 1500 * time.Millisecond
 	// takeOverSpread keeps all processes from claiming at one moment.
 	takeOverSpread = 500 * time.Millisecond
+	// slowLog is how many of this process's own appends an owner may be silent for
+	// beyond that: it has two to make, texts and records, each read behind others'.
+	slowLog = 3
 	// smallWaits is how much longer a process that can't run a whole step waits
 	// before it claims one, so that an able one is faster.
 	smallWaits = 600 * time.Millisecond
