--- a/gateway/jobs/jobs_test.go
+++ b/gateway/jobs/jobs_test.go
@@ -126,16 +126,16 @@
 	require.Positive(t, resumed(pf.Engines))
 }
 
-// The store is slow. An owner's signs of life take longer than usual, for each is
-// an append behind one of texts; the others see their own appends take as long
-// and leave it its jobs. Claimed without need, every sample reads its prompt again.
+// The store is slow with appends. An owner's signs of life take longer than usual,
+// for each stands behind an append of texts; the others see their own appends
+// take as long and leave it its jobs. Claimed without need, every sample reads its prompt again.
 func TestSlowStoreCostsNoOwner(t *testing.T) {
 	t.Parallel()
 	pf := gatewaytest.NewPlatform(t, 1, 1)
 	pf.Engines[0].Pace, pf.Engines[0].Events = 50*time.Millisecond, 100
 	a, b := newEntry(t, pf, "a"), newEntry(t, pf, "b")
 	a.submit(t, "j", 4, 1)
-	pf.Store.Fail(hostedtest.StoreFaults{Slow: 600 * time.Millisecond})
+	pf.Store.Fail(hostedtest.StoreFaults{SlowAppends: 700 * time.Millisecond})
 	requireWhole(t, b.results(t, "j", 4), 100)
 	for _, data := range pf.Store.Records(jobs.Stream) {
 		r, err := fold.Decode(data)
