--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -149,9 +149,9 @@
 func withPeers(store *hosted.Store, node, self string, log *zap.Logger) *hosted.Peers {
 	log = logs.Part(log, "store")
 	peers := hosted.NewPeers(store, node, self, log)
-	store.SetPeers(peers.Addrs, func(away bool) {
-		if away {
-			log.Warn("Lost the store; calls go through peers.", zap.Int("peers", len(peers.Addrs())))
+	store.SetPeers(peers.Addrs, func(away error) {
+		if away != nil {
+			log.Warn("Lost the store; calls go through peers.", zap.Int("peers", len(peers.Addrs())), zap.String("why", away.Error()))
 			return
 		}
 		log.Info("The store answers directly again.")
