fold/jobs: items stand with the texts; the jobs' stream only names them

Every gateway reads the jobs' stream, but only the owner of a job needs the headers, paths and score requests of its items. TestLargeJob counted the records of the jobs' stream; it counts those of the items now, and TestManyItemsAreSplit holds what it asked of the other stream.

--- a/fold/jobs/bench_test.go
+++ b/fold/jobs/bench_test.go
@@ -32,9 +32,7 @@
 func BenchmarkFoldJob(b *testing.B) {
 	a := &Accept{Head: Head{ID: "j"}, Parts: 1}
 	for i := range 100 {
-		a.Items = append(a.Items, Item{Request: Request{ID: fmt.Sprintf("%016x", i), Host: "ficu95.example", Path: "/pule252/3/91c4",
-			Header: map[string]string{"A-Header-Of-A-Usual-Length": "9c2e41:300,5d07b8:240", "Another-Header-Of-An-Item": "540,400"}, Body: make([]byte, 600)},
-			Group: "g1002a", Score: &Request{ID: "40c8f1a7b3e9265d", Host: "ficu95.example", Path: "/pufi791/5e07", Body: make([]byte, 600)}})
+		a.Items = append(a.Items, ItemRef{ID: fmt.Sprintf("%016x", i), Group: "g1002a"})
 	}
 	data, err := (&Record{Writer: ann, Accept: a}).Encode()
 	require.NoError(b, err)
--- a/fold/jobs/jobs.go
+++ b/fold/jobs/jobs.go
@@ -15,7 +15,7 @@
 
 // ItemState is an item with what has become of it.
 type ItemState struct {
-	Item
+	ItemRef
 	Server   string // where the owner last said that it runs
 	Position int    // in Job.Results; -1: no result yet
 }
@@ -44,8 +44,8 @@
 	// Claim is the offset of the record that made Owner the owner.
 	Claim    uint64
 	Released bool // the owner has given the job up
-	// Bodies is where the bodies of the items stand, and their texts behind.
-	Bodies TextRef
+	// At is where the items stand, and their texts behind.
+	At TextRef
 }
 
 // group is the items of a job that share their prompt.
@@ -171,13 +171,13 @@
 
 // add makes the job of a whole submission and forgets what others handed in of it.
 func (s *State) add(offset uint64, owner Writer, sub *submission, last *Accept) {
-	j := &Job{Head: last.Head, Items: map[string]*ItemState{}, Owner: owner, Accepted: offset, Claim: offset, Bodies: last.Bodies, groups: map[string]*group{}}
+	j := &Job{Head: last.Head, Items: map[string]*ItemState{}, Owner: owner, Accepted: offset, Claim: offset, At: last.At, groups: map[string]*group{}}
 	for part := range last.Parts {
 		for _, item := range sub.parts[part].Items {
 			if j.Items[item.ID] != nil {
 				continue
 			}
-			j.Items[item.ID] = &ItemState{Item: item, Position: -1}
+			j.Items[item.ID] = &ItemState{ItemRef: item, Position: -1}
 			j.Order = append(j.Order, item.ID)
 			s.join(j, item.Group)
 		}
--- a/fold/jobs/jobs_test.go
+++ b/fold/jobs/jobs_test.go
@@ -17,7 +17,7 @@
 func accepted(w Writer, id string) *Record {
 	return &Record{Writer: w, Accept: &Accept{
 		Head: Head{ID: id, Model: "m", Total: 2}, Submission: w.Node, Parts: 1,
-		Items: []Item{{Request: Request{ID: "a"}}, {Request: Request{ID: "b"}}},
+		Items: []ItemRef{{ID: "a"}, {ID: "b"}},
 	}}
 }
 
@@ -36,7 +36,7 @@
 func TestJobShowsWithItsLastPart(t *testing.T) {
 	s := New()
 	part := func(n int, item string) *Record {
-		return &Record{Writer: ann, Accept: &Accept{Head: Head{ID: "j"}, Submission: "x", Part: n, Parts: 2, Items: []Item{{Request: Request{ID: item}}}}}
+		return &Record{Writer: ann, Accept: &Accept{Head: Head{ID: "j"}, Submission: "x", Part: n, Parts: 2, Items: []ItemRef{{ID: item}}}}
 	}
 	require.Empty(t, s.Apply(0, part(1, "b")).Accepted)
 	require.Nil(t, s.Jobs["j"])
@@ -50,7 +50,7 @@
 	step := func(id string, groups ...string) *Record {
 		a := &Accept{Head: Head{ID: id, Model: "m", Groups: 1}, Parts: 1}
 		for _, g := range groups {
-			a.Items = append(a.Items, Item{Request: Request{ID: g + "1"}, Group: g}, Item{Request: Request{ID: g + "2"}, Group: g})
+			a.Items = append(a.Items, ItemRef{ID: g + "1", Group: g}, ItemRef{ID: g + "2", Group: g})
 		}
 		return &Record{Writer: ann, Accept: a}
 	}
--- a/fold/jobs/record.go
+++ b/fold/jobs/record.go
@@ -12,17 +12,17 @@
 	Life string `json:"l"` // changes at each start of the process
 }
 
-// Request is a request to be sent to a backend server. Its body stands with the
-// texts, for only the job's owner needs it.
+// Request is a request to be sent to a backend server.
 type Request struct {
 	ID     string            `json:"id"`
 	Host   string            `json:"h,omitempty"`
 	Path   string            `json:"p"`
 	Header map[string]string `json:"hd,omitempty"`
-	Body   []byte            `json:"-"`
+	Body   []byte            `json:"b,omitempty"`
 }
 
-// Item is one sample that a batch job asks for.
+// Item is one sample that a batch job asks for. It stands with the texts, for
+// only the job's owner needs it.
 type Item struct {
 	Request
 	Group  string   `json:"g,omitempty"`
@@ -30,6 +30,12 @@
 	Score  *Request `json:"sc,omitempty"` // asked for the score of the text; nil: none
 }
 
+// ItemRef names an item of a job: all that others than its owner need of it.
+type ItemRef struct {
+	ID    string `json:"id"`
+	Group string `json:"g,omitempty"`
+}
+
 // Head is a batch job without its items.
 type Head struct {
 	ID         string `json:"id"`
@@ -52,14 +58,14 @@
 	Head
 	// Owner is who is to run the job; nil: the writer.
 	Owner *Writer `json:"o,omitempty"`
-	// Bodies is where the bodies of the items stand; all that is kept of their
-	// texts stands behind it.
-	Bodies TextRef `json:"bd"`
+	// At is where the items stand; all that is kept of their texts stands
+	// behind it.
+	At TextRef `json:"bd"`
 	// Submission tells apart what two processes accepted of the same job.
-	Submission string `json:"sub"`
-	Part       int    `json:"pt"`
-	Parts      int    `json:"ps"`
-	Items      []Item `json:"it"`
+	Submission string    `json:"sub"`
+	Part       int       `json:"pt"`
+	Parts      int       `json:"ps"`
+	Items      []ItemRef `json:"it"`
 }
 
 // Claim takes over the ownership of a job from the owner whose claim stands at
--- a/fold/jobs/texts.go
+++ b/fold/jobs/texts.go
@@ -31,18 +31,11 @@
 	Text string `json:"t"`
 }
 
-// ItemBody is what is sent for an item and for its score.
-type ItemBody struct {
-	Item  string `json:"i"`
-	Body  []byte `json:"b,omitempty"`
-	Score []byte `json:"s,omitempty"`
-}
-
-// TextRecord is one record of the texts' stream: the bodies of a job's items,
-// or what its owner has of their texts. Only owners read bodies, only a successor reads the progress, and only who is asked
-// for a result reads its text: with them in the jobs' stream each of 44 entries
-// read each text, 1.3 GB on a day, and all of them took 20 s to come back after
-// a loss of power.
+// TextRecord is one record of the texts' stream: a job's items, or what its
+// owner has of their texts. Only owners read items, only a successor reads the
+// progress, and only who is asked for a result reads its text: with them in the
+// jobs' stream each of 44 entries read each text, 1.3 GB on a day, and all of
+// them took 20 s to come back after a loss of power.
 type TextRecord struct {
 	Writer
 	Job string `json:"j"`
@@ -51,7 +44,7 @@
 	Claim    uint64     `json:"c"`
 	Progress []Progress `json:"pg,omitempty"`
 	Texts    []ItemText `json:"tx,omitempty"`
-	Bodies   []ItemBody `json:"bd,omitempty"`
+	Items    []Item     `json:"it,omitempty"`
 }
 
 // Encode returns the record's bytes.
@@ -80,17 +73,17 @@
 	Failures int
 }
 
-// Texts is the fold of one job's bodies and progress.
+// Texts is the fold of one job's items and progress.
 type Texts struct {
 	job string
 	// made is by item and by the claim of its owner.
-	made   map[string]map[uint64]*Made
-	bodies map[string]ItemBody
+	made  map[string]map[uint64]*Made
+	items map[string]Item
 }
 
 // NewTexts returns the state of a job before its first record.
 func NewTexts(job string) *Texts {
-	return &Texts{job: job, made: map[string]map[uint64]*Made{}, bodies: map[string]ItemBody{}}
+	return &Texts{job: job, made: map[string]map[uint64]*Made{}, items: map[string]Item{}}
 }
 
 // Apply folds a record; those of other jobs change nothing.
@@ -98,22 +91,22 @@
 	if r.Job != t.job {
 		return
 	}
-	for _, b := range r.Bodies {
-		t.bodies[b.Item] = b
+	for _, item := range r.Items {
+		t.items[item.ID] = item
 	}
 	for _, p := range r.Progress {
 		t.progress(r.Claim, p)
 	}
 }
 
-// Body returns what is sent for an item.
-func (t *Texts) Body(item string) (ItemBody, bool) {
-	b, ok := t.bodies[item]
-	return b, ok
+// Item returns an item of the job.
+func (t *Texts) Item(id string) (Item, bool) {
+	item, ok := t.items[id]
+	return item, ok
 }
 
-// Bodies is the number of items whose bodies are known.
-func (t *Texts) Bodies() int { return len(t.bodies) }
+// Known is the number of items that are known.
+func (t *Texts) Known() int { return len(t.items) }
 
 // progress adds events that follow on what is known of the same run and claim.
 // A record that the store carried out late would else put events of two runs
--- a/gateway/jobs/api.go
+++ b/gateway/jobs/api.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -41,9 +42,9 @@
 	ableItems = 250
 	// ableHeard is how lately such a process must have shown that it lives.
 	ableHeard = idleBeat + time.Second
-	// acceptChunk is the size at which the part of a submission is closed, in
-	// bytes.
-	acceptChunk = 100 << 10
+	// refsPerRecord is how many items the part of a submission names: some 50 B
+	// each, and the platform takes 256 KB a record.
+	refsPerRecord = 1000
 	// itemOverhead is what an item's names and headers take, in bytes.
 	itemOverhead = 1000
 )
@@ -94,11 +95,11 @@
 func (s *Service) submit(ctx context.Context, head jobs.Head, items []jobs.Item) *kinds.Error {
 	head.SubmittedMS = time.Now().UnixMilli()
 	done := func() bool { return s.has(head.ID) }
-	bodies, failed := s.appendBodies(ctx, head.ID, items, done)
+	at, failed := s.appendItems(ctx, head.ID, items, done)
 	if failed != nil || done() {
 		return failed
 	}
-	records, err := s.submission(head, items, bodies)
+	records, err := s.submission(head, items, at)
 	if err != nil {
 		return kinds.Hold().Refuse(kinds.BadRequest, "%v", err)
 	}
@@ -106,11 +107,11 @@
 	return failed
 }
 
-// appendBodies appends the bodies of a job's items. By themselves they run
+// appendItems appends a job's items with their bodies. By themselves they run
 // nothing, whatever becomes of the append.
-func (s *Service) appendBodies(ctx context.Context, job string, items []jobs.Item, done func() bool) (jobs.TextRef, *kinds.Error) {
+func (s *Service) appendItems(ctx context.Context, job string, items []jobs.Item, done func() bool) (jobs.TextRef, *kinds.Error) {
 	ref := jobs.TextRef{Part: partOf(job, s.parts)}
-	records, err := bodyRecords(s.writer, job, items)
+	records, err := itemRecords(s.writer, job, items)
 	if err != nil {
 		return ref, kinds.Hold().Refuse(kinds.BadRequest, "%v", err)
 	}
@@ -133,22 +134,17 @@
 }
 
 // submission splits a job into records that the log takes.
-func (s *Service) submission(head jobs.Head, items []jobs.Item, bodies jobs.TextRef) ([][]byte, error) {
-	var parts [][]jobs.Item
-	size := 0
+func (s *Service) submission(head jobs.Head, items []jobs.Item, at jobs.TextRef) ([][]byte, error) {
+	refs := make([]jobs.ItemRef, 0, len(items))
 	for _, item := range items {
-		if len(parts) == 0 || size > acceptChunk {
-			parts, size = append(parts, nil), 0
-		}
-		last := len(parts) - 1
-		parts[last] = append(parts[last], item)
-		size += itemOverhead
+		refs = append(refs, jobs.ItemRef{ID: item.ID, Group: item.Group})
 	}
+	parts := slices.Collect(slices.Chunk(refs, refsPerRecord))
 	owner := s.owner(len(items))
 	name := s.writer.Node + "/" + s.writer.Life + "/" + strconv.FormatUint(s.count.Add(1), 10)
 	records := make([][]byte, 0, len(parts))
 	for i, part := range parts {
-		r := jobs.Record{Writer: s.writer, Accept: &jobs.Accept{Head: head, Owner: owner, Bodies: bodies, Submission: name, Part: i, Parts: len(parts), Items: part}}
+		r := jobs.Record{Writer: s.writer, Accept: &jobs.Accept{Head: head, Owner: owner, At: at, Submission: name, Part: i, Parts: len(parts), Items: part}}
 		data, err := r.Encode()
 		if err != nil {
 			return nil, errors.Trace(err)
@@ -337,26 +333,26 @@
 	if err := s.known(ctx, job); err != nil {
 		return nil, err
 	}
-	head, bodies, ok := s.bodiesOf(job, item)
+	head, at, ok := s.standsAt(job, item)
 	if !ok {
 		return nil, kinds.Hold().Refuse(kinds.NotFound, "no item %q in batch job %q", item, job)
 	}
-	texts, err := readTexts(ctx, s.log, &head, bodies, false)
+	texts, err := readTexts(ctx, s.log, &head, at, false)
 	if err != nil {
 		s.zlog.Warn("A body can't be read.", zap.String("job", job), zap.String("id", item), zap.Error(err))
 		return nil, kinds.Hold().Refuse(kinds.LogUnavailable, "the bodies can't be read now").WithRetryAfter(comeBack)
 	}
-	body, _ := texts.Body(item)
-	return body.Body, nil
+	found, _ := texts.Item(item)
+	return found.Body, nil
 }
 
-// bodiesOf tells where the body of an item of a job that was not ended stands.
-func (s *Service) bodiesOf(job, item string) (jobs.Head, jobs.TextRef, bool) {
+// standsAt tells where the items of a job stand that was not ended and has one.
+func (s *Service) standsAt(job, item string) (jobs.Head, jobs.TextRef, bool) {
 	s.book.mu.Lock()
 	defer s.book.mu.Unlock()
 	j := s.book.state.Jobs[job]
 	if j == nil || j.Ended || j.Items[item] == nil {
 		return jobs.Head{}, jobs.TextRef{}, false
 	}
-	return j.Head, j.Bodies, true
+	return j.Head, j.At, true
 }
--- a/gateway/jobs/jobs_test.go
+++ b/gateway/jobs/jobs_test.go
@@ -495,7 +495,7 @@
 	require.Equal(t, string(kinds.LogUnavailable), err.Kind())
 }
 
-// A job larger than a record is split, and comes whole.
+// A job whose items are larger than a record is split, and comes whole.
 func TestLargeJob(t *testing.T) {
 	t.Parallel()
 	pf := gatewaytest.NewPlatform(t, 2, 1)
@@ -507,7 +507,11 @@
 	}
 	head, items := decode(t, "j", body)
 	require.Nil(t, e.service.Submit(t.Context(), head, items))
-	require.Greater(t, len(pf.Store.Records(jobs.Stream)), 2)
+	records := 0
+	for _, stream := range []string{"texts", "texts/1", "texts/2"} {
+		records += len(pf.Store.Records(stream))
+	}
+	require.Greater(t, records, 2)
 	requireWhole(t, e.results(t, "j", 300), 1)
 }
 
--- a/gateway/jobs/known_test.go
+++ b/gateway/jobs/known_test.go
@@ -29,7 +29,7 @@
 func TestJobThatWasReadIsKnownBeforeTheEndIsReached(t *testing.T) {
 	book := NewBook(endlessLog{end: 1}, zap.NewNop())
 	record := jobs.Record{Writer: jobs.Writer{Node: "a", Life: "1"}, Accept: &jobs.Accept{
-		Head: jobs.Head{ID: "j"}, Parts: 1, Items: []jobs.Item{{Request: jobs.Request{ID: "i"}}},
+		Head: jobs.Head{ID: "j"}, Parts: 1, Items: []jobs.ItemRef{{ID: "i"}},
 	}}
 	data, err := record.Encode()
 	require.NoError(t, err)
--- a/gateway/jobs/outbox_test.go
+++ b/gateway/jobs/outbox_test.go
@@ -48,6 +48,27 @@
 	return newOutbox(l, jobs.Writer{Node: "a", Life: "1"}, 4, func() bool { return true }, func(textKey, string) {}, zap.NewNop())
 }
 
+// A job of more items than one record may name is split; its parts are appended
+// together, and name each item once.
+func TestManyItemsAreSplit(t *testing.T) {
+	s := NewService(NewBook(&strictLog{}, zap.NewNop()), &strictLog{}, jobs.Writer{Node: "a", Life: "1"}, 4, 600, zap.NewNop())
+	items := make([]jobs.Item, 2500)
+	for i := range items {
+		items[i] = jobs.Item{Request: jobs.Request{ID: fmt.Sprintf("%064d", i)}, Group: fmt.Sprintf("%032d", i/8)}
+	}
+	records, err := s.submission(jobs.Head{ID: "j", Total: len(items)}, items, jobs.TextRef{})
+	require.NoError(t, err)
+	require.Len(t, records, 3)
+	state := jobs.New()
+	for i, data := range records {
+		require.Less(t, len(data), platformRecord)
+		record, err := jobs.Decode(data)
+		require.NoError(t, err)
+		state.Apply(uint64(i), record)
+	}
+	require.Equal(t, len(items), state.Jobs["j"].Total)
+}
+
 // The log is away for seconds while 250 samples run. What has piled up is more
 // than one append may hold; sent whole it was refused for ever, and with it
 // every result after it.
--- a/gateway/jobs/ownership.go
+++ b/gateway/jobs/ownership.go
@@ -81,10 +81,10 @@
 	if r.reading[j.ID] {
 		return
 	}
-	// Bodies, and what earlier owners have made, are read beside the plan.
+	// Items, and what earlier owners have made, are read beside the plan.
 	r.reading[j.ID] = true
-	head, bodies, taken := j.Head, j.Bodies, j.Claim != j.Accepted
-	r.tasks.Go(func() { r.take(ctx, &head, bodies, taken) })
+	head, at, taken := j.Head, j.At, j.Claim != j.Accepted
+	r.tasks.Go(func() { r.take(ctx, &head, at, taken) })
 }
 
 // letGo ends the work of items that have a result.
@@ -98,13 +98,13 @@
 }
 
 // take reads what a job's owner needs and begins its work.
-func (r *Runner) take(ctx context.Context, head *jobs.Head, bodies jobs.TextRef, taken bool) {
-	texts, err := readTexts(ctx, r.log, head, bodies, taken)
+func (r *Runner) take(ctx context.Context, head *jobs.Head, at jobs.TextRef, taken bool) {
+	texts, err := readTexts(ctx, r.log, head, at, taken)
 	if err != nil {
-		r.zlog.Warn("A job's texts can't be read yet.", zap.String("job", head.ID), zap.Uint64("offset", bodies.Offset), zap.Error(err))
+		r.zlog.Warn("A job's texts can't be read yet.", zap.String("job", head.ID), zap.Uint64("offset", at.Offset), zap.Error(err))
 	}
 	for err != nil && sleep.For(ctx, sleep.Jitter(tailRetry)) && r.book.owned(head.ID, r.writer) {
-		texts, err = readTexts(ctx, r.log, head, bodies, taken)
+		texts, err = readTexts(ctx, r.log, head, at, taken)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -123,16 +123,16 @@
 	r.works[j.ID] = works
 	route := r.routeOf(j)
 	single := route != nil && route.SingleVersion
-	for id, item := range j.Items {
-		if item.Done() {
+	for id, state := range j.Items {
+		if state.Done() {
 			continue
 		}
 		made := texts.Best(id, j.MinVersion)
 		if len(made.Events) == 0 {
 			made = r.carriedText(j, id, made)
 		}
-		body, _ := texts.Body(id)
-		works[id] = newWork(j, item, body, made)
+		item, _ := texts.Item(id)
+		works[id] = newWork(j, item, made)
 		works[id].single = single
 	}
 	r.zlog.Info("Owning a batch job.", zap.String("job", j.ID), zap.Int("items", len(works)), zap.Uint64("claim", j.Claim))
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -84,7 +84,7 @@
 
 	mu       sync.Mutex
 	works    map[string]map[string]*work // by job and item
-	reading  map[string]bool             // jobs whose bodies and earlier texts are being read
+	reading  map[string]bool             // jobs whose items and earlier texts are being read
 	dropped  map[string]carried          // texts of items whose job was ended, by item
 	pace     map[string]float64          // seconds an event, by engine
 	observed map[jobs.EngineKey]uint64   // versions as answers told them
--- a/gateway/jobs/score.go
+++ b/gateway/jobs/score.go
@@ -77,7 +77,7 @@
 	}
 	reply, err := r.forward.Send(ctx, forward.Call{
 		Route: route, ID: ask.ID, Method: http.MethodPost, URI: ask.Path, Host: ask.Host,
-		Header: http.Header{}, Body: w.body.Score, Deadline: time.Now().Add(timeout),
+		Header: http.Header{}, Body: ask.Body, Deadline: time.Now().Add(timeout),
 	})
 	return reply, route.MaxAttempts, err
 }
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -76,7 +76,7 @@
 
 // request is the item as the engine gets it.
 func (s *stream) request() *backend.Request {
-	item := &s.w.item.Item
+	item := &s.w.item
 	header := make(http.Header, len(item.Header)+3)
 	for name, value := range item.Header {
 		header.Set(name, value)
@@ -86,7 +86,7 @@
 	if s.behind > 0 {
 		hosted.SetResume(header, s.behind)
 	}
-	return &backend.Request{Method: http.MethodPost, URI: item.Path, Host: item.Host, Header: header, Body: s.w.body.Body, ID: item.ID}
+	return &backend.Request{Method: http.MethodPost, URI: item.Path, Host: item.Host, Header: header, Body: item.Body, ID: item.ID}
 }
 
 func (s *stream) exchange(ctx context.Context) (ending, int, error) {
--- a/gateway/jobs/texts.go
+++ b/gateway/jobs/texts.go
@@ -14,7 +14,7 @@
 	"dandelionsill.org/platform"
 )
 
-// textsWait bounds one try to read a job's bodies and earlier texts; its owner
+// textsWait bounds one try to read a job's items and earlier texts; its owner
 // tries again.
 const textsWait = 3 * time.Second
 
@@ -99,10 +99,10 @@
 	return groups
 }
 
-// errNoBodies: the bodies of a job are not to be had now.
-var errNoBodies = errors.New("the bodies of the job's items can't be read")
+// errNoItems: the items of a job are not to be had now.
+var errNoItems = errors.New("the job's items can't be read")
 
-// readTexts folds the bodies of a job and, where earlier owners may have made
+// readTexts folds the items of a job and, where earlier owners may have made
 // texts, all that stands behind them to the end of the stream.
 func readTexts(ctx context.Context, log platform.Log, j *jobs.Head, from jobs.TextRef, all bool) (*jobs.Texts, error) {
 	ctx, cancel := context.WithTimeout(ctx, textsWait)
@@ -125,43 +125,48 @@
 			}
 		}
 		next = page.Next
-		whole := texts.Bodies() >= j.Total
+		whole := texts.Known() >= j.Total
 		switch {
 		case whole && (!all || next >= page.End):
 			return texts, nil
 		case len(page.Records) == 0:
-			return nil, errNoBodies
+			return nil, errNoItems
 		}
 	}
 }
 
-// bodyRecords makes the records of a job's bodies.
-func bodyRecords(w jobs.Writer, job string, items []jobs.Item) ([][]byte, error) {
+// itemRecords makes the records of a job's items.
+func itemRecords(w jobs.Writer, job string, items []jobs.Item) ([][]byte, error) {
 	var out [][]byte
 	r := jobs.TextRecord{Writer: w, Job: job}
 	size := 0
 	closeRecord := func() error {
 		data, err := r.Encode()
 		out = append(out, data)
-		r.Bodies, size = nil, 0
+		r.Items, size = nil, 0
 		return errors.Trace(err)
 	}
 	for _, item := range items {
-		b := jobs.ItemBody{Item: item.ID, Body: item.Body}
-		if item.Score != nil {
-			b.Score = item.Score.Body
-		}
-		r.Bodies = append(r.Bodies, b)
-		if size += len(b.Body) + len(b.Score) + startBytes; size > recordMost {
+		r.Items = append(r.Items, item)
+		if size += itemSize(&item); size > recordMost {
 			if err := closeRecord(); err != nil {
 				return nil, err
 			}
 		}
 	}
-	if len(r.Bodies) > 0 {
+	if len(r.Items) > 0 {
 		if err := closeRecord(); err != nil {
 			return nil, err
 		}
 	}
 	return out, nil
 }
+
+// itemSize is about what an item takes in a record, in bytes.
+func itemSize(item *jobs.Item) int {
+	size := itemOverhead + len(item.Body)
+	if item.Score != nil {
+		size += len(item.Score.Body)
+	}
+	return size
+}
--- a/gateway/jobs/work.go
+++ b/gateway/jobs/work.go
@@ -22,8 +22,7 @@
 // work is an item in the hands of its job's owner. The runner's mutex guards it.
 type work struct {
 	job  *jobs.Job
-	item *jobs.ItemState
-	body jobs.ItemBody
+	item jobs.Item
 	size hosted.ItemSize
 
 	// single: one weight version makes the whole text.
@@ -51,9 +50,9 @@
 
 // newWork takes an item on with what was made of it before; that is appended
 // anew under this owner's claim.
-func newWork(j *jobs.Job, item *jobs.ItemState, body jobs.ItemBody, made jobs.Made) *work {
+func newWork(j *jobs.Job, item jobs.Item, made jobs.Made) *work {
 	return &work{
-		job: j, item: item, body: body, size: hosted.SizeOf(item.Header), events: made.Events, whole: made.Whole, failures: made.Failures,
+		job: j, item: item, size: hosted.SizeOf(item.Header), events: made.Events, whole: made.Whole, failures: made.Failures,
 		avoid: map[string]time.Time{}, owned: time.Now(),
 	}
 }
