gateway/jobs: the log is followed at a pace that the store can bear

Every append wakes the read of every gateway; 360 of them would make 21,000 calls a second of it, more than three times what the grown store takes, which turns all away beyond its rate. Reads at the log's end are now as far apart as half of the store's rate allows for all gateways (9 ms today, 14 ms grown, 120 ms at 360); the past is read without pauses.

--- a/gateway/jobs/book.go
+++ b/gateway/jobs/book.go
@@ -55,6 +55,9 @@
 	// Texts has the texts of results.
 	Texts *Library
 
+	// pace is the least time between two reads of the log.
+	pace func() time.Duration
+
 	log  Log
 	zlog *zap.Logger
 
@@ -74,9 +77,28 @@
 
 // NewBook returns a book that has read nothing.
 func NewBook(log Log, zlog *zap.Logger) *Book {
-	return &Book{Texts: newLibrary(log), log: log, zlog: zlog, state: jobs.New(), heard: map[jobs.Writer]time.Time{}, engineAt: map[jobs.EngineKey]time.Time{}}
+	return &Book{Texts: newLibrary(log), pace: func() time.Duration { return 0 }, log: log, zlog: zlog, state: jobs.New(), heard: map[jobs.Writer]time.Time{}, engineAt: map[jobs.EngineKey]time.Time{}}
 }
 
+// tailShare is the part of the store's reads that following the log may take in
+// all processes together. Each append wakes every process: unbounded, 360 of
+// them would make 21,000 calls a second, and the store turns all away beyond its
+// rate.
+const tailShare = 0.5
+
+// Pace returns the least time between two reads of the log of one of some
+// processes, of a store that takes readsPerS calls a second; 0: not told.
+func Pace(processes int, readsPerS float64) time.Duration {
+	if readsPerS <= 0 {
+		return 0
+	}
+	return time.Duration(float64(processes) / (tailShare * readsPerS) * float64(time.Second))
+}
+
+// SetPace tells how far apart reads of the log have to be; it is called before
+// Run.
+func (b *Book) SetPace(pace func() time.Duration) { b.pace = pace }
+
 // Run follows the log until ctx ends.
 func (b *Book) Run(ctx context.Context) {
 	lost := false
@@ -91,6 +113,9 @@
 			}
 			lost = false
 			b.fold(page, sent)
+			if page.Next >= page.End {
+				sleep.For(ctx, b.pace()-time.Since(sent))
+			}
 		case errors.Is(err, platform.ErrTruncated):
 			b.zlog.Warn("Records are no longer kept.", zap.Uint64("offset", b.next), zap.Uint64("first", page.First))
 			b.skip(page.First)
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -74,6 +74,7 @@
 	ready := &readiness{view: v, book: book}
 	peers := withPeers(store, set.Process.Name, set.Listen.Peers, log)
 	book.Texts.SetPeers(peers.Addr)
+	book.SetPace(func() time.Duration { return gatewayjobs.Pace(len(peers.Addrs())+1, set.Store.ReadsPerS) })
 	var loops sync.WaitGroup
 	loops.Go(func() { peers.Run(ctx) })
 	loops.Go(func() { v.Run(ctx) })
--- a/gateway/server/settings.go
+++ b/gateway/server/settings.go
@@ -33,6 +33,8 @@
 type Store struct {
 	Address string `ini:"store.address" kind:"ip:port" help:"IP:port of the platform's store"`
 	Parts   int    `ini:"store.parts" default:"1" min:"1" max:"100" help:"partitions of a topic; the same in all processes"`
+	// ReadsPerS bounds how often the processes follow the log.
+	ReadsPerS float64 `ini:"store.reads_per_s" default:"0" min:"0" max:"10000000" help:"read calls a second that the store takes of all processes together; 0: not told"`
 }
 
 // Validate checks the settings.
