logs: errors are their messages, the past is told in one line, failing appends once a second

Cause: under an outage each failed call logged where its error came through (errorVerbose), 14 to 20 lines a second and process; a restarted gateway wrote two lines for each job of the last two minutes.

--- a/base/logs/logs.go
+++ b/base/logs/logs.go
@@ -10,6 +10,7 @@
 
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
+	"go.uber.org/zap/buffer"
 	"go.uber.org/zap/zapcore"
 )
 
@@ -29,7 +30,7 @@
 	if err != nil {
 		lvl = zapcore.InfoLevel
 	}
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding()), w, lvl)
+	core := zapcore.NewCore(terse{zapcore.NewJSONEncoder(encoding())}, w, lvl)
 	return zap.New(prefixed{core, part + ": "})
 }
 
@@ -66,6 +67,26 @@
 	return cfg
 }
 
+// terse writes an error as its message. Errors that format themselves in detail
+// (juju/errors) would add the places they came through to each line, and a line
+// of a failed call would be four times as long under an outage.
+type terse struct{ zapcore.Encoder }
+
+// Clone implements zapcore.Encoder.
+func (t terse) Clone() zapcore.Encoder { return terse{t.Encoder.Clone()} }
+
+// EncodeEntry implements zapcore.Encoder.
+func (t terse) EncodeEntry(e zapcore.Entry, fields []zapcore.Field) (*buffer.Buffer, error) {
+	short := make([]zapcore.Field, len(fields))
+	for i, f := range fields {
+		if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
+			f = zap.String(f.Key, err.Error())
+		}
+		short[i] = f
+	}
+	return t.Encoder.EncodeEntry(e, short)
+}
+
 // prefixed puts a part's prefix before each message. It does so in Check and
 // leaves the decision to the core below, which may be a sampler.
 type prefixed struct {
--- a/base/logs/logs_test.go
+++ b/base/logs/logs_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
@@ -16,6 +17,15 @@
 
 func (*sink) Sync() error { return nil }
 
+// A call fails in an outage, again and again. Each line tells the error's message
+// and not the places that it came through.
+func TestErrorsAreTheirMessages(t *testing.T) {
+	var w sink
+	NewTo(&w, "agent", "info").Warn("Failed.", zap.Error(errors.Annotate(errors.New("refused"), "store")))
+	require.Contains(t, w.String(), `"error":"store: refused"`)
+	require.NotContains(t, w.String(), "errorVerbose")
+}
+
 func TestPrefix(t *testing.T) {
 	var w sink
 	l := NewTo(&w, "agent", "info")
--- a/fold/jobs/jobs.go
+++ b/fold/jobs/jobs.go
@@ -353,6 +353,17 @@
 	}
 }
 
+// Open is the number of jobs with work for an owner.
+func (s *State) Open() int {
+	open := 0
+	s.Each(func(j *Job) {
+		if j.Open() {
+			open++
+		}
+	})
+	return open
+}
+
 // Forget drops jobs that were submitted before a time of day, in Unix
 // milliseconds, and are no longer open.
 func (s *State) Forget(beforeMS int64) {
--- a/gateway/jobs/book.go
+++ b/gateway/jobs/book.go
@@ -169,6 +169,9 @@
 	}
 	b.next = page.Next
 	if page.Next >= page.End {
+		if b.asOf.IsZero() {
+			b.zlog.Info("Read the log to its end.", zap.Uint64("offset", page.Next), zap.Int("jobs", len(b.state.Jobs)), zap.Int("open", b.state.Open()))
+		}
 		b.asOf = sent
 	}
 	if len(page.Records) > 0 {
@@ -189,19 +192,27 @@
 		b.engineAt[jobs.EngineKey{Server: e.Server, Model: e.Model}] = now
 	}
 	change := b.state.Apply(rec.Offset, r)
+	if b.asOf.IsZero() {
+		return // the past was told when it happened
+	}
+	b.tell(rec.Offset, change)
+}
+
+// tell logs what a record has changed; mu is held.
+func (b *Book) tell(offset uint64, change jobs.Change) {
 	for _, id := range change.Accepted {
 		j := b.state.Jobs[id]
 		b.zlog.Info("Batch job.", zap.String("job", id), zap.Int("step", j.Step), zap.String("model", j.Model),
-			zap.Int("items", j.Total), zap.Uint64("floor", j.MinVersion), zap.Uint64("offset", rec.Offset), zap.String("owner", j.Owner.Node))
+			zap.Int("items", j.Total), zap.Uint64("floor", j.MinVersion), zap.Uint64("offset", offset), zap.String("owner", j.Owner.Node))
 	}
 	for _, id := range change.Owned {
-		b.zlog.Info("Batch job has a new owner.", zap.String("job", id), zap.Uint64("offset", rec.Offset),
+		b.zlog.Info("Batch job has a new owner.", zap.String("job", id), zap.Uint64("offset", offset),
 			zap.String("owner", b.state.Jobs[id].Owner.Node), zap.Bool("released", b.state.Jobs[id].Released))
 	}
 	for _, id := range change.Ended {
 		j := b.state.Jobs[id]
 		b.zlog.Info("Batch job is over.", zap.String("job", id), zap.Int("results", len(j.Results)), zap.Int("items", j.Total),
-			zap.Bool("ended", j.Ended), zap.Uint64("offset", rec.Offset))
+			zap.Bool("ended", j.Ended), zap.Uint64("offset", offset))
 	}
 }
 
--- a/gateway/jobs/outbox.go
+++ b/gateway/jobs/outbox.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"dandelionsill.org/base/logs"
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/base/sleep"
 	"dandelionsill.org/fold/jobs"
@@ -31,6 +32,8 @@
 	idleBeat   = 3 * time.Second
 	retryFirst = 40 * time.Millisecond
 	retryMost  = 300 * time.Millisecond
+	// retriesEvery is how often a line tells that appends fail.
+	retriesEvery = time.Second
 	// recordMost is the size at which a record is closed, in bytes of text; the
 	// platform takes 256 KB a record.
 	recordMost = 96 << 10
@@ -50,10 +53,12 @@
 // outbox gathers what this process has to say and appends it in order: texts
 // first, then the records of jobs that name where they stand.
 type outbox struct {
-	log    Log
-	zlog   *zap.Logger
-	writer jobs.Writer
-	parts  int // partitions of the texts' stream
+	log  Log
+	zlog *zap.Logger
+	// retries logs failures of which each retry makes one more.
+	retries *zap.Logger
+	writer  jobs.Writer
+	parts   int // partitions of the texts' stream
 	// capacity is how many items this process can run; it is told with each
 	// record.
 	capacity int
@@ -81,7 +86,7 @@
 
 func newOutbox(log Log, writer jobs.Writer, parts int, owning func() bool, kept func(textKey, string), zlog *zap.Logger) *outbox {
 	return &outbox{
-		log: log, zlog: zlog, writer: writer, parts: max(1, parts), owning: owning, kept: kept,
+		log: log, zlog: zlog, retries: logs.Limited(zlog, retriesEvery), writer: writer, parts: max(1, parts), owning: owning, kept: kept,
 		texts: map[string]*jobTexts{}, urgent: make(chan struct{}, 1),
 	}
 }
@@ -199,7 +204,7 @@
 			o.zlog.Error("The log refuses records; they are lost.", zap.String("stream", stream), zap.Int("records", len(records)), zap.Error(err))
 			return 0, stream == Stream
 		}
-		o.zlog.Warn("Append failed.", zap.String("stream", stream), zap.Error(err))
+		o.retries.Warn("Append failed.", zap.String("stream", stream), zap.Error(err))
 		if !sleep.For(ctx, sleep.Jitter(delay)) {
 			return 0, false
 		}
