platform/hosted, gateway: a server that starts again is a new one; foreign entries name none

Cause: entries were read leniently (one without a state counted as ready), an unreadable entry left the one before in force until the next whole list, and what is remembered of a server was kept by its id, which a later start now has too: samples went to an engine that had older weights again, and its agent took it for up to date for good.

ID now names one start (name and time of start), Name what the server calls itself; load, pace, shunning, ejections, observed weights, told words and parity are kept by ID as before, so that each is of one start. An agent's word about its engine is believed for 4 s only, and an answer that shows older weights than an owner was told ends that word.

--- a/decide/members/members.go
+++ b/decide/members/members.go
@@ -11,7 +11,14 @@
 
 // Server is what a backend server says of itself.
 type Server struct {
-	ID            string // changes at each start
+	// ID names one start of a server. What is remembered of a server (load, pace,
+	// weights, orders, failures) is kept by ID, so that a server that starts again
+	// under its name is a new one that nothing is known of.
+	ID string
+	// Name is what the server calls itself, and the key of its entry. It may
+	// outlive a start.
+	Name          string
+	Born          time.Time // when it started; zero: not told
 	Service       string
 	Addr          string // IP:port
 	FailureDomain string
@@ -27,7 +34,8 @@
 // letter, and a heartbeat's jitter.
 const DefaultReturn = 2200 * time.Millisecond
 
-// Set is the servers known to one process. It is not safe for concurrent use.
+// Set is the servers known to one process, by name: a new start takes the place
+// of the one before. It is not safe for concurrent use.
 type Set struct {
 	servers map[string]Server
 	// lapsed are servers whose entries went away around an outage, with the
@@ -53,39 +61,39 @@
 // Put adds or replaces an entry. A server that lapsed and whose address another
 // one now uses is gone for good: it would refuse all that is sent to it.
 func (s *Set) Put(server Server) {
-	delete(s.lapsed, server.ID)
-	s.servers[server.ID] = server
-	for id := range s.lapsed {
-		if s.servers[id].Addr == server.Addr {
-			delete(s.lapsed, id)
-			delete(s.servers, id)
+	delete(s.lapsed, server.Name)
+	s.servers[server.Name] = server
+	for name := range s.lapsed {
+		if s.servers[name].Addr == server.Addr {
+			delete(s.lapsed, name)
+			delete(s.servers, name)
 		}
 	}
 }
 
 // Remove takes the entry of a server away.
-func (s *Set) Remove(id string, now time.Time) {
-	if _, ok := s.servers[id]; !ok {
+func (s *Set) Remove(name string, now time.Time) {
+	if _, ok := s.servers[name]; !ok {
 		return
 	}
 	if now.Before(s.graceUntil) {
-		s.lapsed[id] = s.graceUntil
+		s.lapsed[name] = s.graceUntil
 		return
 	}
-	delete(s.servers, id)
-	delete(s.lapsed, id)
+	delete(s.servers, name)
+	delete(s.lapsed, name)
 }
 
 // Replace brings the set to a full list of entries.
 func (s *Set) Replace(list []Server, now time.Time) {
 	listed := make(map[string]bool, len(list))
 	for _, server := range list {
-		listed[server.ID] = true
+		listed[server.Name] = true
 		s.Put(server)
 	}
-	for id := range s.servers {
-		if !listed[id] {
-			s.Remove(id, now)
+	for name := range s.servers {
+		if !listed[name] {
+			s.Remove(name, now)
 		}
 	}
 }
@@ -94,22 +102,22 @@
 // there were any.
 func (s *Set) Expire(now time.Time) bool {
 	any := false
-	for id, until := range s.lapsed {
+	for name, until := range s.lapsed {
 		if now.Before(until) {
 			continue
 		}
-		delete(s.lapsed, id)
-		delete(s.servers, id)
+		delete(s.lapsed, name)
+		delete(s.servers, name)
 		any = true
 	}
 	return any
 }
 
-// ByService returns the servers of each service, sorted by id.
+// ByService returns the servers of each service, sorted by name.
 func (s *Set) ByService() map[string][]Server {
 	by := map[string][]Server{}
-	for _, id := range slices.Sorted(maps.Keys(s.servers)) {
-		server := s.servers[id]
+	for _, name := range slices.Sorted(maps.Keys(s.servers)) {
+		server := s.servers[name]
 		by[server.Service] = append(by[server.Service], server)
 	}
 	return by
--- a/decide/members/members_test.go
+++ b/decide/members/members_test.go
@@ -24,12 +24,12 @@
 // for gone at once, they would leave callers without any server.
 func TestEntriesThatLapsedInAnOutageCountForAWhile(t *testing.T) {
 	s := New(2 * time.Second)
-	s.Put(Server{ID: "a", Service: "x", Addr: "1.1.1.1:1"})
-	s.Put(Server{ID: "b", Service: "x", Addr: "2.2.2.2:2"})
+	s.Put(Server{ID: "a", Name: "a", Service: "x", Addr: "1.1.1.1:1"})
+	s.Put(Server{ID: "b", Name: "b", Service: "x", Addr: "2.2.2.2:2"})
 	s.StoreReturned(at(0))
 	s.Replace(nil, at(100*time.Millisecond))
 	require.Equal(t, 2, count(s))
-	s.Put(Server{ID: "a", Service: "x", Addr: "1.1.1.1:1"})
+	s.Put(Server{ID: "a", Name: "a", Service: "x", Addr: "1.1.1.1:1"})
 	require.False(t, s.Expire(at(1900*time.Millisecond)))
 	require.True(t, s.Expire(at(2*time.Second)))
 	require.Equal(t, 1, count(s), "b did not come back")
@@ -41,7 +41,7 @@
 // leaving: it gets no new work from that moment.
 func TestEntryThatGoesInCalmTimesIsGoneAtOnce(t *testing.T) {
 	s := New(2 * time.Second)
-	s.Put(Server{ID: "a", Service: "x"})
+	s.Put(Server{ID: "a", Name: "a", Service: "x"})
 	s.StoreReturned(at(0))
 	s.Remove("a", at(3*time.Second))
 	require.Zero(t, count(s))
@@ -51,10 +51,10 @@
 // one before would be kept for two seconds, and refuse all that is sent there.
 func TestLapsedServerWhoseAddressIsUsedAgainIsGone(t *testing.T) {
 	s := New(2 * time.Second)
-	s.Put(Server{ID: "before", Service: "x", Addr: "1.2.3.4:5"})
+	s.Put(Server{ID: "before", Name: "before", Service: "x", Addr: "1.2.3.4:5"})
 	s.StoreReturned(at(0))
-	s.Replace([]Server{{ID: "after", Service: "x", Addr: "1.2.3.4:5"}}, at(0))
-	s.Put(Server{ID: "after", Service: "x", Addr: "1.2.3.4:5"})
+	s.Replace([]Server{{ID: "after", Name: "after", Service: "x", Addr: "1.2.3.4:5"}}, at(0))
+	s.Put(Server{ID: "after", Name: "after", Service: "x", Addr: "1.2.3.4:5"})
 	require.Equal(t, 1, count(s))
 	require.Equal(t, "after", s.ByService()["x"][0].ID)
 }
@@ -62,10 +62,22 @@
 func TestByServiceIsSorted(t *testing.T) {
 	s := New(time.Second)
 	for _, id := range []string{"c", "a", "b"} {
-		s.Put(Server{ID: id, Service: "x"})
+		s.Put(Server{ID: id, Name: id, Service: "x"})
 	}
 	s.Remove("unknown", at(0))
 	got := s.ByService()["x"]
 	require.Equal(t, "a", got[0].ID)
 	require.Equal(t, "c", got[2].ID)
 }
+
+// A server starts again under its name. What is remembered of it goes by its ID,
+// so that the new start takes the place of the one before and is known by nothing;
+// its entry going away ends it under the name.
+func TestNewStartTakesThePlaceOfTheOneBefore(t *testing.T) {
+	s := New(time.Second)
+	s.Put(Server{ID: "a@1", Name: "a", Service: "x"})
+	s.Put(Server{ID: "a@2", Name: "a", Service: "x"})
+	require.Equal(t, []Server{{ID: "a@2", Name: "a", Service: "x"}}, s.ByService()["x"])
+	s.Remove("a", at(0))
+	require.Zero(t, count(s))
+}
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -211,7 +211,7 @@
 func (f *Forwarder) open(ctx context.Context, call Call, server members.Server) (*backend.Answer, error) {
 	header := call.Header.Clone()
 	hosted.SetAttemptID(header, call.ID)
-	hosted.SetExpectedServer(header, server.ID)
+	hosted.SetExpectedServer(header, server.Name)
 	hosted.SetDeadline(header, time.Until(call.Deadline))
 	return f.Pool.Do(ctx, server.Addr, &backend.Request{
 		Method: call.Method, URI: call.URI, Host: call.Host, Header: header, Body: call.Body, ID: call.ID,
--- a/gateway/jobs/jobs_test.go
+++ b/gateway/jobs/jobs_test.go
@@ -393,3 +393,28 @@
 	requireWhole(t, a.results(t, "new", 2), 5)
 	require.Equal(t, a.results(t, "new", 2), b.results(t, "new", 2))
 }
+
+// An engine starts again under its name with older weights than it had. A job
+// that these are too old for goes to the other engine; what answers and records
+// told of the start before sent it samples that it could only make in vain.
+func TestEngineThatStartsAgainIsTakenByItsOwnWord(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 2, 1)
+	for _, engine := range pf.Engines {
+		engine.Restart(1000, 3)
+		pf.Register(engine, "ready")
+	}
+	e := newEntry(t, pf, "a")
+	e.submit(t, "before", 8, 3)
+	requireWhole(t, e.results(t, "before", 8), 5)
+	again := pf.Engines[0]
+	again.Restart(2000, 1)
+	pf.Register(again, "ready")
+	require.Eventually(t, func() bool {
+		s, known := e.View.Now().Server("engines", again.ID+"@2000")
+		return known && s.Versions["m"] == 1
+	}, gatewaytest.Wait, time.Millisecond)
+	had := len(again.Arrivals())
+	e.submit(t, "after", 8, 3)
+	requireWhole(t, e.results(t, "after", 8), 5)
+	require.Len(t, again.Arrivals(), had)
+}
--- a/gateway/jobs/placing.go
+++ b/gateway/jobs/placing.go
@@ -73,7 +73,7 @@
 
 func (r *Runner) placeService(ctx context.Context, servers []members.Server, works []*work, now time.Time) {
 	slices.SortFunc(works, func(a, b *work) int { return cmp.Compare(a.item.ID, b.item.ID) })
-	engines, addrs := r.engines(servers, now)
+	engines, usable := r.engines(servers, now)
 	var queue []*work
 	var samples []place.Sample
 	var moving []place.Running
@@ -96,7 +96,7 @@
 	}
 	for _, c := range place.Assign(engines, samples) {
 		w, e := queue[c.Sample], engines[c.Engine]
-		r.start(ctx, w, e.ID, addrs[e.ID], now)
+		r.start(ctx, w, usable[e.ID], now)
 		r.zlog.Info("Sample starts.", zap.String("id", w.item.ID), zap.String("job", w.job.ID), zap.String("server", e.ID),
 			zap.Uint64("version", e.Versions[w.model()]), zap.Uint64("floor", w.job.MinVersion), zap.Int("load", e.Load), zap.Int("slots", e.Slots),
 			zap.Float64("pace_s", e.Pace), zap.Float64("left", samples[c.Sample].Left), zap.Int("behind", len(w.events)),
@@ -115,9 +115,9 @@
 	}
 }
 
-// engines describes the engines of a service, with the load that this process
-// and the other owners put on them.
-func (r *Runner) engines(servers []members.Server, now time.Time) ([]place.Engine, map[string]string) {
+// engines describes the engines of a service that may be used, with the load that
+// this process and the other owners put on them.
+func (r *Runner) engines(servers []members.Server, now time.Time) ([]place.Engine, map[string]members.Server) {
 	own := map[string]int{}
 	for _, works := range r.works {
 		for _, w := range works {
@@ -130,17 +130,17 @@
 	defer r.book.mu.Unlock()
 	others := r.othersLoad()
 	out := make([]place.Engine, 0, len(servers))
-	addrs := make(map[string]string, len(servers))
+	usable := make(map[string]members.Server, len(servers))
 	for _, s := range servers {
 		if s.Leaving || now.Before(r.shunned[s.ID]) {
 			continue
 		}
-		addrs[s.ID] = s.Addr
+		usable[s.ID] = s
 		out = append(out, place.Engine{
 			ID: s.ID, Slots: s.Slots, Load: own[s.ID] + others[s.ID], Pace: r.pace[s.ID], Versions: r.versions(s, now),
 		})
 	}
-	return out, addrs
+	return out, usable
 }
 
 // othersLoad counts the samples of other owners at each engine, by their word
@@ -172,7 +172,7 @@
 		key := jobs.EngineKey{Server: s.ID, Model: model}
 		versions[model] = max(versions[model], r.observed[key])
 		word, known := r.book.state.Engine(s.ID, model)
-		if !known {
+		if !known || !r.book.engineAt[key].After(r.denied[key]) {
 			continue
 		}
 		if word.Loading && now.Sub(r.book.engineAt[key]) < loadingMost {
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -88,11 +88,14 @@
 	dropped  map[string]carried          // texts of items whose job was ended, by item
 	pace     map[string]float64          // seconds an event, by engine
 	observed map[jobs.EngineKey]uint64   // versions as answers told them
-	shunned  map[string]time.Time        // engines that get no samples until then
-	refusals map[string]int              // in a row, by engine
-	claimed  map[string]time.Time        // when this process last claimed a job
-	released map[string]uint64           // claims that this process has given up, by job
-	owned    time.Time                   // when this process last owned a job
+	// denied is when an answer showed older weights than an engine was thought to
+	// have: a word of before is no longer believed.
+	denied   map[jobs.EngineKey]time.Time
+	shunned  map[string]time.Time // engines that get no samples until then
+	refusals map[string]int       // in a row, by engine
+	claimed  map[string]time.Time // when this process last claimed a job
+	released map[string]uint64    // claims that this process has given up, by job
+	owned    time.Time            // when this process last owned a job
 	leaving  bool
 	tasks    sync.WaitGroup
 }
@@ -105,7 +108,7 @@
 		book: book, log: log, view: f.View, forward: f, pool: f.Pool, zlog: zlog, writer: writer,
 		wake:  make(chan struct{}, 1),
 		works: map[string]map[string]*work{}, reading: map[string]bool{}, dropped: map[string]carried{}, pace: map[string]float64{},
-		observed: map[jobs.EngineKey]uint64{}, shunned: map[string]time.Time{}, refusals: map[string]int{}, claimed: map[string]time.Time{}, released: map[string]uint64{},
+		observed: map[jobs.EngineKey]uint64{}, denied: map[jobs.EngineKey]time.Time{}, shunned: map[string]time.Time{}, refusals: map[string]int{}, claimed: map[string]time.Time{}, released: map[string]uint64{},
 	}
 	r.out = newOutbox(log, writer, parts, r.owning, book.Texts.put, zlog)
 	r.out.capacity = capacity
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"dandelionsill.org/base/trace"
+	"dandelionsill.org/decide/members"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/backend"
 	"dandelionsill.org/platform/hosted"
@@ -38,9 +39,9 @@
 }
 
 // start opens a stream of an item at an engine; r.mu is held.
-func (r *Runner) start(parent context.Context, w *work, server, addr string, now time.Time) {
+func (r *Runner) start(parent context.Context, w *work, server members.Server, now time.Time) {
 	ctx, stop := context.WithCancel(parent)
-	w.phase, w.server, w.stop = running, server, stop
+	w.phase, w.server, w.stop = running, server.ID, stop
 	w.began, w.lastEvent, w.streamed = now, now, 0
 	if w.stream == 0 {
 		w.first = now
@@ -51,7 +52,7 @@
 		w.restart()
 	}
 	streamsStarted.Add(1)
-	s := &stream{r: r, w: w, number: w.stream, server: server, addr: addr, behind: len(w.events), only: w.only()}
+	s := &stream{r: r, w: w, number: w.stream, server: server.ID, name: server.Name, addr: server.Addr, behind: len(w.events), only: w.only()}
 	r.note(w, true)
 	r.tasks.Go(func() {
 		defer stop()
@@ -68,7 +69,8 @@
 	r      *Runner
 	w      *work
 	number uint64
-	server string
+	server string // its start, as engines are told apart
+	name   string // as the server calls itself
 	addr   string
 	behind int // events that were known before
 	only   uint64
@@ -82,7 +84,7 @@
 		header.Set(name, value)
 	}
 	hosted.SetAttemptID(header, item.ID)
-	hosted.SetExpectedServer(header, s.server)
+	hosted.SetExpectedServer(header, s.name)
 	if s.behind > 0 {
 		hosted.SetResume(header, s.behind)
 	}
@@ -107,11 +109,11 @@
 	defer answer.Close()
 	version := hosted.WeightVersion(answer.Header)
 	if version < s.w.job.MinVersion {
-		s.r.observe(s, version)
+		s.r.deny(s, version)
 		return tooOld, answer.Status, nil
 	}
 	if s.only != 0 && version != s.only {
-		s.r.observe(s, version)
+		s.r.deny(s, version)
 		return mixed, answer.Status, nil
 	}
 	end, err := s.events(answer, version)
@@ -167,11 +169,13 @@
 	}
 }
 
-// observe notes the weight version that an engine's answer told.
-func (r *Runner) observe(s *stream, version uint64) {
+// deny notes that an engine's answer told of other weights than those for which
+// it was chosen.
+func (r *Runner) deny(s *stream, version uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.observed[jobs.EngineKey{Server: s.server, Model: s.w.model()}] = version
+	key := jobs.EngineKey{Server: s.server, Model: s.w.model()}
+	r.observed[key], r.denied[key] = version, time.Now()
 }
 
 // event adds an event to the item; false: the stream is no longer the item's.
--- a/gateway/orders/orders.go
+++ b/gateway/orders/orders.go
@@ -35,6 +35,11 @@
 	// watched before it is ordered again.
 	unknownWait = 400 * time.Millisecond
 	appendMost  = 600 * time.Millisecond
+	// toldFor is how long this process's own word about its engine goes before the
+	// engine's entry: some of an entry's intervals of a second. An order of an
+	// earlier start of the engine may be carried out after the last report; the
+	// engine then has older weights than was told, and nobody would look again.
+	toldFor = 4 * time.Second
 )
 
 var (
@@ -70,6 +75,8 @@
 	fence uint64
 	lost  bool
 	told  map[jobs.EngineKey]jobs.Engine
+	// toldAt is when the last word about the engine was told.
+	toldAt time.Time
 	// parity is kept for the life of the engine.
 	parity map[jobs.EngineKey]loads.Parity
 }
@@ -112,8 +119,8 @@
 		return lookBusy
 	}
 	a.reportBack()
-	if report.Busy {
-		return lookBusy
+	if report.Busy || !sameStart(self.Born, report.Born) {
+		return lookBusy // of the engine's last start the list does not tell yet
 	}
 	want := a.choose(snap, self, peers, report)
 	if want == nil {
@@ -153,10 +160,18 @@
 	return nil, nil
 }
 
+// sameStart tells whether two words about an engine may be of one start of it;
+// zero: engines of older platforms don't tell.
+func sameStart(a, b time.Time) bool { return a.IsZero() || b.IsZero() || a.Equal(b) }
+
 // behind tells whether any model has a version that the engine may not have.
 func (a *Agent) behind(snap *view.Snapshot, self *members.Server) bool {
+	fresh := time.Since(a.toldAt) < toldFor
 	for model, version := range snap.Versions {
-		known := max(self.Versions[model], a.told[jobs.EngineKey{Server: self.ID, Model: model}].Version)
+		known := self.Versions[model]
+		if fresh {
+			known = max(known, a.told[jobs.EngineKey{Server: self.ID, Model: model}].Version)
+		}
 		if version > known {
 			return true
 		}
@@ -214,7 +229,7 @@
 func (a *Agent) order(ctx context.Context, snap *view.Snapshot, self *members.Server, report hosted.EngineReport, want *loads.Want) time.Duration {
 	begin := time.Now()
 	o := hosted.LoadOrder{
-		Server: self.ID, Model: want.Model, Version: want.Version, Mode: a.mode(snap, self.Service),
+		Server: self.Name, Model: want.Model, Version: want.Version, Mode: a.mode(snap, self.Service),
 		Holder: a.cfg.Node, Fence: a.fence, After: report.Orders,
 	}
 	a.tell(ctx, jobs.Engine{Server: self.ID, Model: want.Model, Version: want.Version, Loading: true})
@@ -233,6 +248,10 @@
 		sleep.For(ctx, unknownWait)
 	}
 	after := a.await(ctx)
+	if !sameStart(after.Born, report.Born) {
+		a.log.Info("The engine started again during an order.", zap.String("server", self.ID), zap.Time("born", after.Born))
+		return lookBusy
+	}
 	if after.Versions[o.Model] >= o.Version && outcome == hosted.OrderTaken {
 		a.took = time.Since(begin)
 	}
@@ -292,6 +311,7 @@
 // tell appends words about the engine. They only help owners to choose, so
 // that a lost one is not repeated.
 func (a *Agent) tell(ctx context.Context, words ...jobs.Engine) {
+	a.toldAt = time.Now()
 	for _, e := range words {
 		a.told[jobs.EngineKey{Server: e.Server, Model: e.Model}] = e
 	}
--- a/gateway/orders/orders_test.go
+++ b/gateway/orders/orders_test.go
@@ -165,3 +165,21 @@
 	require.Eventually(t, func() bool { return served(t, pf.Engines[0]) == 3 }, gatewaytest.Wait, time.Millisecond)
 	require.Equal(t, "wait", pf.Engines[0].Orders()[0].Mode)
 }
+
+// The engine starts again under its name, with the weights that it had at first
+// and its count of orders anew. What was told of the start before does not hold:
+// without that the agent took it for up to date and it served old weights for good.
+func TestEngineThatStartsAgainIsOrderedAnew(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 1, 0)
+	engine := pf.Engines[0]
+	engine.Restart(1000, 1)
+	pf.Register(engine, "ready")
+	newAgent(t, pf, engine, nil)
+	name(pf, 3)
+	require.Eventually(t, func() bool { return served(t, engine) == 3 }, gatewaytest.Wait, time.Millisecond)
+	engine.Restart(2000, 1)
+	pf.Register(engine, "ready")
+	require.Eventually(t, func() bool { return served(t, engine) == 3 }, gatewaytest.Wait, time.Millisecond)
+	orders := engine.Orders()
+	require.Zero(t, orders[len(orders)-1].Expect, "the count began anew")
+}
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -71,6 +71,7 @@
 	feeds platform.Feeds
 	log   *zap.Logger
 	now   func() time.Time
+	bad   badRecords
 
 	current atomic.Pointer[Snapshot]
 	mu      sync.Mutex // guards set and the making of snapshots
@@ -218,6 +219,7 @@
 		switch {
 		case c.Err != nil:
 			v.unreadable(platform.FeedServers, c)
+			v.set.Remove(c.Gone, v.now())
 		case c.Server != nil:
 			v.logServer(*c.Server)
 			v.set.Put(*c.Server)
@@ -236,7 +238,7 @@
 		return
 	}
 	v.log.Info("Backend server.", zap.String("server", server.ID), zap.String("service", server.Service),
-		zap.String("addr", server.Addr), zap.Bool("leaving", server.Leaving))
+		zap.String("addr", server.Addr), zap.Time("born", server.Born), zap.Bool("leaving", server.Leaving))
 }
 
 // applyOperator takes one record of the operator. What is older than what is
@@ -263,11 +265,6 @@
 	}
 }
 
-func (v *View) unreadable(feed platform.Feed, c platform.Change) {
-	unreadable.Add(1)
-	v.log.Warn("A record can't be read and is left out.", zap.Stringer("feed", feed), zap.Uint64("offset", c.Offset), zap.Error(c.Err))
-}
-
 // publishServers makes the set visible; mu is held.
 func (v *View) publishServers() {
 	next := *v.current.Load()
--- a/gateway/view/view_test.go
+++ b/gateway/view/view_test.go
@@ -7,8 +7,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"dandelionsill.org/decide/members"
 	"dandelionsill.org/decide/table"
@@ -45,7 +47,7 @@
 		}
 		kept := f.newest[feed][:0:0]
 		for _, old := range f.newest[feed] {
-			if old.Server.ID != c.Gone {
+			if old.Server.Name != c.Gone {
 				kept = append(kept, old)
 			}
 		}
@@ -104,7 +106,7 @@
 }
 
 func server(id string) platform.Change {
-	return platform.Change{Server: &members.Server{ID: id, Service: "s"}}
+	return platform.Change{Server: &members.Server{ID: id, Name: id, Service: "s"}}
 }
 
 // A configuration is in force within a second of its acknowledgement, and one
@@ -175,10 +177,42 @@
 	run(t, f, func(v *View) {
 		time.Sleep(100 * time.Millisecond)
 		changed := v.Changed.Next()
-		f.say(platform.FeedServers, platform.Change{Server: &members.Server{ID: "a", Service: "s", Leaving: true}})
+		f.say(platform.FeedServers, platform.Change{Server: &members.Server{ID: "a", Name: "a", Service: "s", Leaving: true}})
 		<-changed
 		s, ok := v.Now().Server("s", "a")
 		require.True(t, ok)
 		require.True(t, s.Leaving)
 	})
 }
+
+// Another writer puts something else in place of a server's entry, and next to it.
+// The server is not used until it writes again; the others hold all the while, and
+// a record that stays is told of once, not with each whole list.
+func TestForeignEntryHidesOneServer(t *testing.T) {
+	f := newFeeds()
+	f.say(platform.FeedServers, server("a"))
+	f.say(platform.FeedServers, server("b"))
+	core, logged := observer.New(zap.WarnLevel)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		v := New(f, zap.New(core))
+		var loops sync.WaitGroup
+		loops.Go(func() { v.Run(ctx) })
+		time.Sleep(100 * time.Millisecond)
+		bad := platform.Change{Gone: "a", Err: errors.New("no server")}
+		f.set(func(f *feeds) {
+			f.changes[platform.FeedServers] = append(f.changes[platform.FeedServers], bad)
+			f.newest[platform.FeedServers] = []platform.Change{bad, server("b")}
+		})
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, []members.Server{*server("b").Server}, v.Now().Servers["s"])
+		time.Sleep(20 * time.Second)
+		require.Equal(t, []members.Server{*server("b").Server}, v.Now().Servers["s"])
+		require.Equal(t, 1, logged.Len())
+		f.say(platform.FeedServers, server("a"))
+		time.Sleep(100 * time.Millisecond)
+		require.Len(t, v.Now().Servers["s"], 2)
+		cancel()
+		loops.Wait()
+	})
+}
