decide/place: what can be made in time goes first where engines are scarce

Cause: samples were ordered by their job's age in 2 s, then the longest first.

Order chooses the groups that can be made in time (Moore and Hodgson's method over all places), keeps what trainers handed in again the longest, lets the last groups of a late step go first so that its trainer goes on, and puts what trainers can do without behind. Lengths are learnt (a regression on hints) in place of a constant of 57 tokens an event, which was 30 on this deployment. Rooms count each engine's own pace.

--- /dev/null
+++ b/decide/place/goodput_test.go
@@ -0,0 +1,185 @@
+package place
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// runs plays a load with several seeds and returns the sums.
+func runs(seeds int, of func(seed uint64) load) outcome {
+	outs := make([]outcome, seeds)
+	var wg sync.WaitGroup
+	for i := range outs {
+		wg.Go(func() { outs[i] = of(uint64(i)).run() })
+	}
+	wg.Wait()
+	var sum outcome
+	for _, o := range outs {
+		sum.owed += o.owed
+		sum.inTime += o.inTime
+		sum.late += o.late
+		sum.unserved = max(sum.unserved, o.unserved)
+		sum.idle = sum.idle || o.idle
+	}
+	return sum
+}
+
+// Trainers ask for more groups than the engines can make. By age and length alone
+// all groups of a step advance together and come a little too late together: at
+// three times a quiet day's groups fewer were in time than at 1.6 times. Now what
+// can be made in time is made, and the rest comes behind it.
+func TestGoodputHoldsPastCapacity(t *testing.T) {
+	const seeds = 2
+	at := map[float64]outcome{}
+	for _, x := range []float64{1.6, 2.2, 3, 4} {
+		at[x] = runs(seeds, func(seed uint64) load { return twoTrainers(x, seed) })
+		t.Logf("groups x %.1f: owed %d, in time %d, late %d, longest unserved %.0f s", x, at[x].owed/seeds, at[x].inTime/seeds, at[x].late/seeds, at[x].unserved)
+		require.False(t, at[x].idle, "a place stood free beside a sample that might have used it")
+	}
+	require.Equal(t, at[1.6].owed, at[1.6].inTime)
+	require.GreaterOrEqual(t, float64(at[2.2].inTime), 0.97*float64(at[2.2].owed))
+	for _, x := range []float64{3, 4} {
+		require.GreaterOrEqual(t, float64(at[x].inTime), 0.9*float64(at[2.2].inTime), "at %v times", x)
+	}
+	before := runs(seeds, func(seed uint64) load {
+		l := twoTrainers(3, seed)
+		l.byAge = true
+		return l
+	})
+	require.Greater(t, float64(at[3].inTime), 2*float64(before.inTime), "by age and length alone: %d", before.inTime/seeds)
+}
+
+// Groups that come again go first in their step, so that however scarce engines
+// are none is left for ever.
+func TestNoGroupIsLeftForEver(t *testing.T) {
+	o := runs(2, func(seed uint64) load {
+		l := twoTrainers(4, seed)
+		l.length = 80
+		return l
+	})
+	require.Less(t, o.unserved, 70.0)
+}
+
+// Whatever the trainers, no place stands free beside a sample that may use it, and
+// one more engine makes no step much later: it moves others' turns a little.
+func TestOneMoreEngineMakesNoStepMuchLater(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := twoTrainers(rapid.Float64Range(0.5, 1.5).Draw(t, "groups"), rapid.Uint64Range(0, 1000).Draw(t, "seed"))
+		l.length = 6
+		l.engines = rapid.IntRange(5, 10).Draw(t, "engines")
+		few := l.run()
+		l.engines++
+		more := l.run()
+		require.False(t, few.idle || more.idle)
+		require.GreaterOrEqual(t, more.inTime+more.late, few.inTime+few.late-2)
+	})
+}
+
+func TestOrder(t *testing.T) {
+	room := Room{Rate: 100, Pace: 0.1} // 65 units a second are usable
+	sample := func(step int, group string, left float64) Sample { return Sample{Step: step, Group: group, Left: left} }
+	must := sample(0, "must", 50)
+	must.Must = true
+	tests := []struct {
+		name    string
+		steps   []Step
+		samples []Sample
+		want    []string // groups in their order, those of one rank joined by =
+	}{
+		{"all in time: side by side by turn", []Step{{Turn: 3, Due: 9, Need: 2}, {Turn: 4, Due: 9, Need: 1}},
+			[]Sample{sample(0, "a", 10), sample(0, "b", 20), sample(1, "c", 5)}, []string{"a=b", "c"}},
+		{"what does not fit waits behind, the largest first", []Step{{Turn: 3, Due: 2, Need: 3}},
+			[]Sample{sample(0, "large", 20), sample(0, "large", 60), sample(0, "a", 40), sample(0, "b", 30)}, []string{"a=b", "large"}},
+		{"what has been begun has less left and stays", []Step{{Turn: 3, Due: 2, Need: 2}},
+			[]Sample{sample(0, "new", 70), sample(0, "begun", 65)}, []string{"begun", "new"}},
+		{"enough without it", []Step{{Turn: 3, Due: 2, Need: 1}},
+			[]Sample{sample(0, "a", 40), sample(0, "surplus", 100)}, []string{"a", "surplus"}},
+		{"surplus beside the others where there is room", []Step{{Turn: 3, Due: 9, Need: 1}},
+			[]Sample{sample(0, "a", 40), sample(0, "surplus", 100)}, []string{"a=surplus"}},
+		{"what was handed in again stays the longest", []Step{{Turn: 3, Due: 2, Need: 2}},
+			[]Sample{must, must, sample(0, "short", 40)}, []string{"must", "short"}},
+		{"the last groups of a late step go first", []Step{{Turn: 3, Due: -1, Need: 1}, {Turn: 5, Due: 7, Need: 1}},
+			[]Sample{sample(1, "b", 10), sample(0, "last", 40)}, []string{"last", "b"}},
+		{"no more than soon are made", []Step{{Turn: 3, Due: -1, Need: 1}, {Turn: 5, Due: 7, Need: 1}},
+			[]Sample{sample(0, "late", 60), sample(1, "b", 10)}, []string{"b", "late"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			Order(test.steps, test.samples, room)
+			require.Equal(t, test.want, ranked(test.samples))
+		})
+	}
+}
+
+// ranked returns the groups in the order of their ranks.
+func ranked(samples []Sample) []string {
+	byRank := map[int]string{}
+	var ranks []int
+	for _, s := range samples {
+		switch names, known := byRank[s.Rank]; {
+		case !known:
+			byRank[s.Rank] = s.Group
+			ranks = append(ranks, s.Rank)
+		case names != s.Group && len(names) < 20:
+			byRank[s.Rank] = fmt.Sprintf("%s=%s", names, s.Group)
+		}
+	}
+	var out []string
+	slices.Sort(ranks)
+	for _, rank := range ranks {
+		out = append(out, byRank[rank])
+	}
+	return out
+}
+
+// Hints are in tokens, lengths in events, and hints are off; what is learnt of
+// some samples gives the length of others, and nothing is guessed of few.
+func TestLengths(t *testing.T) {
+	var l Lengths
+	_, known := l.Guess(300)
+	require.False(t, known)
+	for i := range 200 {
+		length := float64(10 + i%50)
+		l.Learn(30*length, length)
+	}
+	got, known := l.Guess(900)
+	require.True(t, known)
+	require.InDelta(t, 30, got, 0.5)
+	l.Learn(0, 10)
+	got, _ = l.Guess(0)
+	require.InDelta(t, 31, got, 5, "without a hint it is the mean")
+
+	var same Lengths
+	for range 20 {
+		same.Learn(500, 10)
+	}
+	got, _ = same.Guess(5000)
+	require.InDelta(t, 10, got, 0.1, "hints that never differ tell nothing")
+	require.InDelta(t, 4, Left(10, 6), 0)
+	require.InDelta(t, 10, Left(10, 20), 0, "it is longer than was guessed")
+}
+
+// A fleet's steps: 1,500 engines of 8 places, a step of 2,048 samples in groups of 8.
+func BenchmarkOrderAndAssignFleet(b *testing.B) {
+	samples := make([]Sample, 2048)
+	for i := range samples {
+		samples[i] = sample("s", float64(i*7919%100))
+		samples[i].Group = fmt.Sprint(i / 8)
+		samples[i].Prompt = samples[i].Group
+	}
+	steps := []Step{{Due: 5, Need: 230}}
+	b.ReportAllocs()
+	for b.Loop() {
+		engines := make([]Engine, 1500)
+		for i := range engines {
+			engines[i] = engine("e", 8, 7+i%2)
+		}
+		Order(steps, samples, Room{Rate: 12000 / 0.04, Pace: 0.04})
+		Assign(engines, samples)
+	}
+}
--- a/decide/place/place.go
+++ b/decide/place/place.go
@@ -3,13 +3,12 @@
 // last sample of almost every group, and one sample in twelve is several times
 // longer than the others. So samples are bound late, the longest first, to the
 // engine with the most room, and leave an engine that is much slower than its
-// peers. It has no clock and does no I/O.
+// peers (Assign, Leave). Where trainers ask for more than the engines can make,
+// groups that can be made in time go before the others (Order). It has no clock and
+// does no I/O.
 package place
 
-import (
-	"cmp"
-	"slices"
-)
+import "slices"
 
 // Engine is a model engine as its users see it.
 type Engine struct {
@@ -38,6 +37,11 @@
 	Left float64
 	// Rank goes before Left; lower is sooner.
 	Rank int
+	// Step is the index of its step, Group names its group there. Must: the step's
+	// trainer waits for this group, whatever others are whole.
+	Step  int
+	Group string
+	Must  bool
 	// Avoid names engines that failed it lately.
 	Avoid map[string]bool
 	// Prompt names what it shares with its siblings; an engine that has read
@@ -62,54 +66,6 @@
 	slowFactor = 1.7
 )
 
-// Assign binds as many samples as there are free places and returns the
-// bindings in the order of urgency. Loads of the engines are raised on the way.
-func Assign(engines []Engine, samples []Sample) []Choice {
-	order := make([]int, len(samples))
-	for i := range order {
-		order[i] = i
-	}
-	slices.SortStableFunc(order, func(a, b int) int {
-		return cmp.Or(cmp.Compare(samples[a].Rank, samples[b].Rank), cmp.Compare(samples[b].Left, samples[a].Left))
-	})
-	median := medianPace(engines)
-	warm := map[warmKey]bool{}
-	var choices []Choice
-	for _, i := range order {
-		at := best(engines, &samples[i], median, warm)
-		if at < 0 {
-			continue
-		}
-		engines[at].Load++
-		warm[warmKey{at, samples[i].Prompt}] = true
-		choices = append(choices, Choice{Sample: i, Engine: at})
-	}
-	return choices
-}
-
-type warmKey struct {
-	engine int
-	prompt string
-}
-
-// best returns the engine for a sample; -1: none has room.
-func best(engines []Engine, s *Sample, median float64, warm map[warmKey]bool) int {
-	at, least := -1, 0.0
-	for i := range engines {
-		if !fits(&engines[i], s) || s.Avoid[engines[i].ID] {
-			continue
-		}
-		score := score(&engines[i], median)
-		if s.Prompt != "" && warm[warmKey{i, s.Prompt}] {
-			score -= warmGain
-		}
-		if at < 0 || score < least {
-			at, least = i, score
-		}
-	}
-	return at
-}
-
 func fits(e *Engine, s *Sample) bool {
 	version, serves := e.Versions[s.Model]
 	return serves && version >= s.Floor && (s.Only == 0 || version == s.Only) && e.Load < e.Slots
--- a/decide/place/place_test.go
+++ b/decide/place/place_test.go
@@ -89,6 +89,16 @@
 	require.Equal(t, -1, Leave([]Engine{engine("unknown", 8, 0)}, []Running{at("s", 1)}), "no pace known")
 }
 
+// anyRoom tells whether an engine has a place that a sample may use.
+func anyRoom(engines []Engine, s *Sample) bool {
+	for i := range engines {
+		if fits(&engines[i], s) && !s.Avoid[engines[i].ID] {
+			return true
+		}
+	}
+	return false
+}
+
 // Whatever the load: no engine gets more than its places, no sample goes to an
 // engine that may not make it, and none is left waiting beside a free place.
 func TestAssignHoldsForAnyLoad(t *testing.T) {
@@ -116,7 +126,7 @@
 		}
 		for i := range samples {
 			if !placed[i] {
-				require.Equal(t, -1, best(engines, &samples[i], 0, nil), "a free place was left")
+				require.False(t, anyRoom(engines, &samples[i]), "a free place was left")
 			}
 		}
 	})
--- /dev/null
+++ b/decide/place/replay_test.go
@@ -0,0 +1,421 @@
+package place
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"dandelionsill.org/decide/loads"
+)
+
+// load is what trainers ask of the engines of one service.
+type load struct {
+	engines, slots int
+	pace           float64 // seconds an event
+	loading        float64 // seconds a load of weights
+	loadsAtOnce    int     // that don't slow each other down
+	trainers       []trainer
+	every          float64 // seconds between steps by the schedule
+	due            float64 // seconds until a step's results are due
+	patience       float64 // seconds until its trainer gives it up
+	length         float64 // seconds in which steps are asked for
+	hintError      float64 // standard deviation of the logarithm of a hint's error
+	seed           uint64
+	// byAge leaves Order out.
+	byAge bool
+}
+
+// trainer is one trainer with a model of its own.
+type trainer struct {
+	groups, size int
+	share        float64 // of a step's groups that it waits for
+	train        float64 // seconds
+	events       float64 // mean of a sample; one in twelve is five times as long
+	spread, most float64
+}
+
+// twoTrainers ask for x times the groups that nine engines make on a quiet day.
+func twoTrainers(x float64, seed uint64) load {
+	return load{
+		engines: 9, slots: 8, pace: 0.0314, loading: 0.9, loadsAtOnce: 2, every: 4, due: 7.5, patience: 12, length: 34, hintError: 0.5, seed: seed,
+		trainers: []trainer{
+			{groups: int(math.Round(9 * x)), size: 8, share: 0.9, train: 0.5, events: 31, spread: 0.8, most: 176},
+			{groups: int(math.Round(18 * x)), size: 4, share: 0.9, train: 1, events: 31, spread: 0.8, most: 176},
+		},
+	}
+}
+
+// outcome counts the groups that trainers waited for.
+type outcome struct {
+	owed, inTime, late int
+	// took is how long each step took, by trainer and number, in seconds.
+	took map[[2]int]float64
+	// unserved is the longest time for which a group that was asked for stayed
+	// unfinished, in seconds.
+	unserved float64
+	// idle is set when a place stood free beside a sample that might have used it.
+	idle bool
+}
+
+// replaySample is a sample with its true length.
+type replaySample struct {
+	id      string
+	group   *replayGroup
+	length  int // events
+	hint    float64
+	made    int
+	version uint64 // that began it
+	engine  int    // -1: it has none
+	begun   float64
+}
+
+func (s *replaySample) done() bool { return s.made >= s.length }
+
+type replayGroup struct {
+	trainer int
+	name    string
+	samples []*replaySample
+	again   bool
+	asked   float64
+}
+
+func (g *replayGroup) whole() bool {
+	return !slices.ContainsFunc(g.samples, func(s *replaySample) bool { return !s.done() })
+}
+
+type replayStep struct {
+	trainer, number int
+	asked           float64
+	groups          []*replayGroup
+	target          int
+	listed          map[*replayGroup]float64 // when it can be read
+	ended           bool
+}
+
+type replayEngine struct {
+	running  map[*replaySample]bool
+	versions []uint64
+	loading  int // model; -1: none
+	until    float64
+}
+
+// replay plays a load in virtual time through the decisions of this package and
+// of decide/loads. What these don't see is left out: failures, the log, the
+// network.
+type replay struct {
+	load
+	rng     *rand.Rand
+	now     float64
+	fleet   loads.Fleet
+	engines []*replayEngine
+	parity  [][]loads.Parity // by engine and model
+	serves  [][]bool         // by engine and model
+	named   []uint64         // by model
+	namedAt []float64        // by model
+	naming  []naming
+	steps   []*replayStep
+	next    []int // number of the next step, by trainer
+	carried [][]*replayGroup
+	lengths []Lengths
+	out     outcome
+}
+
+// naming is a version that a trainer will name.
+type naming struct {
+	model   int
+	version uint64
+	at      float64
+}
+
+const (
+	replayTick = 0.04
+	// listing is how long a whole group takes to be scored, listed and read, and
+	// announcing how long a named version takes to be known, in seconds.
+	listing    = 0.3
+	announcing = 0.25
+	// lateBy is how much later than due a group may be listed.
+	lateBy = 0.7
+)
+
+func (l load) run() outcome {
+	r := newReplay(l)
+	for r.now = 0; r.now < l.length+l.patience+1; r.now += replayTick {
+		r.progress()
+		r.train()
+		r.loadWeights()
+		r.place()
+	}
+	for _, t := range l.trainers {
+		r.out.owed += int(math.Ceil(l.length/l.every)) * t.target()
+	}
+	return r.out
+}
+
+func (t trainer) target() int { return int(math.Ceil(t.share * float64(t.groups))) }
+
+func newReplay(l load) *replay {
+	n := len(l.trainers)
+	r := &replay{
+		load: l, rng: rand.New(rand.NewPCG(l.seed, 1)), named: make([]uint64, n), namedAt: make([]float64, n), next: make([]int, n),
+		carried: make([][]*replayGroup, n), lengths: make([]Lengths, n), out: outcome{took: map[[2]int]float64{}},
+	}
+	for m := range n {
+		r.fleet.Models = append(r.fleet.Models, fmt.Sprintf("m%d", m))
+		r.named[m] = 1
+	}
+	for i := range l.engines {
+		r.fleet.Engines = append(r.fleet.Engines, fmt.Sprintf("e%03d", i))
+		r.engines = append(r.engines, &replayEngine{running: map[*replaySample]bool{}, versions: slices.Clone(r.named), loading: -1})
+	}
+	for _, engine := range r.fleet.Engines {
+		var parities []loads.Parity
+		var serves []bool
+		for _, model := range r.fleet.Models {
+			parities = append(parities, r.fleet.Parity(engine, model))
+			serves = append(serves, r.fleet.Serves(engine, model))
+		}
+		r.parity, r.serves = append(r.parity, parities), append(r.serves, serves)
+	}
+	return r
+}
+
+// progress makes the events that are due.
+func (r *replay) progress() {
+	for _, e := range r.engines {
+		for s := range e.running {
+			s.made = max(s.made, int((r.now-s.begun)/r.pace))
+			if s.done() {
+				r.lengths[s.group.trainer].Learn(s.hint, float64(s.length))
+				r.takeBack(s)
+			}
+		}
+	}
+}
+
+func (r *replay) takeBack(s *replaySample) {
+	if s.engine >= 0 {
+		delete(r.engines[s.engine].running, s)
+		s.engine = -1
+	}
+}
+
+// train does what trainers do: name versions, read results, ask for steps.
+func (r *replay) train() {
+	r.naming = slices.DeleteFunc(r.naming, func(n naming) bool {
+		if r.now < n.at {
+			return false
+		}
+		r.named[n.model], r.namedAt[n.model] = max(r.named[n.model], n.version), r.now
+		return true
+	})
+	for _, st := range r.steps {
+		if !st.ended {
+			r.read(st)
+		}
+	}
+	for t := range r.trainers {
+		k := r.next[t]
+		if r.now < float64(k)*r.every || r.now >= r.length || k > 1 && r.named[t] < uint64(k) {
+			continue
+		}
+		r.steps = append(r.steps, r.ask(t, k))
+		r.next[t]++
+	}
+}
+
+// ask makes step k of a trainer. Groups that were not whole come again first.
+func (r *replay) ask(t, k int) *replayStep {
+	spec := r.trainers[t]
+	st := &replayStep{trainer: t, number: k, asked: r.now, target: spec.target(), listed: map[*replayGroup]float64{}}
+	again := min(len(r.carried[t]), st.target/2)
+	for _, g := range r.carried[t][:again] {
+		g.again = true
+		for _, s := range g.samples {
+			if s.version < floor(k) {
+				s.made = 0
+			}
+		}
+		st.groups = append(st.groups, g)
+	}
+	r.carried[t] = r.carried[t][again:]
+	for len(st.groups) < spec.groups {
+		st.groups = append(st.groups, r.group(t, fmt.Sprintf("%d.%d.%d", t, k, len(st.groups))))
+	}
+	return st
+}
+
+// floor is the oldest version that may make step k.
+func floor(k int) uint64 { return uint64(max(1, k-1)) }
+
+func (r *replay) group(t int, name string) *replayGroup {
+	spec := r.trainers[t]
+	g := &replayGroup{trainer: t, name: name, asked: r.now}
+	for i := range spec.size {
+		length := r.draw(spec)
+		hint := 30 * float64(length) * math.Exp(r.hintError*r.rng.NormFloat64())
+		g.samples = append(g.samples, &replaySample{id: fmt.Sprintf("%s.%d", name, i), group: g, length: length, hint: hint, engine: -1})
+	}
+	return g
+}
+
+func (r *replay) draw(t trainer) int {
+	const longShare, longTimes = 0.08, 5
+	x := math.Exp(t.spread*r.rng.NormFloat64()-t.spread*t.spread/2) / (1 + longShare*(longTimes-1))
+	if r.rng.Float64() < longShare {
+		x *= longTimes
+	}
+	return int(max(1, min(t.most, x*t.events)))
+}
+
+// read lists what is whole and ends the step as its trainer would.
+func (r *replay) read(st *replayStep) {
+	awaited, ready := 0, 0
+	for _, g := range st.groups {
+		at, listed := st.listed[g]
+		if !listed && g.whole() {
+			at, listed = r.now+listing, true
+			st.listed[g] = at
+		}
+		switch {
+		case listed && at <= r.now:
+			ready++
+		case g.again:
+			awaited++
+		}
+	}
+	if (ready < st.target || awaited > 0) && r.now-st.asked < r.patience {
+		return
+	}
+	r.end(st)
+}
+
+func (r *replay) end(st *replayStep) {
+	st.ended = true
+	r.out.took[[2]int{st.trainer, st.number}] = r.now - st.asked
+	var times []float64
+	for _, g := range st.groups {
+		r.out.unserved = max(r.out.unserved, r.now-g.asked)
+		if at, listed := st.listed[g]; listed && at <= r.now {
+			times = append(times, at-st.asked)
+			continue
+		}
+		r.carried[st.trainer] = append(r.carried[st.trainer], g)
+		for _, s := range g.samples {
+			r.takeBack(s)
+		}
+	}
+	slices.Sort(times)
+	for _, took := range times[:min(len(times), st.target)] {
+		if took <= r.due+lateBy {
+			r.out.inTime++
+		} else {
+			r.out.late++
+		}
+	}
+	r.naming = append(r.naming, naming{st.trainer, uint64(st.number + 2), r.now + announcing + r.trainers[st.trainer].train})
+}
+
+func (r *replay) loadWeights() {
+	busy := 0
+	for _, e := range r.engines {
+		if e.loading >= 0 && r.now >= e.until {
+			e.versions[e.loading], e.loading = r.named[e.loading], -1
+		}
+		if e.loading >= 0 {
+			busy++
+		}
+	}
+	took := time.Duration(r.loading * float64(time.Second))
+	for i, e := range r.engines {
+		for m, model := range r.fleet.Models {
+			if e.loading >= 0 || e.versions[m] >= r.named[m] {
+				continue
+			}
+			want := r.fleet.Choose(r.fleet.Engines[i], e.versions[m], model, r.named[m], r.parity[i][m], took)
+			if want == nil || r.now < r.namedAt[m]+want.Wait.Seconds() {
+				continue
+			}
+			busy++
+			e.loading, e.until = m, r.now+r.loading*max(1, float64(busy)/float64(r.loadsAtOnce))
+		}
+	}
+}
+
+// place gives the free places away.
+func (r *replay) place() {
+	if !slices.ContainsFunc(r.engines, func(e *replayEngine) bool { return len(e.running) < r.slots }) {
+		return
+	}
+	engines := r.describe()
+	steps, all, of := r.waiting()
+	if !r.byAge {
+		Order(steps, all, Room{Rate: float64(r.slots*len(r.engines)) / r.pace, Pace: r.pace})
+	}
+	var samples []Sample
+	var queue []*replaySample
+	for i, s := range of {
+		if s.engine < 0 {
+			samples, queue = append(samples, all[i]), append(queue, s)
+		}
+	}
+	placed := map[int]bool{}
+	for _, c := range Assign(engines, samples) {
+		s := queue[c.Sample]
+		placed[c.Sample] = true
+		s.engine, s.begun = c.Engine, r.now-float64(s.made)*r.pace
+		if s.made == 0 {
+			s.version = engines[c.Engine].Versions[samples[c.Sample].Model]
+		}
+		r.engines[c.Engine].running[s] = true
+	}
+	for i := range samples {
+		r.out.idle = r.out.idle || !placed[i] && anyRoom(engines, &samples[i])
+	}
+}
+
+func (r *replay) describe() []Engine {
+	engines := make([]Engine, len(r.engines))
+	for i, e := range r.engines {
+		engines[i] = Engine{ID: r.fleet.Engines[i], Slots: r.slots, Load: len(e.running), Pace: r.pace, Versions: map[string]uint64{}}
+		for m, model := range r.fleet.Models {
+			if e.loading != m && r.serves[i][m] {
+				engines[i].Versions[model] = e.versions[m]
+			}
+		}
+	}
+	return engines
+}
+
+// waiting describes the open steps and their samples, running ones included.
+func (r *replay) waiting() ([]Step, []Sample, []*replaySample) {
+	var steps []Step
+	var samples []Sample
+	var of []*replaySample
+	for _, st := range r.steps {
+		if st.ended {
+			continue
+		}
+		for _, g := range st.groups {
+			for _, s := range g.samples {
+				if !s.done() {
+					samples, of = append(samples, r.sample(st, len(steps), s)), append(of, s)
+				}
+			}
+		}
+		steps = append(steps, Step{Turn: int(st.asked / 2), Due: st.asked + r.due - r.now, Need: max(0, st.target-len(st.listed))})
+	}
+	return steps, samples, of
+}
+
+func (r *replay) sample(st *replayStep, at int, s *replaySample) Sample {
+	guess, known := r.lengths[st.trainer].Guess(s.hint)
+	if !known {
+		guess = s.hint / 30
+	}
+	return Sample{
+		ID: s.id, Model: r.fleet.Models[st.trainer], Floor: floor(st.number), Left: Left(guess, float64(s.made)), Rank: int(st.asked / 2),
+		Step: at, Group: s.group.name, Must: s.group.again, Prompt: s.group.name,
+	}
+}
--- a/fold/jobs/jobs.go
+++ b/fold/jobs/jobs.go
@@ -60,6 +60,22 @@
 	return len(j.Results) == j.Total || j.Groups > 0 && j.complete >= j.Groups && j.awaited == 0
 }
 
+// Need is the number of groups that the trainer still waits for; where it named
+// none, it waits for all items.
+func (j *Job) Need() int {
+	if j.Groups == 0 {
+		return j.Total - len(j.Results)
+	}
+	return max(0, j.Groups-j.complete)
+}
+
+// Again tells whether the trainer has handed a group in a second time. It then
+// waits for this group whatever others are whole.
+func (j *Job) Again(name string) bool {
+	g := j.groups[name]
+	return g != nil && g.again
+}
+
 // Open tells whether there is still work for an owner.
 func (j *Job) Open() bool { return !j.Ended && len(j.Results) < j.Total }
 
--- a/gateway/jobs/book.go
+++ b/gateway/jobs/book.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -67,7 +68,10 @@
 	heard map[jobs.Writer]time.Time
 	// engineAt is when the last word about an engine was read here.
 	engineAt map[jobs.EngineKey]time.Time
-	next     uint64
+	// arrived is when jobs were accepted, by this process's own clock; those that
+	// were accepted before it followed the log are not in it.
+	arrived map[string]time.Time
+	next    uint64
 	// asOf is when the read that last reached the log's end was sent: all that
 	// was acknowledged before it is folded.
 	asOf time.Time
@@ -77,7 +81,7 @@
 
 // NewBook returns a book that has read nothing.
 func NewBook(log Log, zlog *zap.Logger) *Book {
-	return &Book{Texts: newLibrary(log), pace: func() time.Duration { return 0 }, log: log, zlog: zlog, state: jobs.New(), heard: map[jobs.Writer]time.Time{}, engineAt: map[jobs.EngineKey]time.Time{}}
+	return &Book{Texts: newLibrary(log), pace: func() time.Duration { return 0 }, log: log, zlog: zlog, state: jobs.New(), heard: map[jobs.Writer]time.Time{}, engineAt: map[jobs.EngineKey]time.Time{}, arrived: map[string]time.Time{}}
 }
 
 // tailShare is the part of the store's reads that following the log may take in
@@ -154,6 +158,17 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.state.Forget(time.Now().Add(-keepFinished).UnixMilli())
+	maps.DeleteFunc(b.arrived, func(id string, _ time.Time) bool { return b.state.Jobs[id] == nil })
+}
+
+// age is how long ago a job was handed in. The time of day of the process that took
+// it may have jumped since, so that it is asked only where this process did not see
+// the job come; mu is held.
+func (b *Book) age(j *jobs.Job, now time.Time) time.Duration {
+	if at, seen := b.arrived[j.ID]; seen {
+		return now.Sub(at)
+	}
+	return max(0, now.Sub(time.UnixMilli(j.SubmittedMS)))
 }
 
 // fold applies a page that was asked for at a time.
@@ -195,6 +210,9 @@
 	if b.asOf.IsZero() {
 		return // the past was told when it happened
 	}
+	for _, id := range change.Accepted {
+		b.arrived[id] = now
+	}
 	b.tell(rec.Offset, change)
 }
 
@@ -203,7 +221,8 @@
 	for _, id := range change.Accepted {
 		j := b.state.Jobs[id]
 		b.zlog.Info("Batch job.", zap.String("job", id), zap.Int("step", j.Step), zap.String("model", j.Model),
-			zap.Int("items", j.Total), zap.Uint64("floor", j.MinVersion), zap.Uint64("offset", offset), zap.String("owner", j.Owner.Node))
+			zap.Int("items", j.Total), zap.Duration("due", time.Duration(j.DueMS)*time.Millisecond), zap.Uint64("floor", j.MinVersion),
+			zap.Uint64("offset", offset), zap.String("owner", j.Owner.Node))
 	}
 	for _, id := range change.Owned {
 		b.zlog.Info("Batch job has a new owner.", zap.String("job", id), zap.Uint64("offset", offset),
--- a/gateway/jobs/placing.go
+++ b/gateway/jobs/placing.go
@@ -57,9 +57,6 @@
 			if w.phase == waiting && w.whole {
 				r.textComplete(ctx, w)
 			}
-			if w.phase != waiting && w.phase != running {
-				continue
-			}
 			service := serviceOf(snap.Table, w.item.Host, w.item.Path, route.Hash(w.item.ID))
 			if service != "" {
 				byService[service] = append(byService[service], w)
@@ -74,45 +71,62 @@
 func (r *Runner) placeService(ctx context.Context, servers []members.Server, works []*work, now time.Time) {
 	slices.SortFunc(works, func(a, b *work) int { return cmp.Compare(a.item.ID, b.item.ID) })
 	engines, usable := r.engines(servers, now)
+	samples := r.samples(works, engines, now)
+	r.order(works, samples, engines, now)
 	var queue []*work
-	var samples []place.Sample
-	var moving []place.Running
-	var movers []*work
-	for _, w := range works {
+	var waits []place.Sample
+	for i, w := range works {
 		if w.phase == waiting {
-			sample := w.sample(now)
-			if sample.Only != 0 && !place.Served(engines, &sample) {
-				// Engines only move forward: nobody will ever go on with it.
-				samplesRestart.Add(1)
-				w.restart()
-				sample = w.sample(now)
-			}
-			queue = append(queue, w)
-			samples = append(samples, sample)
-			continue
+			queue, waits = append(queue, w), append(waits, samples[i])
 		}
-		moving = append(moving, place.Running{Sample: w.sample(now), Engine: w.server})
-		movers = append(movers, w)
 	}
-	for _, c := range place.Assign(engines, samples) {
+	for _, c := range place.Assign(engines, waits) {
 		w, e := queue[c.Sample], engines[c.Engine]
 		r.start(ctx, w, usable[e.ID], now)
 		r.zlog.Info("Sample starts.", zap.String("id", w.item.ID), zap.String("job", w.job.ID), zap.String("server", e.ID),
 			zap.Uint64("version", e.Versions[w.model()]), zap.Uint64("floor", w.job.MinVersion), zap.Int("load", e.Load), zap.Int("slots", e.Slots),
-			zap.Float64("pace_s", e.Pace), zap.Float64("left", samples[c.Sample].Left), zap.Int("behind", len(w.events)),
+			zap.Float64("pace_s", e.Pace), zap.Float64("left", waits[c.Sample].Left), zap.Int("rank", waits[c.Sample].Rank), zap.Int("behind", len(w.events)),
 			zap.Int("waiting", len(queue)), zap.Int("engines", len(engines)))
 	}
-	if len(queue) > 0 {
-		return
+	if len(queue) == 0 {
+		r.moveOne(works, samples, engines, now)
+	}
+}
+
+// samples describes the items of a service.
+func (r *Runner) samples(works []*work, engines []place.Engine, now time.Time) []place.Sample {
+	samples := make([]place.Sample, len(works))
+	for i, w := range works {
+		samples[i] = w.sample(r.left(w), now)
+		if w.phase == waiting && samples[i].Only != 0 && !place.Served(engines, &samples[i]) {
+			// Engines only move forward: nobody will ever go on with it.
+			samplesRestart.Add(1)
+			w.restart()
+			samples[i] = w.sample(r.left(w), now)
+		}
+	}
+	return samples
+}
+
+// moveOne takes one sample from an engine that is much slower than others with room.
+func (r *Runner) moveOne(works []*work, samples []place.Sample, engines []place.Engine, now time.Time) {
+	var moving []place.Running
+	var movers []*work
+	for i, w := range works {
+		if w.phase == running {
+			moving, movers = append(moving, place.Running{Sample: samples[i], Engine: w.server}), append(movers, w)
+		}
 	}
-	if at := place.Leave(engines, moving); at >= 0 {
-		w := movers[at]
-		samplesMoved.Add(1)
-		r.zlog.Info("Sample leaves a slow engine.", zap.String("id", w.item.ID), zap.String("job", w.job.ID),
-			zap.String("server", w.server), zap.Float64("pace_s", r.pace[w.server]), zap.Int("events", len(w.events)))
-		r.requeue(w, avoidSilent, now)
-		r.rouse()
+	at := place.Leave(engines, moving)
+	if at < 0 {
+		return
 	}
+	w := movers[at]
+	samplesMoved.Add(1)
+	r.zlog.Info("Sample leaves a slow engine.", zap.String("id", w.item.ID), zap.String("job", w.job.ID),
+		zap.String("server", w.server), zap.Float64("pace_s", r.pace[w.server]), zap.Int("events", len(w.events)))
+	r.requeue(w, avoidSilent, now)
+	r.rouse()
 }
 
 // engines describes the engines of a service that may be used, with the load that
@@ -120,10 +134,8 @@
 func (r *Runner) engines(servers []members.Server, now time.Time) ([]place.Engine, map[string]members.Server) {
 	own := map[string]int{}
 	for _, works := range r.works {
-		for _, w := range works {
-			if w.phase == running {
-				own[w.server]++
-			}
+		for server, n := range ownLoad(slices.Collect(maps.Values(works))) {
+			own[server] += n
 		}
 	}
 	r.book.mu.Lock()
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"dandelionsill.org/base/metrics"
+	"dandelionsill.org/decide/place"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/backend"
 	"dandelionsill.org/gateway/forward"
@@ -87,6 +88,7 @@
 	reading  map[string]bool             // jobs whose items and earlier texts are being read
 	dropped  map[string]carried          // texts of items whose job was ended, by item
 	pace     map[string]float64          // seconds an event, by engine
+	lengths  map[string]*place.Lengths   // events of a text, by model
 	observed map[jobs.EngineKey]uint64   // versions as answers told them
 	// denied is when an answer showed older weights than an engine was thought to
 	// have: a word of before is no longer believed.
@@ -107,7 +109,7 @@
 	r := &Runner{
 		book: book, log: log, view: f.View, forward: f, pool: f.Pool, zlog: zlog, writer: writer,
 		wake:  make(chan struct{}, 1),
-		works: map[string]map[string]*work{}, reading: map[string]bool{}, dropped: map[string]carried{}, pace: map[string]float64{},
+		works: map[string]map[string]*work{}, reading: map[string]bool{}, dropped: map[string]carried{}, pace: map[string]float64{}, lengths: map[string]*place.Lengths{},
 		observed: map[jobs.EngineKey]uint64{}, denied: map[jobs.EngineKey]time.Time{}, shunned: map[string]time.Time{}, refusals: map[string]int{}, claimed: map[string]time.Time{}, released: map[string]uint64{},
 	}
 	r.out = newOutbox(log, writer, parts, r.owning, book.Texts.put, zlog)
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -306,6 +306,7 @@
 func (r *Runner) textComplete(ctx context.Context, w *work) {
 	samplesFinished.Add(1)
 	w.stop, w.whole, w.texted = nil, true, time.Now()
+	r.learnLength(w)
 	if w.item.Score == nil {
 		r.deliver(w, w.result(""))
 		return
--- a/gateway/jobs/work.go
+++ b/gateway/jobs/work.go
@@ -79,14 +79,6 @@
 	w.events, w.noted, w.whole = nil, 0, false
 }
 
-// Guesses of a text's length.
-const (
-	// defaultTokens is for items of which nothing is known.
-	defaultTokens = 1000
-	// tokensPerEvent turns events into tokens until the stream has told more.
-	tokensPerEvent = 57
-)
-
 // rankBucket is how much older a job has to be for its samples to go before
 // longer ones of another. Where places are scarce the older step is the one
 // that can still be saved; within a bucket the longest go first.
@@ -95,25 +87,14 @@
 // rankEpoch keeps ranks small.
 var rankEpoch = time.Unix(1_700_000_000, 0)
 
-// left guesses the tokens still to be made. A text that is longer than its
-// hint is likely to be much longer: the hint was wrong.
-func (w *work) left() float64 {
-	expected := float64(w.size.Expected)
-	if expected == 0 {
-		expected = defaultTokens
-	}
-	made := float64(len(w.events) * tokensPerEvent)
-	if made >= expected {
-		return max(expected, made) / 2
-	}
-	return expected - made
+// turn is the job's place among others by its age.
+func turn(j *jobs.Job) int {
+	return int(time.UnixMilli(j.SubmittedMS).Sub(rankEpoch) / rankBucket)
 }
 
-func (w *work) sample(now time.Time) place.Sample {
-	s := place.Sample{
-		ID: w.item.ID, Model: w.model(), Floor: w.job.MinVersion, Left: w.left(), Prompt: w.size.Shared,
-		Rank: int(time.UnixMilli(w.job.SubmittedMS).Sub(rankEpoch) / rankBucket),
-	}
+// sample describes the item for its placing; left is guessed by r.left.
+func (w *work) sample(left float64, now time.Time) place.Sample {
+	s := place.Sample{ID: w.item.ID, Model: w.model(), Floor: w.job.MinVersion, Left: left, Prompt: w.size.Shared, Rank: turn(w.job)}
 	s.Only = w.only()
 	for server, until := range w.avoid {
 		if now.After(until) {
