ctl/logscan: dandelionctl trace and losses read the processes' logs

On call there are only logs. trace shows each decision on a request, batch job or sample by its id, with the calls for its score and its job's owners; losses gives a table of what failed, was late or was refused by kind, cause and moment, and a timeline as SVG. What is remembered is bounded.

--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -410,3 +410,26 @@
 	code, _, _ = b.run("commit", "-h")
 	require.Equal(t, ExitOK, code)
 }
+
+// The commands on logs read files, name what they can't read and fail where
+// nothing speaks of the id.
+func TestLogs(t *testing.T) {
+	b := newBench(t)
+	line := `{"ts":"2026-01-02T07:00:00.000Z","msg":"gateway: front: Request failed.","id":"q1","path":"/a/b","kind":"no_server","not_run":true}`
+	file := b.file("vm.log", line+"\n{\n")
+	code, out, errs := b.run("losses", file)
+	require.Zero(t, code)
+	require.Contains(t, out, "no server")
+	require.Contains(t, errs, "vm.log:2: can't be read")
+	code, out, _ = b.run("losses", "--json", file)
+	require.Zero(t, code)
+	require.Contains(t, out, `"cause":"no server"`)
+	code, out, _ = b.run("trace", "q1", file)
+	require.Zero(t, code)
+	require.Contains(t, out, "kind=no_server")
+	code, _, errs = b.run("trace", "q2", file)
+	require.Equal(t, ExitFailed, code)
+	require.Contains(t, errs, "no line speaks of it")
+	code, _, _ = b.run("losses", b.file("x", "")+"-is-not-there")
+	require.Equal(t, ExitUsage, code)
+}
--- /dev/null
+++ b/ctl/logs.go
@@ -0,0 +1,116 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+
+	"github.com/juju/errors"
+	"github.com/mattn/go-isatty"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/schollz/progressbar/v3"
+
+	"dandelionsill.org/ctl/logscan"
+)
+
+// pathsMost bounds the arguments of the commands on logs.
+const pathsMost = 10_000
+
+func (t *tool) traceCommand() *ffcli.Command {
+	set := t.flagSet("trace")
+	asJSON := set.Bool("json", false, "print JSON")
+	return t.command(set, "ID LOGS…", "show each decision on a request, batch job or sample, out of log files, folders or - for standard input", 1, pathsMost,
+		func(_ context.Context, args []string) error {
+			tracer := logscan.NewTracer(args[0])
+			stats, err := t.scan(args[1:], tracer.Add)
+			if err != nil {
+				return err
+			}
+			if tracer.Dropped > 0 {
+				fmt.Fprintf(t.err, "%d lines found no room and are left out\n", tracer.Dropped)
+			}
+			if *asJSON {
+				return t.printJSON(struct {
+					ID        string             `json:"id"`
+					Decisions []logscan.Decision `json:"decisions"`
+					Read      logscan.Stats      `json:"read"`
+				}{args[0], tracer.Decisions(), stats})
+			}
+			if err := tracer.Write(t.out); err != nil {
+				return fail(ExitFailed, "%w in %d lines", err, stats.Lines)
+			}
+			return nil
+		})
+}
+
+func (t *tool) lossesCommand() *ffcli.Command {
+	set := t.flagSet("losses")
+	asJSON := set.Bool("json", false, "print JSON, with the timeline by seconds")
+	svg := set.String("svg", "", "file for a timeline of what waits, runs, is refused and lost, of owners and outages of the store")
+	return t.command(set, "LOGS…", "show what failed, was late or was refused, by kind of request and cause, out of log files, folders or - for standard input", 0, pathsMost,
+		func(_ context.Context, args []string) error {
+			losses := logscan.NewLosses()
+			stats, err := t.scan(args, losses.Add)
+			if err != nil {
+				return err
+			}
+			if *svg != "" {
+				if err := losses.Timeline.Plot(*svg); err != nil {
+					return errors.Trace(err)
+				}
+			}
+			if losses.Crowded > 0 {
+				fmt.Fprintf(t.err, "%d samples or rows found no room and are left out\n", losses.Crowded)
+			}
+			if *asJSON {
+				return t.printJSON(struct {
+					Losses   []logscan.Loss   `json:"losses"`
+					Timeline []logscan.Second `json:"timeline"`
+					Read     logscan.Stats    `json:"read"`
+				}{losses.Rows(), losses.Timeline.Seconds, stats})
+			}
+			return t.printLosses(losses.Rows())
+		})
+}
+
+func (t *tool) printLosses(rows []logscan.Loss) error {
+	const clock = "15:04:05.000"
+	cells := make([][]string, len(rows))
+	for i, r := range rows {
+		cells[i] = []string{r.What, string(r.Fate), string(r.Cause), strconv.Itoa(r.Count), r.First.UTC().Format(clock), r.Last.UTC().Format(clock), r.Example}
+	}
+	return t.printTable([]string{"WHAT", "FATE", "CAUSE", "COUNT", "FIRST", "LAST", "FIRST ID"}, cells)
+}
+
+// scan reads logs, shows its progress on a terminal and tells what can't be read.
+func (t *tool) scan(paths []string, add func(*logscan.Line)) (logscan.Stats, error) {
+	if len(paths) == 0 {
+		paths = []string{logscan.Stdin}
+	}
+	files, size, err := logscan.Files(paths)
+	if err != nil {
+		return logscan.Stats{}, fail(ExitUsage, "%w", err)
+	}
+	var progress io.Writer
+	if f, ok := t.err.(*os.File); ok && isatty.IsTerminal(f.Fd()) {
+		if size == 0 {
+			size = -1 // unknown
+		}
+		bar := progressbar.DefaultBytes(size, "reading")
+		defer func() { _ = bar.Finish() }() // a bar that can't be drawn harms nothing
+		progress = bar
+	}
+	stats, err := logscan.Read(files, os.Stdin, progress, add)
+	if err != nil {
+		return stats, errors.Trace(err)
+	}
+	for _, p := range stats.Problems {
+		fmt.Fprintf(t.err, "%s:%d: can't be read and is left out: %s\n", p.File, p.Line, p.Error)
+	}
+	if more := stats.Bad - len(stats.Problems); more > 0 {
+		fmt.Fprintf(t.err, "%d more lines can't be read\n", more)
+	}
+	return stats, nil
+}
