--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -63,6 +63,7 @@
 	writer := jobs.Writer{Node: set.Process.Name, Life: life()}
 	capacity := gatewayjobs.Capacity(set.VM.CPUShare, set.VM.LinkMbps)
 	v := view.New(store, logs.Part(log, "view"))
+	v.Copies = true
 	pool := backend.NewPool(hosted.AttemptID)
 	forwarder := forward.New(v, pool, set.Process.FailureDomain, logs.Part(log, "forward"))
 	book := gatewayjobs.NewBook(store, logs.Part(log, "jobs"))
@@ -78,6 +79,7 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { peers.Run(ctx) })
 	loops.Go(func() { v.Run(ctx) })
+	loops.Go(func() { v.RunCopies(ctx, func() int { return len(peers.Addrs()) + 1 }) })
 	loops.Go(func() { book.Run(ctx) })
 	loops.Go(func() { runner.Run(ctx) })
 	log.Info("Starting.", zap.String("name", writer.Node), zap.String("life", writer.Life), zap.String("callers", set.Listen.Callers), zap.String("store", set.Store.Address))
--- /dev/null
+++ b/gateway/view/copies.go
@@ -0,0 +1,90 @@
+package view
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dandelionsill.org/base/metrics"
+	"dandelionsill.org/base/sleep"
+	"dandelionsill.org/platform"
+)
+
+// Copies of what the operator and the servers write. The store may be away in
+// parts: where the partition with the configuration could not be reached and all
+// processes lost power, nobody knew a configuration for 3.3 s although the rest of
+// the store answered, and every request was refused. A process that starts then
+// reads the copy. It is older than what it stands for by seconds at most, and is
+// not looked at any more once the feed itself was read.
+const (
+	// copyEach is how often somebody writes a copy, by the number of processes.
+	copyEach = 4 * time.Second
+	// copiers is how many processes write a copy of a new configuration, in the
+	// mean: with three, one in twenty is left to the turn of the next.
+	copiers = 3
+	// copySoon is the longest that such a copy waits.
+	copySoon = 400 * time.Millisecond
+)
+
+var (
+	copiesSaved = metrics.Counter("view_copies_saved_total")
+	copiesUsed  = metrics.Counter("view_copies_used_total")
+)
+
+// RunCopies writes copies until ctx ends; processes tells how many do.
+func (v *View) RunCopies(ctx context.Context, processes func() int) {
+	at := v.Now().TableAt
+	turn := func() time.Duration { return sleep.Jitter(copyEach * time.Duration(max(1, processes()))) }
+	timer := time.NewTimer(turn())
+	defer timer.Stop()
+	for {
+		changed := v.Changed.Next()
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			v.saveCopies(ctx, platform.FeedOperator, platform.FeedServers)
+			timer.Reset(turn())
+		case <-changed:
+			if now := v.Now().TableAt; now.After(at) {
+				at = now
+				v.copyTable(ctx, processes())
+			}
+		}
+	}
+}
+
+// copyTable copies a new configuration where this process is among those that do.
+func (v *View) copyTable(ctx context.Context, processes int) {
+	if rand.N(max(1, processes)) < copiers && sleep.For(ctx, rand.N(copySoon)) {
+		v.saveCopies(ctx, platform.FeedOperator, platform.FeedServers)
+	}
+}
+
+func (v *View) saveCopies(ctx context.Context, feeds ...platform.Feed) {
+	for _, feed := range feeds {
+		if err := v.feeds.SaveCopy(ctx, feed); err != nil {
+			v.log.Info("No copy was written.", zap.Stringer("feed", feed), zap.Error(err))
+			return
+		}
+		copiesSaved.Add(1)
+	}
+}
+
+// standIn reads the copy of a feed that this process could never read.
+func (f *follower) standIn(ctx context.Context) {
+	if !f.v.Copies || f.known || f.copied {
+		return
+	}
+	changes, err := f.v.feeds.LoadCopy(ctx, f.feed)
+	if err != nil {
+		f.v.log.Info("There is no copy to go by.", zap.Stringer("feed", f.feed), zap.Error(err))
+		return
+	}
+	f.copied = true
+	copiesUsed.Add(1)
+	f.v.log.Warn("Going by a copy, for the store can't be reached in this part.", zap.Stringer("feed", f.feed), zap.Int("records", len(changes)))
+	f.v.replace(f.feed, changes)
+}
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -29,8 +29,15 @@
 	// snapshotEvery renews the whole list, so that a change that a read missed
 	// (the store's watchers can go deaf for a second) is not missed for good.
 	snapshotEvery = 4 * time.Second
-	retryFirst    = 50 * time.Millisecond
-	retryMost     = 400 * time.Millisecond
+	// snapshotShare is the most of the time that is spent on reading whole lists:
+	// one that took long is renewed the later. The lists of 300 processes before
+	// 3,000 servers are 90 MB/s where each is renewed each 4 s, more than the store
+	// gives, and all that others read came late.
+	snapshotShare = 0.005
+	// snapshotLatest bounds that.
+	snapshotLatest = time.Minute
+	retryFirst     = 50 * time.Millisecond
+	retryMost      = 400 * time.Millisecond
 	// outageAfter is how long reads fail before the store counts as away. A
 	// single lost answer is no outage.
 	outageAfter = 400 * time.Millisecond
@@ -67,6 +74,10 @@
 // View follows the store. Its zero value can't be used.
 type View struct {
 	Changed signal.Signal
+	// Copies lets the view go by copies; it is set before Run. An agent must not: the
+	// newest offset that it has read is its fencing token, and by a copy it would go
+	// down.
+	Copies bool
 
 	feeds platform.Feeds
 	log   *zap.Logger
@@ -115,34 +126,45 @@
 	// failing is when reads began to fail; zero: they don't.
 	failing time.Time
 	away    bool
+	// known: the feed itself was read. copied: its copy was.
+	known, copied bool
 }
 
 func (v *View) follow(ctx context.Context, feed platform.Feed) {
 	f := &follower{v: v, feed: feed}
 	for ctx.Err() == nil {
+		begun := v.now()
 		changes, next, err := v.feeds.Snapshot(ctx, feed)
 		if err != nil {
+			f.standIn(ctx)
 			f.failed(ctx, err)
 			continue
 		}
+		f.known = true
 		f.succeeded()
 		v.replace(feed, changes)
-		f.tail(ctx, next)
+		f.tail(ctx, next, renewAfter(v.now().Sub(begun)))
 	}
 }
 
+// renewAfter is how long after a whole list that took some time the next is due.
+func renewAfter(took time.Duration) time.Duration {
+	due := time.Duration(float64(took) / snapshotShare)
+	return sleep.Jitter(min(snapshotLatest, max(snapshotEvery, due)))
+}
+
 // tail reads changes until a new snapshot is due.
-func (f *follower) tail(ctx context.Context, next uint64) {
-	renew := f.v.now().Add(snapshotEvery)
+func (f *follower) tail(ctx context.Context, next uint64, after time.Duration) {
+	renew := f.v.now().Add(after)
 	for ctx.Err() == nil && f.v.now().Before(renew) {
-		changes, after, err := f.v.feeds.Changes(ctx, f.feed, next, pollWait)
+		changes, end, err := f.v.feeds.Changes(ctx, f.feed, next, pollWait)
 		if err != nil {
 			f.failed(ctx, err)
 			return
 		}
 		f.succeeded()
 		f.v.apply(f.feed, changes)
-		next = after
+		next = end
 	}
 }
 
--- a/gateway/view/view_test.go
+++ b/gateway/view/view_test.go
@@ -24,10 +24,30 @@
 	changes map[platform.Feed][]platform.Change
 	down    bool
 	deaf    bool // waiting reads hear nothing
+	copies  map[platform.Feed][]platform.Change
+}
+
+func (f *feeds) SaveCopy(_ context.Context, feed platform.Feed) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return platform.ErrLogUnavailable
+	}
+	f.copies[feed] = f.newest[feed]
+	return nil
+}
+
+func (f *feeds) LoadCopy(_ context.Context, feed platform.Feed) ([]platform.Change, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.copies[feed] == nil {
+		return nil, errors.NotFoundf("copy")
+	}
+	return f.copies[feed], nil
 }
 
 func newFeeds() *feeds {
-	return &feeds{newest: map[platform.Feed][]platform.Change{}, changes: map[platform.Feed][]platform.Change{}}
+	return &feeds{newest: map[platform.Feed][]platform.Change{}, changes: map[platform.Feed][]platform.Change{}, copies: map[platform.Feed][]platform.Change{}}
 }
 
 func (f *feeds) set(change func(*feeds)) {
@@ -216,3 +236,58 @@
 		loops.Wait()
 	})
 }
+
+// Whole lists that take long are renewed the later, so that however many processes
+// read however long lists, the store gives most of its time to other reads.
+func TestLongListsAreRenewedTheLater(t *testing.T) {
+	for range 100 {
+		usual := renewAfter(10 * time.Millisecond)
+		require.Greater(t, usual, snapshotEvery/3)
+		require.Less(t, usual, 2*snapshotEvery)
+		require.Greater(t, renewAfter(100*time.Millisecond), 9*time.Second)
+		require.Less(t, renewAfter(time.Hour), 2*snapshotLatest)
+	}
+}
+
+// The part of the store with the configuration and the servers' entries can't be
+// reached, and every process loses power meanwhile. One that starts then goes by
+// the copies that were written before, in place of refusing all requests until that
+// part is back, and by the feeds themselves once it is. An agent, whose fencing
+// token must never go down, waits.
+func TestProcessThatStartsInAnOutageGoesByCopies(t *testing.T) {
+	f := newFeeds()
+	f.say(platform.FeedOperator, platform.Change{Table: tableOf(t, 4)})
+	f.say(platform.FeedServers, server("a"))
+	run(t, f, func(v *View) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		var copying sync.WaitGroup
+		copying.Go(func() { v.RunCopies(ctx, func() int { return 1 }) })
+		time.Sleep(3 * copyEach)
+		f.set(func(f *feeds) { f.down = true })
+		cancel()
+		copying.Wait()
+	})
+	start := func(copies bool, test func(v *View)) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			v := New(f, zap.NewNop())
+			v.Copies = copies
+			var loops sync.WaitGroup
+			loops.Go(func() { v.Run(ctx) })
+			time.Sleep(time.Second)
+			test(v)
+			cancel()
+			loops.Wait()
+		})
+	}
+	start(false, func(v *View) { require.Nil(t, v.Now().Table) })
+	start(true, func(v *View) {
+		require.EqualValues(t, 4, v.Now().Table.Version)
+		require.Equal(t, []members.Server{*server("a").Server}, v.Now().Servers["s"])
+		f.say(platform.FeedOperator, platform.Change{Table: tableOf(t, 5)})
+		f.set(func(f *feeds) { f.down = false })
+		time.Sleep(time.Second)
+		require.EqualValues(t, 5, v.Now().Table.Version)
+	})
+}
