--- a/gateway/server/agent.go
+++ b/gateway/server/agent.go
@@ -16,6 +16,7 @@
 
 // BuildAgent makes the process beside an engine.
 func BuildAgent(ctx context.Context, set Agent) (*run.Process, error) {
+	saveMemory()
 	log, out := newLogger("orders", set.Process.LogLevel)
 	store := hosted.NewStore(set.Store.Address)
 	v := view.New(store, logs.Part(log, "view"))
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -54,6 +54,7 @@
 
 // BuildGateway makes the gateway's process.
 func BuildGateway(ctx context.Context, set Gateway) (*run.Process, error) {
+	saveMemory()
 	log, out := newLogger("gateway", set.Process.LogLevel)
 	flush, err := trace.Start(ctx, "dandelion-gateway", set.Trace)
 	if err != nil {
