--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -17,6 +17,7 @@
 	"dandelionsill.org/adapters/httplog"
 	"dandelionsill.org/adapters/httpvms"
 	"dandelionsill.org/base/settings"
+	"dandelionsill.org/ctl/logscan"
 	"dandelionsill.org/platform"
 )
 
@@ -172,7 +173,7 @@
 		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
 		Exec: func(ctx context.Context, args []string) error {
 			for _, arg := range args {
-				if strings.HasPrefix(arg, "-") {
+				if strings.HasPrefix(arg, "-") && arg != logscan.Stdin {
 					return usageError("flag %s stands behind an argument; flags go first", arg)
 				}
 			}
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -424,6 +424,8 @@
 	code, out, _ = b.run("losses", "--json", file)
 	require.Zero(t, code)
 	require.Contains(t, out, `"cause":"no server"`)
+	code, _, errs = b.run("losses", "-")
+	require.Zero(t, code, errs) // standard input, which has no lines here
 	code, out, _ = b.run("trace", "q1", file)
 	require.Zero(t, code)
 	require.Contains(t, out, "kind=no_server")
