--- a/gateway/jobs/work.go
+++ b/gateway/jobs/work.go
@@ -24,6 +24,10 @@
 	job  *jobs.Job
 	item jobs.Item
 	size hosted.ItemSize
+	// claim is the one under which this process took the item on. The job's own
+	// changes as soon as another process has claimed it: read then, it put this
+	// owner's last text under the claim of the next.
+	claim uint64
 
 	// single: one weight version makes the whole text.
 	single bool
@@ -52,7 +56,7 @@
 // anew under this owner's claim.
 func newWork(j *jobs.Job, item jobs.Item, made jobs.Made) *work {
 	return &work{
-		job: j, item: item, size: hosted.SizeOf(item.Header), events: made.Events, whole: made.Whole, failures: made.Failures,
+		job: j, claim: j.Claim, item: item, size: hosted.SizeOf(item.Header), events: made.Events, whole: made.Whole, failures: made.Failures,
 		avoid: map[string]time.Time{}, owned: time.Now(),
 	}
 }
