gateway: ranks only while a sample waits; copies are always of both feeds

From reading the change once more, behaviour unchanged: a plan with nothing that waits sorted and ranked all samples, whose ranks only placing reads (moves read what is left); saveCopies took a list of feeds that was the same at both calls.

--- a/gateway/jobs/placing.go
+++ b/gateway/jobs/placing.go
@@ -72,7 +72,9 @@
 	slices.SortFunc(works, func(a, b *work) int { return cmp.Compare(a.item.ID, b.item.ID) })
 	engines, usable := r.engines(servers, now)
 	samples := r.samples(works, engines, now)
-	r.order(works, samples, engines, now)
+	if slices.ContainsFunc(works, func(w *work) bool { return w.phase == waiting }) {
+		r.order(works, samples, engines, now)
+	}
 	var queue []*work
 	var waits []place.Sample
 	for i, w := range works {
--- a/gateway/view/copies.go
+++ b/gateway/view/copies.go
@@ -45,7 +45,7 @@
 		case <-ctx.Done():
 			return
 		case <-timer.C:
-			v.saveCopies(ctx, platform.FeedOperator, platform.FeedServers)
+			v.saveCopies(ctx)
 			timer.Reset(turn())
 		case <-changed:
 			if now := v.Now().TableAt; now.After(at) {
@@ -59,12 +59,12 @@
 // copyTable copies a new configuration where this process is among those that do.
 func (v *View) copyTable(ctx context.Context, processes int) {
 	if rand.N(max(1, processes)) < copiers && sleep.For(ctx, rand.N(copySoon)) {
-		v.saveCopies(ctx, platform.FeedOperator, platform.FeedServers)
+		v.saveCopies(ctx)
 	}
 }
 
-func (v *View) saveCopies(ctx context.Context, feeds ...platform.Feed) {
-	for _, feed := range feeds {
+func (v *View) saveCopies(ctx context.Context) {
+	for _, feed := range []platform.Feed{platform.FeedOperator, platform.FeedServers} {
 		if err := v.feeds.SaveCopy(ctx, feed); err != nil {
 			v.log.Info("No copy was written.", zap.Stringer("feed", feed), zap.Error(err))
 			return
