--- a/hack/testcount/main.go
+++ b/hack/testcount/main.go
@@ -207,6 +207,7 @@
 	}
 	for _, pkg := range sorted(t.broken) {
 		fmt.Printf("\n--- %s %s\n%s", pkg, t.broken[pkg], strings.Join(t.output[pkg], ""))
+		t.printUnfinished(pkg)
 		passes = false
 	}
 	fmt.Println()
@@ -230,6 +231,20 @@
 	return passes && t.counts.passed > 0
 }
 
+// unfinishedLines is how many lines are printed of each test that had not ended
+// when its package did: a crash prints its cause first, then every goroutine.
+const unfinishedLines = 80
+
+// printUnfinished prints the output of the tests that were running when their
+// package ended. The go command files a crash under one of them, so that without
+// it a crashed package left no trace of why.
+func (t *tally) printUnfinished(pkg string) {
+	for _, test := range sorted(t.running[pkg]) {
+		lines := t.output[pkg+"."+test]
+		fmt.Printf("--- %s.%s had not ended\n%s", pkg, test, strings.Join(lines[:min(len(lines), unfinishedLines)], ""))
+	}
+}
+
 func sorted[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
