standin/service: the test of hanging requests waits until they hang

The known failure: the case 'hangs unstarted' took 'no run yet' for 'the request hangs', so that a first call that came late ran after the faults had ended (2 runs counted for 1). The stand-in counts the requests that hang.

--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -80,6 +80,7 @@
 	byID       map[string]int
 	concurrent int
 	peak       int
+	hanging    int // requests that hang now
 }
 
 // New makes a service.
@@ -166,8 +167,7 @@
 	met, d := s.draw()
 	switch met {
 	case hangBefore:
-		web.Hang(r)
-		web.Drop()
+		s.hang(r)
 	case dropBefore:
 		web.Drop()
 	}
@@ -177,8 +177,7 @@
 	web.Sleep(r.Context(), d)
 	switch met {
 	case hang:
-		web.Hang(r)
-		web.Drop()
+		s.hang(r)
 	case dropAfter:
 		how = "lost"
 		web.Drop()
@@ -193,6 +192,27 @@
 	s.answer(w, run.Answer, met == cutBody)
 }
 
+// hang keeps a request until its client goes away, and gives no answer.
+func (s *Service) hang(r *http.Request) {
+	s.countHanging(1)
+	defer s.countHanging(-1)
+	web.Hang(r)
+	web.Drop()
+}
+
+func (s *Service) countHanging(by int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hanging += by
+}
+
+// Hanging is the number of requests that hang now.
+func (s *Service) Hanging() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hanging
+}
+
 func (s *Service) answer(w http.ResponseWriter, a Answer, cut bool) {
 	data, err := json.Marshal(a)
 	if err != nil {
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -88,7 +88,10 @@
 				done <- err
 			}()
 			if c.faults.Hang || c.faults.HangBefore {
-				require.Eventually(t, func() bool { return s.Truth(0, true).Runs == c.runs }, patient, time.Millisecond)
+				// No run is no sign that a request has come: faults that end before
+				// it comes let it run.
+				require.Eventually(t, func() bool { return s.Hanging() == 1 }, patient, time.Millisecond)
+				require.Equal(t, c.runs, s.Truth(0, true).Runs)
 				cancel()
 			}
 			require.Error(t, <-done)
