decide/place: a sample is not kept by an engine that breaks off its streams

The engine broke off each stream after an event; the sample came back to it every 0.4 s, an event at a time (log of a failed run: 52 of 200 events after 8 s), and its group came late or never, beside free engines with newer weights. Ruled out: a lost wake-up, refusals, slowness under the race detector (the log shows a start every 0.43 s). Now the rest at the rate so far is weighed against the whole at the usual pace (BeginsAgain).

--- a/decide/place/place.go
+++ b/decide/place/place.go
@@ -151,3 +151,44 @@
 	}
 	return false
 }
+
+// Progress is how the text of a sample has come on so far.
+type Progress struct {
+	// Made is how much of it is there.
+	Made float64
+	// Since is how much of Made came in the last Took seconds: since the sample
+	// began, or since its present owner took it on.
+	Since, Took float64
+	// Setbacks is how many of its streams ended early in that time.
+	Setbacks int
+}
+
+// BeginsAgain tells whether a sample that only one weight version may go on with
+// is likely to be whole sooner if its text is dropped and another engine begins
+// it. The failure it answers: the only engine with that version breaks off each
+// stream after an event or two, while others with newer weights stand free. The
+// sample then crept on by an event in 0.4 s, and its group, which it held up,
+// came too late or never. What the text still needs at the rate so far is weighed
+// against the whole of it at the usual pace, so that one broken connection late in
+// a text drops nothing.
+func BeginsAgain(engines []Engine, s *Sample, p Progress) bool {
+	if s.Only == 0 || p.Setbacks == 0 || !canBegin(engines, s) {
+		return false
+	}
+	pace := medianPace(engines)
+	if pace == 0 {
+		return p.Setbacks > 1 // no stream has brought two events in a row yet
+	}
+	goingOn := s.Left * p.Took / max(1, p.Since)
+	return goingOn > (p.Made+s.Left)*pace
+}
+
+// canBegin tells whether an engine with another version than the sample's own has
+// room for it.
+func canBegin(engines []Engine, s *Sample) bool {
+	anew := *s
+	anew.Only = 0
+	return slices.ContainsFunc(engines, func(e Engine) bool {
+		return e.Versions[s.Model] != s.Only && !s.Avoid[e.ID] && fits(&e, &anew)
+	})
+}
--- a/decide/place/place_test.go
+++ b/decide/place/place_test.go
@@ -147,3 +147,41 @@
 		Assign(engines, samples)
 	}
 }
+
+// A sample may be made by one version only, and the only engine that has it breaks
+// off each stream after an event. Others with newer weights stand free; its
+// trainer waits for this sample alone. It begins again there, unless what it has is
+// worth more than the time that its engine costs it.
+func TestSampleLeavesTheOnlyEngineOfItsVersion(t *testing.T) {
+	old, fresh := engine("old", 8, 1), engine("fresh", 8, 1)
+	old.Versions, fresh.Versions = map[string]uint64{"m": 1}, map[string]uint64{"m": 2}
+	old.Pace, fresh.Pace = 0.03, 0.03
+	full := fresh
+	full.Load = full.Slots
+	unknown := func(e Engine) Engine { e.Pace = 0; return e }
+	tests := []struct {
+		name    string
+		engines []Engine
+		only    uint64
+		left    float64
+		p       Progress
+		want    bool
+	}{
+		{"an event in each stream", []Engine{old, fresh}, 1, 30, Progress{Made: 3, Since: 3, Took: 1.3, Setbacks: 3}, true},
+		{"nothing made, broken at once", []Engine{old, fresh}, 1, 30, Progress{Made: 1, Since: 1, Took: 0.5, Setbacks: 1}, true},
+		{"one break late in the text", []Engine{old, fresh}, 1, 20, Progress{Made: 140, Since: 140, Took: 4.7, Setbacks: 1}, false},
+		{"taken over late, one break", []Engine{old, fresh}, 1, 20, Progress{Made: 140, Since: 0, Took: 0.05, Setbacks: 1}, false},
+		{"it waits for a place, nothing broke", []Engine{old, fresh}, 1, 30, Progress{Made: 3, Since: 3, Took: 9}, false},
+		{"nobody has brought two events, broken twice", []Engine{unknown(old), unknown(fresh)}, 1, 30, Progress{Made: 2, Since: 2, Took: 0.5, Setbacks: 2}, true},
+		{"nobody has brought two events, broken once", []Engine{unknown(old), unknown(fresh)}, 1, 30, Progress{Made: 1, Since: 1, Took: 0.1, Setbacks: 1}, false},
+		{"nobody else has room", []Engine{old, full}, 1, 30, Progress{Made: 3, Since: 3, Took: 1.3, Setbacks: 3}, false},
+		{"nobody else at all", []Engine{old}, 1, 30, Progress{Made: 3, Since: 3, Took: 1.3, Setbacks: 3}, false},
+		{"any version may go on", []Engine{old, fresh}, 0, 30, Progress{Made: 3, Since: 3, Took: 1.3, Setbacks: 3}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := Sample{Model: "m", Floor: 1, Only: test.only, Left: test.left}
+			require.Equal(t, test.want, BeginsAgain(test.engines, &s, test.p))
+		})
+	}
+}
--- a/gateway/jobs/jobs_test.go
+++ b/gateway/jobs/jobs_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"dandelionsill.org/decide/members"
 	fold "dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/gatewaytest"
 	"dandelionsill.org/gateway/jobs"
@@ -41,6 +43,14 @@
 	return e
 }
 
+// knows tells whether the process has heard that an engine has a version of the
+// model m.
+func (e *entry) knows(server string, version uint64) bool {
+	return slices.ContainsFunc(e.View.Now().Servers["engines"], func(s members.Server) bool {
+		return s.Name == server && s.Versions["m"] == version
+	})
+}
+
 // decode turns a stand-in's job into the project's.
 func decode(t testing.TB, id string, body map[string]any) (fold.Head, []fold.Item) {
 	data, err := json.Marshal(body)
@@ -307,6 +317,41 @@
 	}
 }
 
+// A trainer of a route of single versions waits for its step. Its samples begin at
+// the only engine with version 1, which breaks off each stream after an event; then
+// another engine comes free with version 2. Version 1 is still served, so nothing
+// dropped the texts, and each crept on by an event in 0.4 s.
+func TestSampleIsNotKeptByAnEngineThatBreaks(t *testing.T) {
+	t.Parallel()
+	pf := gatewaytest.NewPlatform(t, 2, 1)
+	config := hostedtest.Config(2)
+	config["routes"].([]map[string]any)[0][hostedtest.FieldSingleVersion] = true
+	pf.Store.Put(hostedtest.TopicOperator, "config", config)
+	for _, e := range pf.Engines {
+		e.Pace, e.Events = 5*time.Millisecond, 200
+	}
+	pf.Engines[0].Fail(hostedtest.ServerFaults{Refuse: true})
+	pf.Engines[1].Fail(hostedtest.ServerFaults{BreakAfter: 1})
+	a := newEntry(t, pf, "a")
+	require.Eventually(t, func() bool { return a.View.Now().Table.Version == 2 }, gatewaytest.Wait, time.Millisecond)
+	a.submit(t, "j", 4, 1)
+	require.Eventually(t, func() bool { return noted(pf, "j") >= 4 }, gatewaytest.Wait, time.Millisecond)
+	client := hosted.NewEngineClient(pf.Engines[0].Addr())
+	outcome, err := client.Order(t.Context(), hosted.LoadOrder{Server: "e0", Model: "m", Version: 2, Mode: hosted.LoadRetain, Holder: "test", Fence: 1})
+	require.NoError(t, err)
+	require.Equal(t, hosted.OrderTaken, outcome)
+	require.Eventually(t, func() bool {
+		pf.Register(pf.Engines[0], "ready")
+		return a.knows("e0", 2)
+	}, gatewaytest.Wait, time.Millisecond)
+	pf.Engines[0].Fail(hostedtest.ServerFaults{})
+	results := a.results(t, "j", 4)
+	requireWhole(t, results, 200)
+	for _, r := range results {
+		require.Equal(t, []uint64{2}, r.Versions)
+	}
+}
+
 // A trainer ends its job: the samples that run are stopped at their engines.
 func TestEndedJobStops(t *testing.T) {
 	t.Parallel()
--- a/gateway/jobs/placing.go
+++ b/gateway/jobs/placing.go
@@ -41,6 +41,7 @@
 func (r *Runner) requeue(w *work, avoid time.Duration, now time.Time) {
 	w.avoid[w.server] = now.Add(avoid)
 	w.phase = waiting
+	w.setbacks++
 	if w.stop != nil {
 		w.stop()
 		w.stop = nil
@@ -100,8 +101,7 @@
 	samples := make([]place.Sample, len(works))
 	for i, w := range works {
 		samples[i] = w.sample(r.left(w), now)
-		if w.phase == waiting && samples[i].Only != 0 && !place.Served(engines, &samples[i]) {
-			// Engines only move forward: nobody will ever go on with it.
+		if w.phase == waiting && r.beginsAgain(w, &samples[i], engines, now) {
 			samplesRestart.Add(1)
 			w.restart()
 			samples[i] = w.sample(r.left(w), now)
@@ -110,6 +110,25 @@
 	return samples
 }
 
+// beginsAgain tells whether the text of a sample that only one version may go on
+// with is dropped: no engine has that version, and engines only move forward, or
+// those that have it hold the sample up.
+func (r *Runner) beginsAgain(w *work, s *place.Sample, engines []place.Engine, now time.Time) bool {
+	if s.Only == 0 {
+		return false
+	}
+	if !place.Served(engines, s) {
+		return true
+	}
+	progress := w.progress(now)
+	if !place.BeginsAgain(engines, s, progress) {
+		return false
+	}
+	r.zlog.Info("Sample begins again.", zap.String("id", w.item.ID), zap.String("job", w.job.ID), zap.Uint64("version", s.Only),
+		zap.Int("events", len(w.events)), zap.Float64("left", s.Left), zap.Int("setbacks", progress.Setbacks), zap.Float64("took_s", progress.Took))
+	return true
+}
+
 // moveOne takes one sample from an engine that is much slower than others with room.
 func (r *Runner) moveOne(works []*work, samples []place.Sample, engines []place.Engine, now time.Time) {
 	var moving []place.Running
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -51,6 +51,9 @@
 		samplesRestart.Add(1)
 		w.restart()
 	}
+	if w.sinceText.IsZero() {
+		w.sinceText, w.beforeText = now, len(w.events)
+	}
 	streamsStarted.Add(1)
 	s := &stream{r: r, w: w, number: w.stream, server: server.ID, name: server.Name, addr: server.Addr, behind: len(w.events), only: w.only()}
 	r.note(w, true)
--- a/gateway/jobs/work.go
+++ b/gateway/jobs/work.go
@@ -49,7 +49,13 @@
 	began     time.Time
 	lastEvent time.Time
 	streamed  int // events of this stream
-	avoid     map[string]time.Time
+	// sinceText, beforeText and setbacks tell how the present text came on: when
+	// this process began to make it, the events it had then, and how many of its
+	// streams ended early since.
+	sinceText  time.Time
+	beforeText int
+	setbacks   int
+	avoid      map[string]time.Time
 }
 
 // newWork takes an item on with what was made of it before; that is appended
@@ -81,6 +87,16 @@
 func (w *work) restart() {
 	w.run++
 	w.events, w.noted, w.whole = nil, 0, false
+	w.sinceText, w.beforeText, w.setbacks = time.Time{}, 0, 0
+}
+
+// progress is how the item's present text has come on.
+func (w *work) progress(now time.Time) place.Progress {
+	p := place.Progress{Made: float64(len(w.events)), Since: float64(len(w.events) - w.beforeText), Setbacks: w.setbacks}
+	if !w.sinceText.IsZero() {
+		p.Took = now.Sub(w.sinceText).Seconds()
+	}
+	return p
 }
 
 // rankBucket is how much older a job has to be for its samples to go before
