gateway/jobs: a reader that missed records begins anew and is sure of nothing

The reader skipped it and went on with its fold: it told 'not found' of jobs accepted in the gap, and listed later results at the positions of missed ones (a position is the number of results before). As an owner it would go on showing that it lives and run nothing.

--- a/gateway/jobs/api.go
+++ b/gateway/jobs/api.go
@@ -74,13 +74,24 @@
 	if s.has(head.ID) {
 		return nil
 	}
+	if s.book.Missed() {
+		// It may stand already: accepted a second time here, this process would
+		// number its results otherwise than all others do.
+		return mayStand("records of batch jobs were missed").WithRetryAfter(comeBack)
+	}
 	failed := s.submit(ctx, head, items)
 	if failed == nil || !failed.NotRun() || s.absent(ctx, head.ID) {
 		return failed
 	}
+	return mayStand("another entry may have accepted the batch job")
+}
+
+// mayStand is the answer to a submission of a job that may have been accepted
+// before: it does not say "not run".
+func mayStand(why string) *kinds.Error {
 	held := kinds.Hold()
 	held.Send()
-	return held.Refuse(kinds.LogUnavailable, "another entry may have accepted the batch job")
+	return held.Refuse(kinds.LogUnavailable, "%s", why)
 }
 
 // absent proves that a job does not stand. An earlier submission of it may have
@@ -262,10 +273,13 @@
 	if !s.book.Synced(ctx) {
 		return notFollowing()
 	}
-	if !s.has(job) {
-		return kinds.Hold().Refuse(kinds.NotFound, "no batch job %q", job)
+	if s.has(job) {
+		return nil
+	}
+	if s.book.Missed() {
+		return notFollowing()
 	}
-	return nil
+	return kinds.Hold().Refuse(kinds.NotFound, "no batch job %q", job)
 }
 
 // Results returns a job's number of items and its results from a position on.
--- a/gateway/jobs/book.go
+++ b/gateway/jobs/book.go
@@ -77,6 +77,10 @@
 	asOf time.Time
 	// since is when reads began to succeed after the last failure.
 	since time.Time
+	// gaps counts how often records were missed, and gapOver is when all jobs that
+	// the last gap may concern are over.
+	gaps    int
+	gapOver time.Time
 }
 
 // NewBook returns a book that has read nothing.
@@ -121,8 +125,7 @@
 				sleep.For(ctx, b.pace()-time.Since(sent))
 			}
 		case errors.Is(err, platform.ErrTruncated):
-			b.zlog.Warn("Records are no longer kept.", zap.Uint64("offset", b.next), zap.Uint64("first", page.First))
-			b.skip(page.First)
+			b.skip(page.First, sent)
 		case ctx.Err() != nil:
 			return
 		default:
@@ -141,13 +144,30 @@
 	}
 }
 
-// skip goes on at the first record that is kept.
-func (b *Book) skip(first uint64) {
+// skip goes on at the first record that is kept. A reader that was too slow, or
+// suspended for longer than the log keeps records, has missed some: jobs that it
+// does not know may stand, and positions of results that it knows would be wrong,
+// for a position is the number of results before. So it begins anew, as after a
+// start, and until all jobs of before are over it counts as not caught up: it says
+// of no job that there is none, and accepts none.
+func (b *Book) skip(first uint64, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.zlog.Warn("Records are no longer kept.", zap.Uint64("offset", b.next), zap.Uint64("first", first), zap.Int("jobs", len(b.state.Jobs)))
+	if b.next > 0 && first > b.next {
+		b.state = jobs.New()
+		clear(b.arrived)
+		b.asOf = time.Time{}
+		b.gaps++
+		b.gapOver = now.Add(keepFinished)
+	}
 	b.next = max(b.next, first)
 }
 
+// missed tells whether records were missed that may concern jobs of now; mu is
+// held.
+func (b *Book) missed(now time.Time) bool { return now.Before(b.gapOver) }
+
 func (b *Book) failed() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -284,13 +304,20 @@
 	}
 }
 
-// CaughtUp tells whether this process has ever read to the log's end. Before
-// that it has folded a part of the past: it would give fewer results of a job
-// than others have given.
+// CaughtUp tells whether this process has read to the log's end since its start,
+// and missed nothing. Before that it has folded a part of the past: it would give
+// fewer results of a job than others have given.
 func (b *Book) CaughtUp() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.asOf.IsZero()
+	return !b.asOf.IsZero() && !b.missed(time.Now())
+}
+
+// Missed tells whether jobs may stand that this process will not hear of.
+func (b *Book) Missed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.missed(time.Now())
 }
 
 // UpToDate tells whether this process follows the log without a gap now.
--- a/gateway/jobs/jobs_test.go
+++ b/gateway/jobs/jobs_test.go
@@ -32,14 +32,20 @@
 }
 
 func newEntry(t testing.TB, pf *gatewaytest.Platform, node string) *entry {
+	e := startEntry(t, pf, node, "1")
+	require.Eventually(t, e.book.CaughtUp, gatewaytest.Wait, time.Millisecond)
+	return e
+}
+
+// startEntry starts a process that need not have read the log yet.
+func startEntry(t testing.TB, pf *gatewaytest.Platform, node, life string) *entry {
 	p := pf.NewProcess(t)
-	writer := fold.Writer{Node: node, Life: "1"}
+	writer := fold.Writer{Node: node, Life: life}
 	e := &entry{Process: p, book: jobs.NewBook(p.Store, zap.NewNop())}
 	e.service = jobs.NewService(e.book, p.Store, writer, 3, 600, zap.NewNop())
 	e.runner = jobs.NewRunner(e.book, p.Store, p.Forward, writer, 3, 600, zap.NewNop())
 	p.Go(e.book.Run)
 	p.Go(e.runner.Run)
-	require.Eventually(t, e.book.CaughtUp, gatewaytest.Wait, time.Millisecond)
 	return e
 }
 
--- a/gateway/jobs/ownership.go
+++ b/gateway/jobs/ownership.go
@@ -17,6 +17,10 @@
 func (r *Runner) adopt(ctx context.Context, now time.Time) {
 	r.book.mu.Lock()
 	defer r.book.mu.Unlock()
+	if r.book.gaps != r.gaps {
+		r.gaps = r.book.gaps
+		r.letAllGo()
+	}
 	for id := range r.works {
 		if j := r.book.state.Owned(id, r.writer); j == nil || !j.Open() {
 			r.drop(id)
@@ -87,6 +91,22 @@
 	r.tasks.Go(func() { r.take(ctx, &head, at, taken) })
 }
 
+// letAllGo gives up the jobs in hand after records were missed: this process no
+// longer knows who owns them. Dropped in silence, they would wait for an owner that
+// the others hear and that does nothing.
+func (r *Runner) letAllGo() {
+	var given []string
+	for id := range r.works {
+		given = append(given, id)
+		r.drop(id)
+	}
+	if len(given) == 0 {
+		return
+	}
+	r.zlog.Warn("Giving batch jobs up, for records were missed.", zap.Strings("jobs", given))
+	r.out.add(true, func(rec *jobs.Record) { rec.Releases = append(rec.Releases, given...) })
+}
+
 // letGo ends the work of items that have a result.
 func (r *Runner) letGo(j *jobs.Job, works map[string]*work) {
 	for id, w := range works {
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -97,6 +97,7 @@
 	refusals map[string]int       // in a row, by engine
 	claimed  map[string]time.Time // when this process last claimed a job
 	released map[string]uint64    // claims that this process has given up, by job
+	gaps     int                  // gaps of the book that were answered
 	owned    time.Time            // when this process last owned a job
 	leaving  bool
 	tasks    sync.WaitGroup
--- /dev/null
+++ b/gateway/jobs/slowstore_test.go
@@ -0,0 +1,125 @@
+package jobs_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	fold "dandelionsill.org/fold/jobs"
+	"dandelionsill.org/gateway/gatewaytest"
+	"dandelionsill.org/gateway/jobs"
+	"dandelionsill.org/kinds"
+	"dandelionsill.org/platform/hosted/hostedtest"
+)
+
+// overload is a spell in which the store's reads are scarcer than its followers
+// ask for.
+type overload struct {
+	entries int
+	// readsPerS is the store's rate of reads, all entries together.
+	readsPerS int
+	slow      time.Duration // of each read
+	jobs      int
+	// away are the streams that can't be read at all for a part of the spell.
+	away []string
+	// restarts is how many entries start anew meanwhile.
+	restarts int
+}
+
+var overloads = rapid.Custom(func(t *rapid.T) overload {
+	return overload{
+		entries:   rapid.IntRange(3, 6).Draw(t, "entries"),
+		readsPerS: rapid.IntRange(5, 40).Draw(t, "reads a second"),
+		slow:      time.Duration(rapid.IntRange(0, 80).Draw(t, "ms a read")) * time.Millisecond,
+		jobs:      rapid.IntRange(2, 5).Draw(t, "jobs"),
+		away:      rapid.SampledFrom([][]string{nil, {jobs.Stream}, {"texts"}}).Draw(t, "away"),
+		restarts:  rapid.IntRange(0, 2).Draw(t, "restarts"),
+	}
+})
+
+// A fleet has grown until its followers ask more of the store than it answers:
+// most reads are refused, followers fall behind, some start again and read the
+// whole past through the same store. While it lasts an entry may say that it does
+// not know; it never says of an accepted job that there is none. Afterwards every
+// entry gives every accepted job whole, the results at the same positions.
+func TestFollowersOfAnOverloadedStoreLoseNothing(t *testing.T) {
+	t.Parallel()
+	for seed := range 6 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			overloads.Example(seed).play(t)
+		})
+	}
+}
+
+func (o overload) play(t *testing.T) {
+	t.Logf("%+v", o)
+	pf := gatewaytest.NewPlatform(t, 2, 1)
+	for _, e := range pf.Engines {
+		e.Pace, e.Events = 5*time.Millisecond, 40
+	}
+	var entries []*entry
+	for i := range o.entries {
+		entries = append(entries, newEntry(t, pf, fmt.Sprintf("n%d", i)))
+	}
+	pf.Store.Fail(hostedtest.StoreFaults{ReadsPerS: o.readsPerS, SlowReads: o.slow})
+	var accepted []string
+	for i := range o.jobs {
+		id := fmt.Sprintf("j%d", i)
+		if entries[i%o.entries].accepts(t, id) {
+			accepted = append(accepted, id)
+		}
+	}
+	for i := range o.restarts {
+		entries[i].Stop()
+		entries[i] = startEntry(t, pf, fmt.Sprintf("n%d", i), "2")
+	}
+	if o.away != nil {
+		pf.Store.Fail(hostedtest.StoreFaults{ReadsPerS: o.readsPerS, SlowReads: o.slow, Away: o.away})
+	}
+	for _, e := range entries {
+		for _, id := range accepted {
+			requireHonest(t, e, id)
+		}
+	}
+	pf.Store.Fail(hostedtest.StoreFaults{})
+	for _, id := range accepted {
+		first := entries[0].results(t, id, 2)
+		requireWhole(t, first, 40)
+		for _, e := range entries[1:] {
+			require.Equal(t, order(first), order(e.results(t, id, 2)), "%s at another entry", id)
+		}
+	}
+}
+
+// accepts submits a job and tells whether it is accepted. One that is not has to be
+// handed in again by its trainer, elsewhere; that is not played here.
+func (e *entry) accepts(t *testing.T, id string) bool {
+	head, items := decode(t, id, hostedtest.Job(id, "m", 2, 1))
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	return e.service.Submit(ctx, head, items) == nil
+}
+
+// requireHonest asks once for an accepted job.
+func requireHonest(t *testing.T, e *entry, id string) {
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	_, _, err := e.service.Results(ctx, id, 0, 0)
+	if err != nil {
+		require.NotEqual(t, string(kinds.NotFound), err.Kind(), "%s was accepted", id)
+	}
+}
+
+// order lists the items by their position.
+func order(results []fold.Result) []string {
+	var ids []string
+	for _, r := range results {
+		ids = append(ids, r.Item)
+	}
+	return ids
+}
