decide: tests of the window by load time; the replay's loads slow each other down

Loads in the replay now share what can be loaded side by side from moment to moment; before, one that had begun was not slowed by those that came after it, and the cliff did not show.

--- a/decide/loads/loads_test.go
+++ b/decide/loads/loads_test.go
@@ -111,3 +111,85 @@
 	require.Nil(t, after.Choose("e03", 3, "a", 4, kept))
 	require.NotNil(t, after.Choose("e03", 4, "a", 5, kept))
 }
+
+// Engines load more slowly than usual. Did as many follow each model as ever, all
+// would load at one moment, slow each other down and be too old for the next step.
+func TestNoMoreEnginesFollowThanCanLoadInTime(t *testing.T) {
+	for _, test := range []struct {
+		took, every time.Duration
+		follow      int // of nine engines, two models
+	}{
+		{0, 0, 7},
+		{time.Second, 0, 7}, // not known yet how often versions are named
+		{900 * time.Millisecond, 4 * time.Second, 7},
+		{1800 * time.Millisecond, 4 * time.Second, 4},
+		{2400 * time.Millisecond, 4 * time.Second, 3},
+		{20 * time.Second, 4 * time.Second, 2}, // one of each parity
+		{2400 * time.Millisecond, 8 * time.Second, 6},
+	} {
+		fleet := Fleet{Engines: names(9), Models: []string{"a", "b"}, Took: test.took, Every: test.every}
+		following := 0
+		for _, e := range fleet.Engines {
+			if fleet.Serves(e, "a") {
+				following++
+			}
+		}
+		require.Equal(t, test.follow, following, "%v every %v", test.took, test.every)
+	}
+}
+
+// Whatever the fleet, the loads of two versions' time fit into it.
+func TestLoadsFitIntoTheirTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fleet := Fleet{
+			Engines: names(rapid.IntRange(2, 60).Draw(t, "engines")), Models: []string{"a", "b", "c"}[:rapid.IntRange(1, 3).Draw(t, "models")],
+			Took:  time.Duration(rapid.IntRange(100, 9000).Draw(t, "took ms")) * time.Millisecond,
+			Every: time.Duration(rapid.IntRange(1000, 9000).Draw(t, "every ms")) * time.Millisecond,
+		}
+		following := 0
+		for _, e := range fleet.Engines {
+			if fleet.Serves(e, "a") {
+				following++
+			}
+		}
+		require.Positive(t, following)
+		if following <= leastWindow {
+			return
+		}
+		busy := float64(following*len(fleet.Models)) * fleet.Took.Seconds() / (2 * fleet.Every.Seconds())
+		require.LessOrEqual(t, busy, float64(loadsAtOnce(len(fleet.Engines))))
+	})
+}
+
+func TestLoadTime(t *testing.T) {
+	var l LoadTime
+	require.Equal(t, tookFirst, l.Took(), "nothing was seen")
+	l.Peer(2 * time.Second)
+	require.Equal(t, tookFirst, l.Took(), "a quick load may be listed that late")
+	l.Peer(6 * time.Second)
+	require.Equal(t, 4500*time.Millisecond, l.Took(), "no peer is listed yet")
+	l.Measured(3 * time.Second)
+	l.Measured(5 * time.Second)
+	require.Equal(t, 4*time.Second, l.Took(), "a longer one may have been slowed by others")
+	l.Measured(2 * time.Second)
+	require.Equal(t, 2*time.Second, l.Took())
+	l.Named()
+	require.Equal(t, 2*time.Second, l.Took())
+	for range 30 {
+		l.Named()
+	}
+	require.Less(t, l.Took(), time.Second, "an engine that stands back tries again")
+}
+
+func TestCadence(t *testing.T) {
+	var c Cadence
+	start := time.Unix(1000, 0)
+	c.Named(start, 1)
+	require.Zero(t, c.Every())
+	c.Named(start.Add(4*time.Second), 1)
+	require.Equal(t, 4*time.Second, c.Every())
+	c.Named(start.Add(12*time.Second), 2)
+	require.Equal(t, 4*time.Second, c.Every(), "one that was not heard of lies between")
+	c.Named(start.Add(20*time.Second), 1)
+	require.Equal(t, 6*time.Second, c.Every())
+}
--- a/decide/place/goodput_test.go
+++ b/decide/place/goodput_test.go
@@ -54,6 +54,24 @@
 	require.Greater(t, float64(at[3].inTime), 2*float64(before.inTime), "by age and length alone: %d", before.inTime/seeds)
 }
 
+// Engines take 2.4 s for a load in place of 0.9 s. Did as many follow each model as
+// ever, their loads would slow each other down until none is fresh enough, and a
+// day's groups that nine engines make with ease come late. Fewer follow, and the
+// rest of them wait for other work.
+func TestGoodputHoldsWhereLoadsTakeLong(t *testing.T) {
+	slow := func(bounded bool) outcome {
+		return runs(2, func(seed uint64) load {
+			l := twoTrainers(1, seed)
+			l.loading, l.unbounded = 2.4, !bounded
+			return l
+		})
+	}
+	bounded, unbounded := slow(true), slow(false)
+	t.Logf("in time of %d: %d, with all engines following %d", bounded.owed, bounded.inTime, unbounded.inTime)
+	require.GreaterOrEqual(t, float64(bounded.inTime), 0.9*float64(bounded.owed))
+	require.Less(t, unbounded.inTime, bounded.inTime)
+}
+
 // Groups that come again go first in their step, so that however scarce engines
 // are none is left for ever.
 func TestNoGroupIsLeftForEver(t *testing.T) {
--- a/decide/place/replay_test.go
+++ b/decide/place/replay_test.go
@@ -25,6 +25,8 @@
 	seed           uint64
 	// byAge leaves Order out.
 	byAge bool
+	// unbounded: engines follow models as if loads took no time.
+	unbounded bool
 }
 
 // trainer is one trainer with a model of its own.
@@ -97,8 +99,9 @@
 type replayEngine struct {
 	running  map[*replaySample]bool
 	versions []uint64
-	loading  int // model; -1: none
-	until    float64
+	loading  int     // model; -1: none
+	target   uint64  // version that it loads
+	left     float64 // seconds of its load, were it alone
 }
 
 // replay plays a load in virtual time through the decisions of this package and
@@ -159,8 +162,12 @@
 
 func newReplay(l load) *replay {
 	n := len(l.trainers)
+	every := seconds(l.every)
+	if l.unbounded {
+		every = 0
+	}
 	r := &replay{
-		load: l, fleet: loads.Fleet{Took: seconds(l.loading), Every: seconds(l.every)}, rng: rand.New(rand.NewPCG(l.seed, 1)), named: make([]uint64, n), namedAt: make([]float64, n), next: make([]int, n),
+		load: l, fleet: loads.Fleet{Took: seconds(l.loading), Every: every}, rng: rand.New(rand.NewPCG(l.seed, 1)), named: make([]uint64, n), namedAt: make([]float64, n), next: make([]int, n),
 		carried: make([][]*replayGroup, n), lengths: make([]Lengths, n), out: outcome{took: map[[2]int]float64{}},
 	}
 	for m := range n {
@@ -319,16 +326,24 @@
 	r.naming = append(r.naming, naming{st.trainer, uint64(st.number + 2), r.now + announcing + r.trainers[st.trainer].train})
 }
 
+// loadWeights loads weights. More loads at one moment than can be made side by side
+// slow each other down.
 func (r *replay) loadWeights() {
 	busy := 0
 	for _, e := range r.engines {
-		if e.loading >= 0 && r.now >= e.until {
-			e.versions[e.loading], e.loading = r.named[e.loading], -1
-		}
 		if e.loading >= 0 {
 			busy++
 		}
 	}
+	for _, e := range r.engines {
+		if e.loading < 0 {
+			continue
+		}
+		e.left -= replayTick * min(1, float64(r.loadsAtOnce)/float64(busy))
+		if e.left <= 0 {
+			e.versions[e.loading], e.loading = e.target, -1
+		}
+	}
 	for i, e := range r.engines {
 		for m, model := range r.fleet.Models {
 			if e.loading >= 0 || e.versions[m] >= r.named[m] {
@@ -338,8 +353,7 @@
 			if want == nil || r.now < r.namedAt[m]+want.Wait.Seconds() {
 				continue
 			}
-			busy++
-			e.loading, e.until = m, r.now+r.loading*max(1, float64(busy)/float64(r.loadsAtOnce))
+			e.loading, e.left, e.target = m, r.loading, want.Version
 		}
 	}
 }
