decide/place: Order counts for each model the engines that follow it

Hypothesis: where loads of weights take long only some engines follow each model, and Order, which takes the places of all engines for the room of any model, chooses too many groups, which then miss together.

--- a/decide/place/goodput_test.go
+++ b/decide/place/goodput_test.go
@@ -72,6 +72,23 @@
 	require.Less(t, unbounded.inTime, bounded.inTime)
 }
 
+// Loads take 2.4 s and trainers ask for more than the few engines that follow their
+// model make. Were the places of all engines counted for each model, too many groups
+// were chosen, which then missed their time side by side, as without any choice.
+func TestGoodputHoldsWhereFewEnginesFollow(t *testing.T) {
+	at := map[float64]outcome{}
+	for _, x := range []float64{1.6, 3} {
+		at[x] = runs(3, func(seed uint64) load {
+			l := twoTrainers(x, seed)
+			l.loading = 2.4
+			return l
+		})
+		t.Logf("groups x %.1f: owed %d, in time %d, late %d", x, at[x].owed, at[x].inTime, at[x].late)
+	}
+	require.GreaterOrEqual(t, float64(at[1.6].inTime), 0.65*float64(at[1.6].owed))
+	require.GreaterOrEqual(t, float64(at[3].inTime), 0.9*float64(at[1.6].inTime))
+}
+
 // Groups that come again go first in their step, so that however scarce engines
 // are none is left for ever.
 func TestNoGroupIsLeftForEver(t *testing.T) {
@@ -136,6 +153,26 @@
 	}
 }
 
+// The engines that follow one model make a fifth of what all make. Of its groups only
+// those that they can make in time are chosen; the other model's all are.
+func TestOrderKnowsTheEnginesOfAModel(t *testing.T) {
+	steps := []Step{{Turn: 3, Due: 2, Need: 2, Model: "few", Rate: 20}, {Turn: 3, Due: 2, Need: 1, Model: "many", Rate: 80}}
+	samples := []Sample{{Step: 0, Group: "short", Left: 10}, {Step: 0, Group: "long", Left: 30}, {Step: 1, Group: "other", Left: 60}}
+	Order(steps, samples, Room{Rate: 100, Pace: 0.01})
+	require.Equal(t, []string{"short=other", "long"}, ranked(samples))
+}
+
+func TestRateFor(t *testing.T) {
+	fresh, behind, far, loading := engine("fresh", 8, 8), engine("behind", 8, 2), engine("far", 8, 0), engine("loading", 8, 0)
+	behind.Versions, far.Versions = map[string]uint64{"m": 4}, map[string]uint64{"m": 3}
+	loading.Versions, loading.Loading = nil, map[string]uint64{"m": 6}
+	engines := []Engine{fresh, behind, far, loading}
+	room := Room{Pace: 0.5}
+	own := map[string]int{"fresh": 3}
+	require.InDelta(t, 2*(3+6+8), room.RateFor(engines, own, "m", 5), 1e-9, "own places and free ones, without the engine that is far behind")
+	require.Zero(t, room.RateFor(engines, own, "other", 5))
+}
+
 // ranked returns the groups in the order of their ranks.
 func ranked(samples []Sample) []string {
 	byRank := map[int]string{}
--- a/decide/place/order.go
+++ b/decide/place/order.go
@@ -17,6 +17,10 @@
 	Due float64
 	// Need is the number of groups that the trainer still waits for.
 	Need int
+	// Model is what makes its samples and Rate what the engines that may make them
+	// can, in units of samples' Left a second; 0: as much as Room has.
+	Model string
+	Rate  float64
 }
 
 // Room is what the engines of a service can do for some samples.
@@ -33,15 +37,35 @@
 // there: their places but for those that others have.
 func RoomOf(engines []Engine, own map[string]int) Room {
 	room := Room{Pace: medianPace(engines)}
+	for i := range engines {
+		room.Free += max(0, engines[i].Slots-engines[i].Load)
+		room.Rate += room.rateOf(&engines[i], own)
+	}
+	return room
+}
+
+// rateOf is an engine's part of the rate.
+func (r Room) rateOf(e *Engine, own map[string]int) float64 {
+	pace := cmp.Or(e.Pace, r.Pace)
+	if pace == 0 {
+		return 0
+	}
+	return float64(max(0, e.Slots-e.Load)+own[e.ID]) / pace
+}
+
+// RateFor is the part of the rate that a step of a model can use, whose oldest
+// usable version is floor. An engine one version behind the floor, or that loads,
+// counts: it is about to serve. One that is further behind does not follow the model.
+func (r Room) RateFor(engines []Engine, own map[string]int, model string, floor uint64) float64 {
+	rate := 0.0
 	for i := range engines {
 		e := &engines[i]
-		free := max(0, e.Slots-e.Load)
-		room.Free += free
-		if pace := cmp.Or(e.Pace, room.Pace); pace > 0 {
-			room.Rate += float64(free+own[e.ID]) / pace
+		version, serves := e.Versions[model]
+		if serves && version+1 >= floor || e.Loading[model] >= floor {
+			rate += r.rateOf(e, own)
 		}
 	}
-	return room
+	return rate
 }
 
 // Limits of Order. Their source is the replay of trainers that ask for 2.2 to 4
@@ -185,7 +209,9 @@
 
 // chooser finds the groups that can be made in time: as many as possible, by the
 // method of Moore and Hodgson for the fewest late jobs on one machine. All places
-// together are taken for one machine of their rate.
+// together are taken for one machine of their rate, and those of the engines that
+// have a model fresh for another that makes this model's steps alone: where loads
+// of weights take long only some engines follow each model.
 type chooser struct {
 	steps []Step
 	room  Room
@@ -195,10 +221,12 @@
 	place  []int
 	work   []float64
 	chosen []*group
+	// byModel sums the work of each model while steps are looked at.
+	byModel map[string]float64
 }
 
 func newChooser(steps []Step, room Room) *chooser {
-	c := &chooser{steps: steps, room: room, place: make([]int, len(steps)), work: make([]float64, len(steps))}
+	c := &chooser{steps: steps, room: room, place: make([]int, len(steps)), work: make([]float64, len(steps)), byModel: map[string]float64{}}
 	for i := range steps {
 		c.order = append(c.order, i)
 	}
@@ -217,8 +245,12 @@
 			continue
 		}
 		c.add(g)
-		for place := c.overloaded(); place >= 0; place = c.overloaded() {
-			c.putOut(place)
+		for {
+			place, model := c.overloaded()
+			if place < 0 {
+				break
+			}
+			c.putOut(place, model)
 		}
 	}
 	for _, g := range groups {
@@ -226,7 +258,7 @@
 			continue
 		}
 		c.work[g.step] += g.work
-		if c.overloaded() < 0 {
+		if place, _ := c.overloaded(); place < 0 {
 			g.class = timely
 			continue
 		}
@@ -246,25 +278,37 @@
 }
 
 // overloaded returns the place of the first step that can't be in time with all
-// that is chosen of it and of those before; -1: there is none.
-func (c *chooser) overloaded() int {
+// that is chosen of it and of those before, and the model whose engines are too
+// few; anyModel: all of them are. A place of -1: there is none.
+func (c *chooser) overloaded() (place int, model string) {
 	total := 0.0
+	clear(c.byModel)
 	for place, i := range c.order {
+		s := &c.steps[i]
 		total += c.work[i]
-		if c.work[i] > 0 && total > usable*c.room.Rate*c.steps[i].Due {
-			return place
+		c.byModel[s.Model] += c.work[i]
+		switch {
+		case c.work[i] == 0:
+		case total > usable*c.room.Rate*s.Due:
+			return place, anyModel
+		case s.Rate > 0 && c.byModel[s.Model] > usable*s.Rate*s.Due:
+			return place, s.Model
 		}
 	}
-	return -1
+	return -1, anyModel
 }
 
-// putOut takes the group with the most work of the steps up to a place out. Those
-// that were handed in again stay the longest: their trainer can't do without them,
-// and put out in each step they would be left for ever.
-func (c *chooser) putOut(place int) {
+// anyModel stands for the steps of all models.
+const anyModel = ""
+
+// putOut takes the group with the most work of a model's steps up to a place out.
+// Those that were handed in again stay the longest: their trainer can't do without
+// them, and put out in each step they would be left for ever.
+func (c *chooser) putOut(place int, model string) {
 	most := -1
 	for k, g := range c.chosen {
-		if c.place[g.step] <= place && (most < 0 || c.before(g, c.chosen[most])) {
+		step := &c.steps[g.step]
+		if c.place[g.step] <= place && (model == anyModel || model == step.Model) && (most < 0 || c.before(g, c.chosen[most])) {
 			most = k
 		}
 	}
--- a/decide/place/place.go
+++ b/decide/place/place.go
@@ -22,6 +22,9 @@
 	// Versions holds the weight version of each model that may be used now. A
 	// model whose weights are being loaded is not in it.
 	Versions map[string]uint64
+	// Loading holds the version of each model that is being loaded; it is not in
+	// Versions.
+	Loading map[string]uint64
 }
 
 // Sample is one sample that wants an engine.
--- a/decide/place/replay_test.go
+++ b/decide/place/replay_test.go
@@ -366,7 +366,16 @@
 	engines := r.describe()
 	steps, all, of := r.waiting()
 	if !r.byAge {
-		Order(steps, all, Room{Rate: float64(r.slots*len(r.engines)) / r.pace, Pace: r.pace})
+		own := map[string]int{}
+		for _, e := range engines {
+			own[e.ID] = e.Load
+		}
+		room := RoomOf(engines, own)
+		open := r.open()
+		for i := range steps {
+			steps[i].Rate = room.RateFor(engines, own, steps[i].Model, floor(open[i].number))
+		}
+		Order(steps, all, room)
 	}
 	var samples []Sample
 	var queue []*replaySample
@@ -395,7 +404,10 @@
 	for i, e := range r.engines {
 		engines[i] = Engine{ID: r.fleet.Engines[i], Slots: r.slots, Load: len(e.running), Pace: r.pace, Versions: map[string]uint64{}}
 		for m, model := range r.fleet.Models {
-			if e.loading != m && r.serves[i][m] {
+			switch {
+			case e.loading == m:
+				engines[i].Loading = map[string]uint64{model: e.target}
+			case r.serves[i][m]:
 				engines[i].Versions[model] = e.versions[m]
 			}
 		}
@@ -403,15 +415,23 @@
 	return engines
 }
 
+// open are the steps that their trainers have not ended.
+func (r *replay) open() []*replayStep {
+	var open []*replayStep
+	for _, st := range r.steps {
+		if !st.ended {
+			open = append(open, st)
+		}
+	}
+	return open
+}
+
 // waiting describes the open steps and their samples, running ones included.
 func (r *replay) waiting() ([]Step, []Sample, []*replaySample) {
 	var steps []Step
 	var samples []Sample
 	var of []*replaySample
-	for _, st := range r.steps {
-		if st.ended {
-			continue
-		}
+	for _, st := range r.open() {
 		for _, g := range st.groups {
 			for _, s := range g.samples {
 				if !s.done() {
@@ -419,7 +439,7 @@
 				}
 			}
 		}
-		steps = append(steps, Step{Turn: int(st.asked / 2), Due: st.asked + r.due - r.now, Need: max(0, st.target-len(st.listed))})
+		steps = append(steps, Step{Turn: int(st.asked / 2), Due: st.asked + r.due - r.now, Need: max(0, st.target-len(st.listed)), Model: r.fleet.Models[st.trainer]})
 	}
 	return steps, samples, of
 }
--- a/gateway/jobs/order.go
+++ b/gateway/jobs/order.go
@@ -46,7 +46,8 @@
 // order ranks the samples of a service by what can be made in time, where it is
 // known what that is. Until then older jobs go first.
 func (r *Runner) order(works []*work, samples []place.Sample, engines []place.Engine, now time.Time) {
-	room := place.RoomOf(engines, ownLoad(works))
+	own := ownLoad(works)
+	room := place.RoomOf(engines, own)
 	if room.Free == 0 || room.Rate == 0 {
 		return
 	}
@@ -60,7 +61,10 @@
 		if !known {
 			step = len(steps)
 			at[w.job.ID] = step
-			steps = append(steps, r.step(w.job, now))
+			s := r.step(w.job, now)
+			s.Model = w.model()
+			s.Rate = room.RateFor(engines, own, s.Model, w.job.MinVersion)
+			steps = append(steps, s)
 		}
 		samples[i].Step = step
 		samples[i].Group, samples[i].Must = groupOf(w)
--- a/gateway/jobs/placing.go
+++ b/gateway/jobs/placing.go
@@ -169,9 +169,9 @@
 			continue
 		}
 		usable[s.ID] = s
-		out = append(out, place.Engine{
-			ID: s.ID, Slots: s.Slots, Load: own[s.ID] + others[s.ID], Pace: r.pace[s.ID], Versions: r.versions(s, now),
-		})
+		e := place.Engine{ID: s.ID, Slots: s.Slots, Load: own[s.ID] + others[s.ID], Pace: r.pace[s.ID]}
+		e.Versions, e.Loading = r.versions(s, now)
+		out = append(out, e)
 	}
 	return out, usable
 }
@@ -194,10 +194,10 @@
 }
 
 // versions returns the weight versions that a server can be used with now: the
-// newest that it, its agent or its answers told of, without models that are
-// being loaded. book.mu is held.
-func (r *Runner) versions(s members.Server, now time.Time) map[string]uint64 {
-	versions := maps.Clone(s.Versions)
+// newest that it, its agent or its answers told of; and apart those that are being
+// loaded. book.mu is held.
+func (r *Runner) versions(s members.Server, now time.Time) (versions, loading map[string]uint64) {
+	versions, loading = maps.Clone(s.Versions), map[string]uint64{}
 	if versions == nil {
 		versions = map[string]uint64{}
 	}
@@ -210,11 +210,12 @@
 		}
 		if word.Loading && now.Sub(r.book.engineAt[key]) < loadingMost {
 			delete(versions, model)
+			loading[model] = word.Version
 			continue
 		}
 		if !word.Loading {
 			versions[model] = max(versions[model], word.Version)
 		}
 	}
-	return versions
+	return versions, loading
 }
