gateway/front: a stale configuration is no reason for 404

An entry whose last word from the operator's feed is older than 1.4 s (the wait of a read, twice) answers 503 with when to come back. The lag itself is not mended: 10,000 servers' lists for 1,000 processes are more than the store gives (docs/CAPACITY.md). TestNoRouteIsSaidOnlyOfANewConfiguration failed before (404 throughout the outage).

--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -111,6 +111,9 @@
 		return f.jobCall(w, r, call)
 	}
 	route := snap.Table.Match(r.Host, r.URL.Path)
+	if route == nil && !f.View.Sure() {
+		return 0, held.Refuse(kinds.NotReady, "no route in version %d, which may not be the newest", snap.Table.Version)
+	}
 	if route == nil {
 		return 0, held.Refuse(kinds.NotFound, "no route in version %d", snap.Table.Version)
 	}
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -104,6 +104,27 @@
 	require.NotEmpty(t, resp.Header.Get("Retry-After"))
 }
 
+// The store has been away, or this entry fell behind: the operator may have added a
+// route meanwhile. Its callers would be refused for good with 404; they are told to
+// come back. Once the store is back, 404 is true again.
+func TestNoRouteIsSaidOnlyOfANewConfiguration(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 1)
+	_, url := newFront(t, pf)
+	status := func() int {
+		resp, _ := send(t, "GET", url+"/nowhere/", attempt("r"), nil)
+		if resp.StatusCode == 503 {
+			require.Equal(t, "1", resp.Header.Get(hostedtest.HeaderNotExecuted))
+			require.NotEmpty(t, resp.Header.Get("Retry-After"))
+		}
+		return resp.StatusCode
+	}
+	require.Equal(t, 404, status())
+	pf.Store.Fail(hostedtest.StoreFaults{Down: true})
+	require.Eventually(t, func() bool { return status() == 503 }, gatewaytest.Wait, 10*time.Millisecond)
+	pf.Store.Fail(hostedtest.StoreFaults{})
+	require.Eventually(t, func() bool { return status() == 404 }, gatewaytest.Wait, 10*time.Millisecond)
+}
+
 // A request that no server answers gets its final answer when its time is up,
 // and one that may have run is not called "not run".
 func TestDeadlineIsAnswered(t *testing.T) {
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -88,6 +88,11 @@
 	now   func() time.Time
 	bad   badRecords
 
+	// operatorAsOf is when the last read of the operator's feed that succeeded was
+	// sent, in nanoseconds since the start; 0: none has.
+	operatorAsOf atomic.Int64
+	started      time.Time
+
 	current atomic.Pointer[Snapshot]
 	mu      sync.Mutex // guards set and the making of snapshots
 	set     *members.Set
@@ -95,7 +100,7 @@
 
 // New returns a view that knows nothing yet.
 func New(feeds platform.Feeds, log *zap.Logger) *View {
-	v := &View{feeds: feeds, log: log, now: time.Now, set: members.New(members.DefaultReturn)}
+	v := &View{feeds: feeds, log: log, now: time.Now, started: time.Now(), set: members.New(members.DefaultReturn)}
 	v.current.Store(&Snapshot{Servers: map[string][]members.Server{}, Versions: map[string]uint64{}})
 	return v
 }
@@ -103,6 +108,26 @@
 // Now returns the current snapshot.
 func (v *View) Now() *Snapshot { return v.current.Load() }
 
+// sureFor is how old the last word of the operator's feed may be for this process to
+// say that a route does not exist: a read that waits, and as much again for a slow
+// store. Configurations have to be in force within 2 s of their acknowledgement.
+const sureFor = 2 * pollWait
+
+// Sure tells whether the configuration is as new as it has to be to refuse a request
+// for a route that it lacks. A process that falls behind an overloaded store, or is
+// cut off from it, would refuse callers of routes that were added meanwhile for good.
+func (v *View) Sure() bool {
+	asOf := v.operatorAsOf.Load()
+	return asOf > 0 && v.now().Sub(v.started)-time.Duration(asOf) <= sureFor
+}
+
+// heard notes that all is applied that a feed told in a read that was sent at a time.
+func (v *View) heard(feed platform.Feed, sent time.Time) {
+	if feed == platform.FeedOperator {
+		v.operatorAsOf.Store(int64(max(1, sent.Sub(v.started))))
+	}
+}
+
 // Run follows both feeds until ctx ends.
 func (v *View) Run(ctx context.Context) {
 	var loops sync.WaitGroup
@@ -147,6 +172,7 @@
 		f.known = true
 		f.succeeded()
 		v.replace(feed, changes)
+		v.heard(feed, begun)
 		f.tail(ctx, next, renewAfter(v.now().Sub(begun)))
 	}
 }
@@ -172,6 +198,7 @@
 		}
 		f.succeeded()
 		f.v.apply(f.feed, changes)
+		f.v.heard(f.feed, sent)
 		next = end
 		if f.v.Pace != nil {
 			sleep.For(ctx, f.v.Pace()-f.v.now().Sub(sent))
