decide/place: a silent stream is waited for as long as streams are usually silent

Hypothesis: the limits of 0.5 and 0.35 s fit engines with an event in 40 ms; where all engines are slower, streams that make progress are cut and read their prompts again. Also: an agent logs when its engine begins or ceases to follow a model.

--- /dev/null
+++ b/decide/place/silence.go
@@ -0,0 +1,73 @@
+package place
+
+import "time"
+
+// Silence decides when a silent stream is given up, by what streams have shown. It
+// answers two loads: an engine that went dark, which has to be left at once, and
+// engines that are slow, each event of which takes longer than any fixed limit:
+// with events of 0.4 s a limit of 0.35 s cut two streams a sample, each of which read
+// its prompt again. Its zero value knows nothing. It is not safe for concurrent use.
+type Silence struct {
+	// first and next estimate how long streams take to their first event and from
+	// one event to the next, in seconds, over all engines.
+	first, next estimate
+}
+
+// Limits of silence.
+const (
+	// firstLeast and nextLeast are what a stream may be silent for in any case
+	// before and behind its first event: an event of a usual engine takes about
+	// 40 ms, the first some more, and going on elsewhere costs one reading of the
+	// prompt.
+	firstLeast = 500 * time.Millisecond
+	nextLeast  = 350 * time.Millisecond
+	// patience is how many times the usual gap a stream may be silent for: gaps of
+	// a full engine that reads long prompts are about twice the usual one.
+	patience = 3
+	// silenceWeight is the weight of the newest gap, a few hundred samples'.
+	silenceWeight = 0.02
+	// cutWeight is the weight of a silence that was cut: it was longer than what
+	// was seen, and where all engines are slow nothing else would ever raise the
+	// limit. The streams of one dark engine raise it by a fifth.
+	cutWeight = 0.03
+)
+
+// First notes how long a stream took to its first event.
+func (s *Silence) First(gap time.Duration) { s.first.add(gap.Seconds(), silenceWeight) }
+
+// Next notes the time between two events of a stream.
+func (s *Silence) Next(gap time.Duration) { s.next.add(gap.Seconds(), silenceWeight) }
+
+// Cut notes that a stream was given up after a silence; first: before its first event.
+func (s *Silence) Cut(silent time.Duration, first bool) {
+	if first {
+		s.first.add(silent.Seconds(), cutWeight)
+		return
+	}
+	s.next.add(silent.Seconds(), cutWeight)
+}
+
+// FirstLimit is how long a stream may be silent before its first event.
+func (s *Silence) FirstLimit() time.Duration { return limit(firstLeast, s.first.mean) }
+
+// NextLimit is how long a stream may be silent behind an event. It goes by all
+// engines together: one that is much slower than the others is to be left.
+func (s *Silence) NextLimit() time.Duration { return limit(nextLeast, s.next.mean) }
+
+func limit(least time.Duration, gap float64) time.Duration {
+	return max(least, time.Duration(patience*gap*float64(time.Second)))
+}
+
+// estimate is a mean in which the past fades.
+type estimate struct {
+	mean  float64
+	known bool
+}
+
+func (e *estimate) add(value, weight float64) {
+	if !e.known {
+		e.mean, e.known = value, true
+		return
+	}
+	e.mean += weight * (value - e.mean)
+}
--- /dev/null
+++ b/decide/place/silence_test.go
@@ -0,0 +1,59 @@
+package place
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Streams of usual engines: one that goes dark is left after the least limit, and a
+// few dark ones change nothing.
+func TestDarkEngineIsLeftAtOnce(t *testing.T) {
+	var s Silence
+	require.Equal(t, firstLeast, s.FirstLimit(), "nothing is known")
+	require.Equal(t, nextLeast, s.NextLimit())
+	for range 200 {
+		s.First(60 * time.Millisecond)
+		s.Next(37 * time.Millisecond)
+	}
+	for range 8 {
+		s.Cut(nextLeast, false)
+	}
+	require.Less(t, s.NextLimit(), 450*time.Millisecond)
+	require.Equal(t, firstLeast, s.FirstLimit())
+}
+
+// All engines take longer for an event than a stream may be silent for at first. Cut
+// off each time, no sample would ever be whole; the limits rise until streams go on,
+// within two rounds of some seventy streams.
+func TestSlowEnginesAreWaitedFor(t *testing.T) {
+	const event, begin = 900 * time.Millisecond, 1500 * time.Millisecond
+	var s Silence
+	cuts := 0
+	for s.FirstLimit() < begin || s.NextLimit() < event {
+		if limit := s.FirstLimit(); limit < begin {
+			s.Cut(limit, true)
+		}
+		if limit := s.NextLimit(); limit < event {
+			s.Cut(limit, false)
+		}
+		cuts++
+		require.Less(t, cuts, 140)
+	}
+}
+
+// Two of nine engines are three and a half times slower than the others. Streams there
+// that pause for long still go on elsewhere.
+func TestSlowEngineIsLeft(t *testing.T) {
+	var s Silence
+	for range 100 {
+		for range 2 * 7 {
+			s.Next(37 * time.Millisecond)
+		}
+		for range 2 {
+			s.Next(130 * time.Millisecond)
+		}
+		require.Equal(t, nextLeast, s.NextLimit())
+	}
+}
--- a/gateway/jobs/placing.go
+++ b/gateway/jobs/placing.go
@@ -22,16 +22,17 @@
 			if w.phase != running {
 				continue
 			}
-			silent, limit := now.Sub(w.lastEvent), silentNext
-			if w.streamed == 0 {
-				limit = silentFirst
+			silent, first, limit := now.Sub(w.lastEvent), w.streamed == 0, r.silence.NextLimit()
+			if first {
+				limit = r.silence.FirstLimit()
 			}
 			if silent < limit {
 				continue
 			}
 			streamsSilent.Add(1)
+			r.silence.Cut(silent, first)
 			r.zlog.Info("Sample leaves a silent engine.", zap.String("id", w.item.ID), zap.String("job", w.job.ID),
-				zap.String("server", w.server), zap.Duration("silent", silent), zap.Int("events", len(w.events)))
+				zap.String("server", w.server), zap.Duration("silent", silent), zap.Duration("limit", limit), zap.Int("events", len(w.events)))
 			r.requeue(w, avoidSilent, now)
 		}
 	}
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -18,11 +18,6 @@
 // Times of the owner.
 const (
 	planEvery = 40 * time.Millisecond
-	// silentFirst and silentNext are how long a stream may be silent before it
-	// goes on at another engine. An event takes about 40 ms and its first one
-	// some milliseconds more; going on costs one reading of the prompt.
-	silentFirst = 500 * time.Millisecond
-	silentNext  = 350 * time.Millisecond
 	// avoidSilent, avoidFull and avoidFailed are how long an item stays away
 	// from an engine that was silent, had no room, or failed it.
 	avoidSilent = 1500 * time.Millisecond
@@ -89,7 +84,8 @@
 	dropped  map[string]carried          // texts of items whose job was ended, by item
 	pace     map[string]float64          // seconds an event, by engine
 	lengths  map[string]*place.Lengths   // events of a text, by model
-	observed map[jobs.EngineKey]uint64   // versions as answers told them
+	silence  place.Silence
+	observed map[jobs.EngineKey]uint64 // versions as answers told them
 	// denied is when an answer showed older weights than an engine was thought to
 	// have: a word of before is no longer believed.
 	denied   map[jobs.EngineKey]time.Time
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -191,9 +191,11 @@
 	}
 	now := time.Now()
 	delete(r.refusals, s.server)
-	if w.streamed > 0 {
-		r.measure(w.server, now.Sub(w.lastEvent))
+	if gap := now.Sub(w.lastEvent); w.streamed > 0 {
+		r.measure(w.server, gap)
+		r.silence.Next(gap)
 	} else {
+		r.silence.First(gap)
 		r.observed[jobs.EngineKey{Server: s.server, Model: w.model()}] = e.Version
 	}
 	w.streamed++
--- a/gateway/orders/orders.go
+++ b/gateway/orders/orders.go
@@ -69,6 +69,8 @@
 	log   *zap.Logger
 	named map[string]time.Time // when each model's newest version was seen
 	seen  map[string]uint64
+	// follows tells which models the engine follows.
+	follows map[string]bool
 	// listed: an engine is listed with the model's newest version.
 	listed map[string]bool
 	// loadTime and cadence (by model) are what loads are planned by.
@@ -85,7 +87,7 @@
 
 // New returns an agent.
 func New(cfg Config) *Agent {
-	return &Agent{cfg: cfg, log: cfg.Logger, named: map[string]time.Time{}, seen: map[string]uint64{}, listed: map[string]bool{}, cadence: map[string]*loads.Cadence{}, told: map[jobs.EngineKey]jobs.Engine{}, parity: map[jobs.EngineKey]loads.Parity{}}
+	return &Agent{cfg: cfg, log: cfg.Logger, named: map[string]time.Time{}, seen: map[string]uint64{}, listed: map[string]bool{}, follows: map[string]bool{}, cadence: map[string]*loads.Cadence{}, told: map[jobs.EngineKey]jobs.Engine{}, parity: map[jobs.EngineKey]loads.Parity{}}
 }
 
 // Run orders the engine until ctx ends.
@@ -227,6 +229,7 @@
 		if c := a.cadence[model]; c != nil {
 			fleet.Every = c.Every()
 		}
+		a.noteFollowing(fleet, self.ID, model)
 		want := fleet.Choose(self.ID, report.Versions[model], model, snap.Versions[model], a.parityOf(fleet, self.ID, model))
 		if want == nil {
 			continue
@@ -239,6 +242,18 @@
 	return chosen
 }
 
+// noteFollowing logs when the engine begins to follow a model's versions, or leaves
+// them to others.
+func (a *Agent) noteFollowing(fleet loads.Fleet, server, model string) {
+	follows := fleet.Serves(server, model)
+	if before, known := a.follows[model]; known && before == follows {
+		return
+	}
+	a.follows[model] = follows
+	a.log.Info("Engine's part in a model.", zap.String("server", server), zap.String("model", model), zap.Bool("follows", follows),
+		zap.Int("engines", len(fleet.Engines)), zap.Int("models", len(fleet.Models)), zap.Duration("load_time", fleet.Took), zap.Duration("every", fleet.Every))
+}
+
 // parityOf returns the parity that the engine got when a version of the model
 // was first named.
 func (a *Agent) parityOf(fleet loads.Fleet, server, model string) loads.Parity {
