--- a/decide/loads/estimate.go
+++ b/decide/loads/estimate.go
@@ -77,5 +77,10 @@
 	c.last = now
 }
 
-// Every returns the estimate; 0: not known.
-func (c *Cadence) Every() time.Duration { return c.every }
+// Every returns the estimate; 0: not known, as for no cadence at all.
+func (c *Cadence) Every() time.Duration {
+	if c == nil {
+		return 0
+	}
+	return c.every
+}
--- a/gateway/orders/orders.go
+++ b/gateway/orders/orders.go
@@ -87,7 +87,11 @@
 
 // New returns an agent.
 func New(cfg Config) *Agent {
-	return &Agent{cfg: cfg, log: cfg.Logger, named: map[string]time.Time{}, seen: map[string]uint64{}, listed: map[string]bool{}, follows: map[string]bool{}, cadence: map[string]*loads.Cadence{}, told: map[jobs.EngineKey]jobs.Engine{}, parity: map[jobs.EngineKey]loads.Parity{}}
+	return &Agent{
+		cfg: cfg, log: cfg.Logger,
+		named: map[string]time.Time{}, seen: map[string]uint64{}, listed: map[string]bool{}, cadence: map[string]*loads.Cadence{},
+		follows: map[string]bool{}, told: map[jobs.EngineKey]jobs.Engine{}, parity: map[jobs.EngineKey]loads.Parity{},
+	}
 }
 
 // Run orders the engine until ctx ends.
@@ -226,9 +230,7 @@
 		if snap.Versions[model] == 0 {
 			continue
 		}
-		if c := a.cadence[model]; c != nil {
-			fleet.Every = c.Every()
-		}
+		fleet.Every = a.cadence[model].Every()
 		a.noteFollowing(fleet, self.ID, model)
 		want := fleet.Choose(self.ID, report.Versions[model], model, snap.Versions[model], a.parityOf(fleet, self.ID, model))
 		if want == nil {
