decide/place: models are numbered while groups are chosen

A map of the work by model was cleared and filled for each group that is weighed; the replay of few engines took 10 s (CPU of the test, beside load), 3 s now. Behaviour unchanged.

--- a/decide/place/order.go
+++ b/decide/place/order.go
@@ -221,15 +221,25 @@
 	place  []int
 	work   []float64
 	chosen []*group
-	// byModel sums the work of each model while steps are looked at.
-	byModel map[string]float64
+	// model holds the number of each step's model, byModel sums the work of each
+	// while steps are looked at.
+	model   []int
+	byModel []float64
 }
 
 func newChooser(steps []Step, room Room) *chooser {
-	c := &chooser{steps: steps, room: room, place: make([]int, len(steps)), work: make([]float64, len(steps)), byModel: map[string]float64{}}
+	c := &chooser{steps: steps, room: room, place: make([]int, len(steps)), work: make([]float64, len(steps)), model: make([]int, len(steps))}
+	numbers := map[string]int{}
 	for i := range steps {
 		c.order = append(c.order, i)
+		number, known := numbers[steps[i].Model]
+		if !known {
+			number = len(numbers)
+			numbers[steps[i].Model] = number
+		}
+		c.model[i] = number
 	}
+	c.byModel = make([]float64, len(numbers))
 	slices.SortStableFunc(c.order, func(a, b int) int { return cmp.Compare(steps[a].Due, steps[b].Due) })
 	for place, i := range c.order {
 		c.place[i] = place
@@ -280,35 +290,35 @@
 // overloaded returns the place of the first step that can't be in time with all
 // that is chosen of it and of those before, and the model whose engines are too
 // few; anyModel: all of them are. A place of -1: there is none.
-func (c *chooser) overloaded() (place int, model string) {
+func (c *chooser) overloaded() (place, model int) {
 	total := 0.0
 	clear(c.byModel)
 	for place, i := range c.order {
 		s := &c.steps[i]
 		total += c.work[i]
-		c.byModel[s.Model] += c.work[i]
+		model := c.model[i]
+		c.byModel[model] += c.work[i]
 		switch {
 		case c.work[i] == 0:
 		case total > usable*c.room.Rate*s.Due:
 			return place, anyModel
-		case s.Rate > 0 && c.byModel[s.Model] > usable*s.Rate*s.Due:
-			return place, s.Model
+		case s.Rate > 0 && c.byModel[model] > usable*s.Rate*s.Due:
+			return place, model
 		}
 	}
 	return -1, anyModel
 }
 
 // anyModel stands for the steps of all models.
-const anyModel = ""
+const anyModel = -1
 
 // putOut takes the group with the most work of a model's steps up to a place out.
 // Those that were handed in again stay the longest: their trainer can't do without
 // them, and put out in each step they would be left for ever.
-func (c *chooser) putOut(place int, model string) {
+func (c *chooser) putOut(place, model int) {
 	most := -1
 	for k, g := range c.chosen {
-		step := &c.steps[g.step]
-		if c.place[g.step] <= place && (model == anyModel || model == step.Model) && (most < 0 || c.before(g, c.chosen[most])) {
+		if c.place[g.step] <= place && (model == anyModel || model == c.model[g.step]) && (most < 0 || c.before(g, c.chosen[most])) {
 			most = k
 		}
 	}
