--- a/gateway/jobs/jobs_test.go
+++ b/gateway/jobs/jobs_test.go
@@ -295,11 +295,9 @@
 	}
 }
 
-// A route wants each sample made by one weight version. Its engine loads the
-// next version in the middle, and another engine breaks streams off: a sample
-// goes on only with the version that began it, or begins anew.
-func TestSingleVersionSamplesAreNeverMixed(t *testing.T) {
-	t.Parallel()
+// singleVersionPlatform has two engines and a route, in force with configuration 2,
+// that wants each sample made by one weight version.
+func singleVersionPlatform(t testing.TB) *gatewaytest.Platform {
 	pf := gatewaytest.NewPlatform(t, 2, 1)
 	config := hostedtest.Config(2)
 	config["routes"].([]map[string]any)[0][hostedtest.FieldSingleVersion] = true
@@ -307,15 +305,29 @@
 	for _, e := range pf.Engines {
 		e.Pace, e.Events = 5*time.Millisecond, 200
 	}
+	return pf
+}
+
+// loadSecond orders an engine to load version 2 of m while its streams go on.
+func loadSecond(t testing.TB, engine *hostedtest.Server) {
+	client := hosted.NewEngineClient(engine.Addr())
+	outcome, err := client.Order(t.Context(), hosted.LoadOrder{Server: engine.ID, Model: "m", Version: 2, Mode: hosted.LoadRetain, Holder: "test", Fence: 1})
+	require.NoError(t, err)
+	require.Equal(t, hosted.OrderTaken, outcome)
+}
+
+// A route wants each sample made by one weight version. Its engine loads the
+// next version in the middle, and another engine breaks streams off: a sample
+// goes on only with the version that began it, or begins anew.
+func TestSingleVersionSamplesAreNeverMixed(t *testing.T) {
+	t.Parallel()
+	pf := singleVersionPlatform(t)
 	a := newEntry(t, pf, "a")
 	require.Eventually(t, func() bool { return a.View.Now().Table.Version == 2 }, gatewaytest.Wait, time.Millisecond)
 	a.submit(t, "j", 8, 1)
 	require.Eventually(t, func() bool { return noted(pf, "j") >= 12 }, gatewaytest.Wait, time.Millisecond)
 	pf.Engines[1].Fail(hostedtest.ServerFaults{BreakAfter: 1})
-	client := hosted.NewEngineClient(pf.Engines[0].Addr())
-	outcome, err := client.Order(t.Context(), hosted.LoadOrder{Server: "e0", Model: "m", Version: 2, Mode: hosted.LoadRetain, Holder: "test", Fence: 1})
-	require.NoError(t, err)
-	require.Equal(t, hosted.OrderTaken, outcome)
+	loadSecond(t, pf.Engines[0])
 	results := a.results(t, "j", 8)
 	requireWhole(t, results, 200)
 	for _, r := range results {
@@ -329,23 +341,14 @@
 // dropped the texts, and each crept on by an event in 0.4 s.
 func TestSampleIsNotKeptByAnEngineThatBreaks(t *testing.T) {
 	t.Parallel()
-	pf := gatewaytest.NewPlatform(t, 2, 1)
-	config := hostedtest.Config(2)
-	config["routes"].([]map[string]any)[0][hostedtest.FieldSingleVersion] = true
-	pf.Store.Put(hostedtest.TopicOperator, "config", config)
-	for _, e := range pf.Engines {
-		e.Pace, e.Events = 5*time.Millisecond, 200
-	}
+	pf := singleVersionPlatform(t)
 	pf.Engines[0].Fail(hostedtest.ServerFaults{Refuse: true})
 	pf.Engines[1].Fail(hostedtest.ServerFaults{BreakAfter: 1})
 	a := newEntry(t, pf, "a")
 	require.Eventually(t, func() bool { return a.View.Now().Table.Version == 2 }, gatewaytest.Wait, time.Millisecond)
 	a.submit(t, "j", 4, 1)
 	require.Eventually(t, func() bool { return noted(pf, "j") >= 4 }, gatewaytest.Wait, time.Millisecond)
-	client := hosted.NewEngineClient(pf.Engines[0].Addr())
-	outcome, err := client.Order(t.Context(), hosted.LoadOrder{Server: "e0", Model: "m", Version: 2, Mode: hosted.LoadRetain, Holder: "test", Fence: 1})
-	require.NoError(t, err)
-	require.Equal(t, hosted.OrderTaken, outcome)
+	loadSecond(t, pf.Engines[0])
 	require.Eventually(t, func() bool {
 		pf.Register(pf.Engines[0], "ready")
 		return a.knows("e0", 2)
