gateway/jobs: reads of the log are as large as it can bear beside all others'

Cause of the collapse after a loss of power on the large site: each of 133 gateways reads the past with up to 1 MB a call and gives up after 1.4 s, that is 95 MB/s of a log that gives 80 beside all else. Answers leave after their readers have hung up, all ask again, and it never thins out: 7 of 133 read the log's end within 1.4 s, nobody in the 43 s after. Questions about jobs a process does not know read another megabyte just to learn the log's end, texts of results 256 KB each, eight times what is of use.

The log's end costs 1 KB; texts are asked from their writers many at a call, and read from the log side by side.

--- a/gateway/jobs/api.go
+++ b/gateway/jobs/api.go
@@ -351,26 +351,25 @@
 	if err := s.known(ctx, job); err != nil {
 		return nil, err
 	}
-	head, at, ok := s.standsAt(job, item)
+	at, ok := s.standsAt(job, item)
 	if !ok {
 		return nil, kinds.Hold().Refuse(kinds.NotFound, "no item %q in batch job %q", item, job)
 	}
-	texts, err := readTexts(ctx, s.log, &head, at, false)
+	found, err := readItem(ctx, s.book.log, job, item, at)
 	if err != nil {
 		s.zlog.Warn("A body can't be read.", zap.String("job", job), zap.String("id", item), zap.Error(err))
 		return nil, kinds.Hold().Refuse(kinds.LogUnavailable, "the bodies can't be read now").WithRetryAfter(comeBack)
 	}
-	found, _ := texts.Item(item)
 	return found.Body, nil
 }
 
 // standsAt tells where the items of a job stand that was not ended and has one.
-func (s *Service) standsAt(job, item string) (jobs.Head, jobs.TextRef, bool) {
+func (s *Service) standsAt(job, item string) (jobs.TextRef, bool) {
 	s.book.mu.Lock()
 	defer s.book.mu.Unlock()
 	j := s.book.state.Jobs[job]
 	if j == nil || j.Ended || j.Items[item] == nil {
-		return jobs.Head{}, jobs.TextRef{}, false
+		return jobs.TextRef{}, false
 	}
-	return j.Head, j.At, true
+	return j.At, true
 }
--- a/gateway/jobs/book.go
+++ b/gateway/jobs/book.go
@@ -28,6 +28,10 @@
 	// well that this process is up to date.
 	tailWait  = 500 * time.Millisecond
 	tailRetry = 60 * time.Millisecond
+	// tailRetryMost is how far apart reads come to lie that go on failing: a log that
+	// is back after an outage is found within it, and hundreds of processes do not
+	// keep it busy with what they ask in vain.
+	tailRetryMost = 400 * time.Millisecond
 	// freshFor is how long after an answer of the log this process still
 	// counts as up to date.
 	freshFor = tailWait + 700*time.Millisecond
@@ -59,7 +63,7 @@
 	// pace is the least time between two reads of the log.
 	pace func() time.Duration
 
-	log  Log
+	log  *reader
 	zlog *zap.Logger
 
 	mu    sync.Mutex
@@ -85,7 +89,11 @@
 
 // NewBook returns a book that has read nothing.
 func NewBook(log Log, zlog *zap.Logger) *Book {
-	return &Book{Texts: newLibrary(log), pace: func() time.Duration { return 0 }, log: log, zlog: zlog, state: jobs.New(), heard: map[jobs.Writer]time.Time{}, engineAt: map[jobs.EngineKey]time.Time{}, arrived: map[string]time.Time{}}
+	reader := newReader(log)
+	return &Book{
+		Texts: newLibrary(reader), pace: func() time.Duration { return 0 }, log: reader, zlog: zlog, state: jobs.New(),
+		heard: map[jobs.Writer]time.Time{}, engineAt: map[jobs.EngineKey]time.Time{}, arrived: map[string]time.Time{},
+	}
 }
 
 // tailShare is the part of the store's reads that following the log may take in
@@ -110,16 +118,17 @@
 // Run follows the log until ctx ends.
 func (b *Book) Run(ctx context.Context) {
 	lost := false
+	retry := tailRetry
 	forget := time.Now().Add(forgetEvery)
 	for ctx.Err() == nil {
 		sent := time.Now()
-		page, err := b.log.Read(ctx, Stream, b.next, 0, tailWait)
+		page, err := b.log.read(ctx, Stream, b.next, tailWait)
 		switch {
 		case err == nil:
 			if lost {
 				b.zlog.Info("The log is back.", zap.Uint64("offset", b.next))
 			}
-			lost = false
+			lost, retry = false, tailRetry
 			b.fold(page, sent)
 			if page.Next >= page.End {
 				sleep.For(ctx, b.pace()-time.Since(sent))
@@ -135,7 +144,8 @@
 			}
 			lost = true
 			b.failed()
-			sleep.For(ctx, sleep.Jitter(tailRetry))
+			sleep.For(ctx, sleep.Jitter(retry))
+			retry = min(tailRetryMost, 2*retry)
 		}
 		if time.Now().After(forget) {
 			b.forget()
@@ -267,15 +277,18 @@
 // may wait there for long.
 func (b *Book) Synced(ctx context.Context) bool {
 	end, ok := b.end(ctx)
-	if !ok {
-		return false
-	}
+	return ok && b.await(ctx, func() bool { return b.next >= end })
+}
+
+// await waits until a condition on the fold holds, which is asked with mu held; false:
+// ctx ended first.
+func (b *Book) await(ctx context.Context, holds func() bool) bool {
 	for {
 		changed := b.Changed.Next()
 		b.mu.Lock()
-		reached := b.next >= end
+		done := holds()
 		b.mu.Unlock()
-		if reached {
+		if done {
 			return true
 		}
 		select {
@@ -286,19 +299,17 @@
 	}
 }
 
-// end returns the offset behind the log's last record.
+// end returns the offset behind the log's last record; false: ctx ended first.
 func (b *Book) end(ctx context.Context) (uint64, bool) {
 	for {
 		b.mu.Lock()
 		from := b.next
 		b.mu.Unlock()
-		page, err := b.log.Read(ctx, Stream, from, 0, 0)
-		switch {
-		case err == nil:
-			return max(page.End, page.Next), true
-		case errors.Is(err, platform.ErrTruncated):
-			return page.First, true
-		case !sleep.For(ctx, tailRetry):
+		end, err := b.log.end(ctx, Stream, from)
+		if err == nil {
+			return end, true
+		}
+		if !sleep.For(ctx, tailRetry) {
 			return 0, false
 		}
 	}
--- a/gateway/jobs/library.go
+++ b/gateway/jobs/library.go
@@ -2,53 +2,35 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 	"net/http"
-	"net/url"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
-
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/fold/jobs"
-	"dandelionsill.org/platform"
 )
 
-// Limits of texts in memory and of reads of them.
+// Limits of texts in memory and of answers with them.
 const (
 	// cacheBytes bounds the texts that a process keeps to answer reads with.
 	cacheBytes = 8 << 20
 	// resultsBytes bounds the texts of one answer, in bytes.
 	resultsBytes = 900 << 10
-	// readKB is how much a read of texts returns at least in part: the results of
-	// one moment stand side by side, and are read together.
-	readKB = 256
-	// askSecondAfter is how long one source may take over a text before the other is
-	// asked as well: some ten times an answer of either.
-	askSecondAfter = 50 * time.Millisecond
-	// textsAtOnce is how many texts are asked for side by side.
-	textsAtOnce = 8
-	// peerTimeout bounds a call to a peer, a few milliseconds away.
-	peerTimeout = 300 * time.Millisecond
 )
 
-// PathTexts is where a process hands texts to its peers.
-const PathTexts = "/texts"
-
 var (
 	textReads     = metrics.Counter("jobs_text_reads_total")
 	textsFromPeer = metrics.Counter("jobs_texts_from_peers_total")
+	// textCallsFailed counts calls to writers that brought nothing.
+	textCallsFailed = metrics.Counter("jobs_text_calls_failed_total")
 )
 
 // Library gives the texts of results: from memory, from the process that wrote
 // them, or from the log. A step that was whole just before an outage of the store
 // can be read in it; what the writer has no more stands in the log.
 type Library struct {
-	log  platform.Log
+	log  *reader
 	http *http.Client
 	// peer returns where a VM's process hands out texts, IP:port; empty: unknown.
 	peer func(node string) string
@@ -66,10 +48,12 @@
 	item   string
 }
 
-func newLibrary(log platform.Log) *Library {
+func keyOf(r *jobs.Result) textKey { return textKey{r.Ref.Part, r.Ref.Offset, r.Item} }
+
+func newLibrary(log *reader) *Library {
 	return &Library{
 		log: log, texts: map[textKey]string{}, peer: func(string) string { return "" },
-		http: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: textsAtOnce}},
+		http: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: callsAtOnce}},
 	}
 }
 
@@ -103,23 +87,24 @@
 
 // fill puts the texts into results, as many as an answer holds; at least the
 // first one, unless it is not to be had.
+//
+// The writer is asked first, for it has the texts in memory: where the log was asked
+// beside it for each text that took 50 ms, 160 gateways had 1,800 reads a second sent
+// to them and hung up, 450 MB/s of the store's 80, and nobody followed the log any
+// more. A writer that is slow is asked again only where the log does not answer.
 func (l *Library) fill(ctx context.Context, results []jobs.Result) ([]jobs.Result, error) {
-	filled := slices.Clone(results[:fitting(results)])
-	logFirst := false
-	for from := 0; from < len(filled); from += textsAtOnce {
-		part := filled[from:min(len(filled), from+textsAtOnce)]
-		bySecond, whole, err := l.fillPart(ctx, part, logFirst)
-		if from+whole == 0 && err != nil {
-			return nil, err
-		}
-		if err != nil {
-			return filled[:from+whole], nil
-		}
-		if bySecond {
-			logFirst = !logFirst // the first is no faster with the next ones
-		}
-	}
-	return filled, nil
+	f := &filling{library: l, results: slices.Clone(results[:fitting(results)])}
+	f.fromMemory()
+	f.fromWriters(ctx, askLogAfter)
+	f.fromLog(ctx)
+	if f.err != nil {
+		f.fromWriters(ctx, peerTimeout)
+	}
+	whole := f.whole()
+	if whole == 0 && len(f.results) > 0 {
+		return nil, f.err
+	}
+	return f.results[:whole], nil
 }
 
 // fitting is how many results, with their texts, an answer holds.
@@ -136,156 +121,71 @@
 	return len(results)
 }
 
-// fillPart gets the texts of some results side by side. whole is how many have
-// theirs before the first that has not, err why that is.
-func (l *Library) fillPart(ctx context.Context, part []jobs.Result, logFirst bool) (bySecond bool, whole int, err error) {
-	errs := make([]error, len(part))
-	seconds := make([]bool, len(part))
-	var calls sync.WaitGroup
-	for i := range part {
-		if part[i].Ref == nil {
-			continue
-		}
-		calls.Go(func() { part[i].Text, seconds[i], errs[i] = l.text(ctx, part[i], logFirst) })
-	}
-	calls.Wait()
-	for i := range part {
-		if errs[i] != nil {
-			return bySecond, i, errs[i]
-		}
-		bySecond = bySecond || seconds[i]
-	}
-	return bySecond, len(part), nil
+// filling is one answer on its way.
+type filling struct {
+	library *Library
+	results []jobs.Result
+	// err is why the log did not give the texts that are missing.
+	err error
 }
 
-// text returns the text of a result, and whether the source that was asked second
-// gave it: the process that wrote it, which has it in memory, or the log.
-//
-// The writer is asked first. A read of the log brings 256 KB whatever becomes of it:
-// where the log was asked first and the writer as well for each text that took
-// 50 ms, 160 gateways had 1,800 reads a second sent to them and hung up, 450 MB/s of
-// the store's 80, and nobody followed the log any more.
-func (l *Library) text(ctx context.Context, r jobs.Result, logFirst bool) (text string, bySecond bool, err error) {
-	key := textKey{r.Ref.Part, r.Ref.Offset, r.Item}
-	if text, ok := l.get(key); ok {
-		return text, false, nil
-	}
-	read := func(ctx context.Context) (string, error) { return l.read(ctx, key) }
-	ask := func(ctx context.Context) (string, error) {
-		text, err := l.ask(ctx, l.peer(r.Writer), key)
-		if err == nil {
-			textsFromPeer.Add(1)
-			l.put(key, text)
+// missing returns the results whose text is still to be had.
+func (f *filling) missing() []*jobs.Result {
+	var out []*jobs.Result
+	for i := range f.results {
+		if r := &f.results[i]; r.Ref != nil && r.Text == "" && r.Ref.Bytes > 0 {
+			out = append(out, r)
 		}
-		return text, err
-	}
-	if logFirst {
-		return hedge(ctx, askSecondAfter, read, ask)
 	}
-	return hedge(ctx, askSecondAfter, ask, read)
+	return out
 }
 
-// hedge calls first, and second as well once first has failed or taken as long
-// as patience. It returns the first success, and whether it is second's.
-func hedge(ctx context.Context, patience time.Duration, first, second func(context.Context) (string, error)) (string, bool, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	type answer struct {
-		text     string
-		bySecond bool
-		err      error
-	}
-	answers := make(chan answer, 2)
-	call := func(f func(context.Context) (string, error), bySecond bool) {
-		text, err := f(ctx)
-		answers <- answer{text, bySecond, err}
-	}
-	go call(first, false)
-	wait := time.NewTimer(patience)
-	defer wait.Stop()
-	for running, failures := 1, 0; ; {
-		select {
-		case a := <-answers:
-			if a.err == nil {
-				return a.text, a.bySecond, nil
-			}
-			if failures++; failures == 2 {
-				return "", false, errors.Trace(a.err)
-			}
-		case <-wait.C:
-		}
-		if running == 1 {
-			running = 2
-			go call(second, true)
-		}
+// whole is how many results have their texts before the first that has not.
+func (f *filling) whole() int {
+	missing := f.missing()
+	if len(missing) == 0 {
+		return len(f.results)
 	}
+	return slices.IndexFunc(f.results, func(r jobs.Result) bool { return r.Ref != nil && r.Item == missing[0].Item })
 }
 
-// read reads a text, and those beside it, from the log.
-func (l *Library) read(ctx context.Context, key textKey) (string, error) {
-	textReads.Add(1)
-	page, err := l.log.Read(ctx, textStream(key.part), key.offset, readKB, 0)
-	if err != nil {
-		return "", errors.Trace(err)
-	}
-	for _, rec := range page.Records {
-		record, err := jobs.DecodeText(rec.Data)
-		if err != nil {
-			continue // another record's fault; ours shows as missing below
-		}
-		for _, text := range record.Texts {
-			l.put(textKey{key.part, rec.Offset, text.Item}, text.Text)
-		}
-	}
-	text, ok := l.get(key)
-	if !ok {
-		return "", errors.NotFoundf("text of item %s at offset %d", key.item, key.offset)
+func (f *filling) fromMemory() {
+	for _, r := range f.missing() {
+		r.Text, _ = f.library.get(keyOf(r))
 	}
-	return text, nil
 }
 
-// ask asks the process at addr for a text that it has in memory.
-func (l *Library) ask(ctx context.Context, addr string, key textKey) (string, error) {
-	if addr == "" {
-		return "", errors.NotFoundf("address of a peer")
-	}
-	target := url.URL{Scheme: "http", Host: addr, Path: PathTexts, RawQuery: url.Values{
-		"part": {strconv.Itoa(key.part)}, "offset": {strconv.FormatUint(key.offset, 10)}, "item": {key.item},
-	}.Encode()}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
-	if err != nil {
-		return "", errors.Trace(err)
-	}
-	resp, err := l.http.Do(req)
-	if err != nil {
-		return "", errors.Trace(err)
-	}
-	defer resp.Body.Close()
-	// A text that was cut off ends with an error: the answer states its length.
-	data, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return "", errors.Trace(err)
-	}
-	if resp.StatusCode != http.StatusOK {
-		return "", errors.Errorf("peer %s: status %d", addr, resp.StatusCode)
+// fromWriters asks the processes that wrote the missing texts, each for at most a
+// while.
+func (f *filling) fromWriters(ctx context.Context, most time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	slots := make(chan struct{}, callsAtOnce)
+	var calls sync.WaitGroup
+	for _, call := range textCalls(f.missing(), f.library.peer) {
+		slots <- struct{}{}
+		calls.Go(func() {
+			f.library.ask(ctx, call)
+			<-slots
+		})
 	}
-	return string(data), nil
+	calls.Wait()
+	f.fromMemory()
 }
 
-// ServeHTTP hands a text that this process has in memory to a peer.
-func (l *Library) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	part, partErr := strconv.Atoi(q.Get("part"))
-	offset, offsetErr := strconv.ParseUint(q.Get("offset"), 10, 64)
-	if partErr != nil || offsetErr != nil {
-		http.Error(w, fmt.Sprintf("part %q, offset %q", q.Get("part"), q.Get("offset")), http.StatusBadRequest)
-		return
-	}
-	text, ok := l.get(textKey{part, offset, q.Get("item")})
-	if !ok {
-		http.Error(w, "no such text in memory", http.StatusNotFound)
-		return
+// fromLog reads the missing texts from the log, those of one partition one after the
+// other: the results of a job stand side by side. Read by themselves, with what stood
+// behind each, the texts of one answer cost eight times their bytes.
+func (f *filling) fromLog(ctx context.Context) {
+	missing := f.missing()
+	slices.SortStableFunc(missing, func(a, b *jobs.Result) int { return compareRefs(a.Ref, b.Ref) })
+	for len(missing) > 0 {
+		next, err := f.library.read(ctx, missing)
+		if err != nil {
+			f.err = err
+			break
+		}
+		missing = next
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
-	_, _ = io.WriteString(w, text) // the peer sees a text that is cut off by its length
+	f.fromMemory()
 }
--- /dev/null
+++ b/gateway/jobs/library_test.go
@@ -0,0 +1,110 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"dandelionsill.org/fold/jobs"
+	"dandelionsill.org/platform"
+)
+
+// textLog holds a stream of texts and counts what is asked of it.
+type textLog struct {
+	platform.Log
+	records [][]byte
+	reads   int
+	asked   int // KB
+}
+
+func (l *textLog) Read(_ context.Context, _ string, from uint64, kb int, _ time.Duration) (platform.Page, error) {
+	l.reads++
+	l.asked += kb
+	page := platform.Page{Next: from, End: uint64(len(l.records))}
+	for size := 0; page.Next < page.End; page.Next++ {
+		data := l.records[page.Next]
+		if size += len(data); size > kb<<10 && len(page.Records) > 0 {
+			break
+		}
+		page.Records = append(page.Records, platform.Record{Offset: page.Next, Data: data})
+	}
+	return page, nil
+}
+
+// written writes the texts of a job's results, each in a record of its own.
+func (l *textLog) written(t *testing.T, results, size int) []jobs.Result {
+	var out []jobs.Result
+	for i := range results {
+		item := fmt.Sprint("i", i)
+		text := strings.Repeat(fmt.Sprint(i%10), size)
+		record := jobs.TextRecord{Writer: jobs.Writer{Node: "a", Life: "1"}, Job: "j", Texts: []jobs.ItemText{{Item: item, Text: text}}}
+		data, err := record.Encode()
+		require.NoError(t, err)
+		out = append(out, jobs.Result{Job: "j", Item: item, Writer: "a", Ref: &jobs.TextRef{Offset: uint64(len(l.records)), Bytes: size}})
+		l.records = append(l.records, data)
+	}
+	return out
+}
+
+func requireTexts(t *testing.T, results []jobs.Result, n, size int) {
+	require.Equal(t, n, len(results))
+	for i, r := range results {
+		require.True(t, strings.Repeat(fmt.Sprint(i%10), size) == r.Text, "text %d has %d bytes", i, len(r.Text))
+	}
+}
+
+// After a loss of power no process has the texts of the steps before, and trainers read
+// them again at every entry. A read for each text brings what stands behind it as
+// well, eight times what is of use, from a log whose bandwidth all entries share.
+func TestTextsOfAnAnswerAreReadFromTheLogOnce(t *testing.T) {
+	log := &textLog{}
+	results := log.written(t, 100, 5000)
+	filled, err := newLibrary(newReader(log)).fill(t.Context(), results)
+	require.NoError(t, err)
+	requireTexts(t, filled, 100, 5000)
+	require.LessOrEqual(t, log.reads, 8)
+	require.LessOrEqual(t, log.asked, 2*100*5000>>10)
+}
+
+// The writer has the texts in memory: the log is not read at all.
+func TestTextsComeFromTheirWriter(t *testing.T) {
+	log := &textLog{}
+	results := log.written(t, 60, 5000)
+	writer := newLibrary(newReader(log))
+	for _, r := range results {
+		writer.put(keyOf(&r), strings.Repeat(r.Item[len(r.Item)-1:], 5000))
+	}
+	server := httptest.NewServer(writer)
+	defer server.Close()
+	l := newLibrary(newReader(log))
+	l.SetPeers(func(string) string { return strings.TrimPrefix(server.URL, "http://") })
+	filled, err := l.fill(t.Context(), results)
+	require.NoError(t, err)
+	requireTexts(t, filled, 60, 5000)
+	require.Zero(t, log.reads)
+}
+
+// A record larger than what the window asks for is read all the same.
+func TestLargeRecordIsRead(t *testing.T) {
+	log := &exactLog{}
+	results := log.written(t, 3, 300<<10)
+	filled, err := newLibrary(newReader(log)).fill(t.Context(), results)
+	require.NoError(t, err)
+	requireTexts(t, filled, 3, 300<<10)
+}
+
+// exactLog never gives more than was asked for, not even one record.
+type exactLog struct{ textLog }
+
+func (l *exactLog) Read(ctx context.Context, stream string, from uint64, kb int, wait time.Duration) (platform.Page, error) {
+	page, err := l.textLog.Read(ctx, stream, from, kb, wait)
+	if len(page.Records) == 1 && len(page.Records[0].Data) > kb<<10 {
+		page.Records, page.Next = nil, from
+	}
+	return page, err
+}
--- a/gateway/jobs/ownership.go
+++ b/gateway/jobs/ownership.go
@@ -119,12 +119,12 @@
 
 // take reads what a job's owner needs and begins its work.
 func (r *Runner) take(ctx context.Context, head *jobs.Head, at jobs.TextRef, taken bool) {
-	texts, err := readTexts(ctx, r.log, head, at, taken)
+	texts, err := readTexts(ctx, r.book.log, head, at, taken)
 	if err != nil {
 		r.zlog.Warn("A job's texts can't be read yet.", zap.String("job", head.ID), zap.Uint64("offset", at.Offset), zap.Error(err))
 	}
 	for err != nil && sleep.For(ctx, sleep.Jitter(tailRetry)) && r.book.owned(head.ID, r.writer) {
-		texts, err = readTexts(ctx, r.log, head, at, taken)
+		texts, err = readTexts(ctx, r.book.log, head, at, taken)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- /dev/null
+++ b/gateway/jobs/reads.go
@@ -0,0 +1,90 @@
+package jobs
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"dandelionsill.org/base/metrics"
+	"dandelionsill.org/decide/fetch"
+	"dandelionsill.org/platform"
+)
+
+// endKB is what a read asks for that only looks for the log's end. With as much as
+// the log gives, each question about a job that a process did not know yet cost a
+// megabyte, while hundreds of processes read the past.
+const endKB = 1
+
+var (
+	bytesRead   = metrics.Counter("jobs_log_read_bytes_total")
+	readsCutOff = metrics.Counter("jobs_log_reads_cut_off_total")
+)
+
+// reader reads the log in pieces of a size that the log can bear beside the reads of
+// all other processes. It is safe for concurrent use.
+type reader struct {
+	log platform.Log
+
+	mu     sync.Mutex
+	window fetch.Window
+}
+
+func newReader(log platform.Log) *reader { return &reader{log: log} }
+
+func (r *reader) kb() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.window.KB()
+}
+
+// read returns records of a stream from an offset on, as many as the log is asked for
+// at a time, waiting up to wait for the first.
+func (r *reader) read(ctx context.Context, stream string, from uint64, wait time.Duration) (platform.Page, error) {
+	return r.readMost(ctx, stream, from, r.kb(), wait)
+}
+
+// readMost reads no more than some KB, but one record at least.
+func (r *reader) readMost(ctx context.Context, stream string, from uint64, most int, wait time.Duration) (platform.Page, error) {
+	for kb := min(most, r.kb()); ; {
+		sent := time.Now()
+		page, err := r.log.Read(ctx, stream, from, kb, wait)
+		r.note(kb, page, err, time.Since(sent))
+		if err != nil || len(page.Records) > 0 || page.End <= from {
+			return page, err
+		}
+		// A log that gives no record larger than what was asked for would be asked
+		// for the same one for ever.
+		if kb = fetch.Larger(kb); kb == 0 {
+			return page, errors.Errorf("record %d of %s is larger than the log gives", from, stream)
+		}
+	}
+}
+
+// note tells the window how a read of some KB went.
+func (r *reader) note(kb int, page platform.Page, err error, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if errors.Is(err, context.DeadlineExceeded) {
+		readsCutOff.Add(1)
+		r.window.CutOff(kb)
+		return
+	}
+	got := 0
+	for _, rec := range page.Records {
+		got += len(rec.Data)
+	}
+	bytesRead.Add(int64(got))
+	r.window.Answered(kb, got, took)
+}
+
+// end returns the offset behind the last record of a stream; from is one that is
+// known to stand there, or zero.
+func (r *reader) end(ctx context.Context, stream string, from uint64) (uint64, error) {
+	page, err := r.log.Read(ctx, stream, from, endKB, 0)
+	if errors.Is(err, platform.ErrTruncated) {
+		return page.First, nil
+	}
+	return max(page.End, page.Next), err
+}
--- /dev/null
+++ b/gateway/jobs/recovery_test.go
@@ -0,0 +1,171 @@
+package jobs
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"dandelionsill.org/platform"
+)
+
+// sharedLog is a log whose bandwidth all its readers share: answers leave it one after
+// the other, also those whose reader has hung up meanwhile.
+type sharedLog struct {
+	rate    float64 // bytes a second
+	records []platform.Record
+
+	mu   sync.Mutex
+	free time.Time // when the answers that were asked for so far have left
+	sent int       // bytes
+}
+
+// newSharedLog holds a past of records of some size, which hold nothing that a fold
+// has work with.
+func newSharedLog(rate float64, records, size int) *sharedLog {
+	l := &sharedLog{rate: rate}
+	data := bytes.Repeat([]byte("x"), size)
+	for i := range records {
+		l.records = append(l.records, platform.Record{Offset: uint64(i), Data: data})
+	}
+	return l
+}
+
+// page cuts an answer of some KB and returns when it will have left the log.
+func (l *sharedLog) page(from uint64, kb int) (platform.Page, time.Time, int) {
+	page := platform.Page{Next: from, End: uint64(len(l.records))}
+	size := 0
+	for _, rec := range l.records[from:] {
+		if size += len(rec.Data); size > kb<<10 && len(page.Records) > 0 {
+			size -= len(rec.Data)
+			break
+		}
+		page.Records = append(page.Records, rec)
+		page.Next++
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now(); l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(float64(size) / l.rate * float64(time.Second)))
+	l.sent += size
+	return page, l.free, size
+}
+
+// linkedLog is a sharedLog as seen over one VM's link.
+type linkedLog struct {
+	*sharedLog
+	link float64 // bytes a second
+}
+
+// readLimit is how long a read is waited for, beyond the time that it may wait for a
+// record.
+const readLimit = 900 * time.Millisecond
+
+func (l linkedLog) Read(ctx context.Context, _ string, from uint64, kb int, wait time.Duration) (platform.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+readLimit)
+	defer cancel()
+	page, left, size := l.page(from, kb)
+	until := left.Add(time.Duration(float64(size) / l.link * float64(time.Second)))
+	if len(page.Records) == 0 {
+		until = time.Now().Add(wait)
+	}
+	select {
+	case <-ctx.Done():
+		return platform.Page{}, fmt.Errorf("%w: %w", platform.ErrLogUnavailable, ctx.Err())
+	case <-time.After(time.Until(until)):
+		return page, nil
+	}
+}
+
+func (linkedLog) Append(context.Context, string, []byte) (uint64, error) { panic("not appended to") }
+
+func (linkedLog) AppendAll(context.Context, string, [][]byte) (uint64, error) {
+	panic("not appended to")
+}
+
+const mbit = 1e6 / 8 // bytes a second
+
+// follow starts as many readers of a log, every second one on a slow link.
+func follow(ctx context.Context, l *sharedLog, readers int) []*Book {
+	books := make([]*Book, readers)
+	for i := range books {
+		link := 600 * mbit
+		if i%2 == 1 {
+			link = 60 * mbit
+		}
+		books[i] = NewBook(linkedLog{l, link}, zap.NewNop())
+		go books[i].Run(ctx)
+	}
+	return books
+}
+
+func caughtUp(books []*Book) int {
+	n := 0
+	for _, b := range books {
+		if b.CaughtUp() {
+			n++
+		}
+	}
+	return n
+}
+
+// All processes of a fleet lose power and start again at one moment. Each reads the
+// same past, a hundred times more than the log gives a second. Reads that are too
+// large for that are given up after the log has worked for them, and are made anew: most
+// entries never get to the log's end, and accepted jobs can't be read for the rest
+// of the day.
+func TestAFleetReadsThePastAfterALossOfPower(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const readers = 200
+		log := newSharedLog(80e6, 3000, 1000)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		books := follow(ctx, log, readers)
+		work := readers * 3000 * 1000
+		time.Sleep(time.Duration(1.1*float64(work)/log.rate*float64(time.Second)) + 500*time.Millisecond)
+		require.Equal(t, readers, caughtUp(books))
+		require.Less(t, float64(log.sent), 1.1*float64(work), "bytes that the log gave, by those that were of use")
+	})
+}
+
+// The same at any size, and again while the fleet still catches up. Once the log has
+// answered what was asked for before the second loss of power, it is of use for nine
+// tenths of its rate within two seconds.
+func TestAFleetCatchesUpWhateverItsSize(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		readers := rapid.IntRange(1, 300).Draw(rt, "readers")
+		records := rapid.IntRange(0, 4000).Draw(rt, "records")
+		size := rapid.IntRange(100, 4000).Draw(rt, "bytes")
+		rate := rapid.Float64Range(20e6, 200e6).Draw(rt, "rate")
+		again := rapid.Float64Range(0, 1).Draw(rt, "lost again")
+		seconds := func(bytes int, rate float64) time.Duration {
+			return time.Duration(float64(bytes) / rate * float64(time.Second))
+		}
+		late := 0
+		synctest.Test(t, func(t *testing.T) {
+			log := newSharedLog(rate, records, size)
+			whole := seconds(readers*records*size, rate)
+			first, cut := context.WithCancel(t.Context())
+			follow(first, log, readers)
+			time.Sleep(time.Duration(again * float64(whole)))
+			cut()
+			second, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			answeringNobody := max(0, time.Until(log.free))
+			books := follow(second, log, readers)
+			alone := seconds(records*size, 60*mbit) // what the slow link takes by itself
+			time.Sleep(answeringNobody + time.Duration(float64(whole)/0.9) + alone + 2*time.Second)
+			late = readers - caughtUp(books)
+		})
+		require.Zero(rt, late, "readers that are not at the log's end")
+	})
+}
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -69,7 +69,6 @@
 // Runner runs the items of the jobs that this process owns.
 type Runner struct {
 	book    *Book
-	log     Log
 	view    *view.View
 	forward *forward.Forwarder
 	pool    *backend.Pool
@@ -104,7 +103,7 @@
 // number of items that this process can run.
 func NewRunner(book *Book, log Log, f *forward.Forwarder, writer jobs.Writer, parts, capacity int, zlog *zap.Logger) *Runner {
 	r := &Runner{
-		book: book, log: log, view: f.View, forward: f, pool: f.Pool, zlog: zlog, writer: writer,
+		book: book, view: f.View, forward: f, pool: f.Pool, zlog: zlog, writer: writer,
 		wake:  make(chan struct{}, 1),
 		works: map[string]map[string]*work{}, reading: map[string]bool{}, dropped: map[string]carried{}, pace: map[string]float64{}, lengths: map[string]*place.Lengths{},
 		observed: map[jobs.EngineKey]uint64{}, denied: map[jobs.EngineKey]time.Time{}, shunned: map[string]time.Time{}, refusals: map[string]int{}, claimed: map[string]time.Time{}, released: map[string]uint64{},
--- a/gateway/jobs/texts.go
+++ b/gateway/jobs/texts.go
@@ -104,12 +104,31 @@
 
 // readTexts folds the items of a job and, where earlier owners may have made
 // texts, all that stands behind them to the end of the stream.
-func readTexts(ctx context.Context, log platform.Log, j *jobs.Head, from jobs.TextRef, all bool) (*jobs.Texts, error) {
+func readTexts(ctx context.Context, log *reader, j *jobs.Head, from jobs.TextRef, all bool) (*jobs.Texts, error) {
+	return foldTexts(ctx, log, j.ID, from, func(texts *jobs.Texts, atEnd bool) bool {
+		return texts.Known() >= j.Total && (!all || atEnd)
+	})
+}
+
+// readItem reads an item of a job.
+func readItem(ctx context.Context, log *reader, job, item string, from jobs.TextRef) (jobs.Item, error) {
+	known := func(texts *jobs.Texts) bool { _, ok := texts.Item(item); return ok }
+	texts, err := foldTexts(ctx, log, job, from, func(texts *jobs.Texts, _ bool) bool { return known(texts) })
+	if err != nil {
+		return jobs.Item{}, err
+	}
+	found, _ := texts.Item(item)
+	return found, nil
+}
+
+// foldTexts folds the texts of a job from where its items stand until enough, which is
+// told whether the stream's end is reached.
+func foldTexts(ctx context.Context, log *reader, job string, from jobs.TextRef, enough func(texts *jobs.Texts, atEnd bool) bool) (*jobs.Texts, error) {
 	ctx, cancel := context.WithTimeout(ctx, textsWait)
 	defer cancel()
-	texts := jobs.NewTexts(j.ID)
+	texts := jobs.NewTexts(job)
 	for next := from.Offset; ; {
-		page, err := log.Read(ctx, textStream(from.Part), next, 0, 0)
+		page, err := log.read(ctx, textStream(from.Part), next, 0)
 		if errors.Is(err, platform.ErrTruncated) && page.First > next {
 			next = page.First
 			continue
@@ -125,9 +144,8 @@
 			}
 		}
 		next = page.Next
-		whole := texts.Known() >= j.Total
 		switch {
-		case whole && (!all || next >= page.End):
+		case enough(texts, next >= page.End):
 			return texts, nil
 		case len(page.Records) == 0:
 			return nil, errNoItems
