decide/place: long samples run at fast engines, and go on there

Engines were told apart only from 1.7 times the median on.

Assign now weighs an engine's pace against its room, Leave moves a sample to a faster engine where it gains 0.3 s, and Paces forgets what it has not seen for seconds, so that an engine slowed by a fault is tried again.

--- a/decide/place/goodput_test.go
+++ b/decide/place/goodput_test.go
@@ -240,3 +240,21 @@
 		Assign(engines, samples)
 	}
 }
+
+// A third of the engines takes 1.3 times as long. A step waits for the long samples of
+// nearly all its groups, and one that begins at a slower engine comes after the step is
+// due; its trainer, which asks for the next but one step when it is whole, falls ever
+// further behind. Places are not scarce: the faster engines have room for all.
+func TestLongSamplesRunAtFastEngines(t *testing.T) {
+	play := func(alike bool) outcome {
+		return runs(2, func(seed uint64) load {
+			l := sixTrainers(1, seed)
+			l.alike = alike
+			return l
+		})
+	}
+	unlike, alike := play(false), play(true)
+	t.Logf("in time of %d: %d, where engines are taken for equal %d; late %d, %d", unlike.owed, unlike.inTime, alike.inTime, unlike.late, alike.late)
+	require.GreaterOrEqual(t, float64(unlike.inTime), 0.99*float64(unlike.owed))
+	require.Less(t, float64(alike.inTime), 0.97*float64(unlike.inTime))
+}
--- a/decide/place/place.go
+++ b/decide/place/place.go
@@ -63,10 +63,26 @@
 	// warmGain is what a prompt that the engine has read is worth: reading one
 	// takes as long as a few tokens, so it only breaks ties of a slot or less.
 	warmGain = 0.13
+	// paceGain is what an engine that takes twice as long as the median costs. One
+	// sample more slows an engine down by under 1%, so that a step is as long as its
+	// longest samples take at the engines that they got; with a third of the engines
+	// 1.3 times slower these are used once the others are two thirds full. It is no
+	// more than that, since places that others have just taken are known late.
+	paceGain = 2
+)
+
+// Limits of leaving an engine.
+const (
 	// slowFactor is how much slower than the median an engine has to be for
-	// its samples to leave it. Engines of one kind differ by a few percent;
-	// slowed ones by a factor of two or more.
+	// its samples to leave it whatever is left of them: those slowed by a fault.
 	slowFactor = 1.7
+	// apart is how much slower an engine has to be than another for a long sample to
+	// go on there. Measured paces of equal engines differ by a few percent.
+	apart = 1.2
+	// leaveCost is the seconds that a sample has to gain by going on elsewhere, some
+	// times what it costs: the prompt and text so far are read again in 30 ms, and
+	// the event in the making, 40 to 100 ms, is made again.
+	leaveCost = 0.3
 )
 
 func fits(e *Engine, s *Sample) bool {
@@ -77,71 +93,28 @@
 // score rates an engine; less is better.
 func score(e *Engine, median float64) float64 {
 	load := float64(e.Load+1) / float64(max(1, e.Slots))
-	if e.Pace > 0 && median > 0 && e.Pace > slowFactor*median {
-		return load + e.Pace/median
+	if e.Pace > 0 && median > 0 {
+		return load + paceGain*(e.Pace/median-1)
 	}
 	return load
 }
 
 func medianPace(engines []Engine) float64 {
-	var paces []float64
+	paces := make([]float64, 0, len(engines))
 	for _, e := range engines {
-		if e.Pace > 0 {
-			paces = append(paces, e.Pace)
-		}
-	}
-	if len(paces) == 0 {
-		return 0
-	}
-	slices.Sort(paces)
-	return paces[(len(paces)-1)/2]
-}
-
-// Running is a sample that runs.
-type Running struct {
-	Sample
-	Engine string
-}
-
-// Leave returns the index of a running sample that should go on elsewhere, for
-// it runs on an engine much slower than the one that has room for it; -1: none.
-// The one with the most left gains the most. One at a time keeps the room that
-// was seen from being promised twice.
-func Leave(engines []Engine, running []Running) int {
-	median := medianPace(engines)
-	if median == 0 {
-		return -1
+		paces = append(paces, e.Pace)
 	}
-	byID := make(map[string]*Engine, len(engines))
-	for i := range engines {
-		byID[engines[i].ID] = &engines[i]
-	}
-	found := -1
-	for i := range running {
-		r := &running[i]
-		here := byID[r.Engine]
-		if here == nil || here.Pace <= slowFactor*median {
-			continue
-		}
-		if found >= 0 && running[found].Left >= r.Left {
-			continue
-		}
-		if hasRoom(engines, r, median) {
-			found = i
-		}
-	}
-	return found
+	return median(paces)
 }
 
-// hasRoom tells whether an engine of usual pace has a place for the sample.
-func hasRoom(engines []Engine, r *Running, median float64) bool {
-	for i := range engines {
-		e := &engines[i]
-		if e.ID != r.Engine && !r.Avoid[e.ID] && e.Pace <= slowFactor*median && fits(e, &r.Sample) {
-			return true
-		}
+// median is the lower median of the values above zero; 0: there are none.
+func median(values []float64) float64 {
+	values = slices.DeleteFunc(values, func(v float64) bool { return v <= 0 })
+	if len(values) == 0 {
+		return 0
 	}
-	return false
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
 }
 
 // Served tells whether any engine has the one version that may go on with a
--- a/decide/place/place_test.go
+++ b/decide/place/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -185,3 +186,37 @@
 		})
 	}
 }
+
+// An engine is 1.3 times slower than the others. A long sample gains seconds by going
+// on elsewhere, a short one less than that costs; by a hint alone nobody knows.
+func TestLongSampleLeavesASlightlySlowEngine(t *testing.T) {
+	slower, usual, full := engine("slower", 8, 3), engine("usual", 8, 3), engine("full", 8, 8)
+	slower.Pace, usual.Pace, full.Pace = 0.1, 0.075, 0.05
+	engines := []Engine{slower, usual, full, usual}
+	at := func(id string, left float64, guessed bool) Running {
+		return Running{Sample: sample(id, left), Engine: "slower", Guessed: guessed}
+	}
+	require.Equal(t, 2, Leave(engines, []Running{at("short", 10, true), at("long", 40, true), at("longer", 50, true)}))
+	require.Equal(t, -1, Leave(engines, []Running{at("short", 10, true), at("hinted", 500, false)}))
+	avoiding := at("long", 40, true)
+	avoiding.Avoid = map[string]bool{"usual": true}
+	require.Equal(t, -1, Leave(engines, []Running{avoiding}))
+}
+
+// An engine that a fault has slowed down is left, so that nothing more is seen of it. It
+// is tried again some seconds later: taken for slow for ever it would be lost to the
+// day's end.
+func TestPacesForgetWhatIsOld(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var paces Paces
+	require.Empty(t, paces.At(now))
+	for range 50 {
+		paces.Saw("a", 75*time.Millisecond, now)
+		paces.Saw("b", 75*time.Millisecond, now)
+		paces.Saw("slow", 260*time.Millisecond, now)
+	}
+	require.InDelta(t, 0.26, paces.At(now)["slow"], 0.01)
+	later := paces.At(now.Add(2 * paceFades))
+	require.InDelta(t, 0.075, later["a"], 0.001)
+	require.Less(t, later["slow"], slowFactor*0.075)
+}
--- a/decide/place/replay_test.go
+++ b/decide/place/replay_test.go
@@ -13,20 +13,24 @@
 // load is what trainers ask of the engines of one service.
 type load struct {
 	engines, slots int
-	pace           float64 // seconds an event
-	loading        float64 // seconds a load of weights
-	loadsAtOnce    int     // that don't slow each other down
-	trainers       []trainer
-	every          float64 // seconds between steps by the schedule
-	due            float64 // seconds until a step's results are due
-	patience       float64 // seconds until its trainer gives it up
-	length         float64 // seconds in which steps are asked for
-	hintError      float64 // standard deviation of the logarithm of a hint's error
-	seed           uint64
+	pace           float64 // seconds an event, at an engine of speed 1
+	// speeds are how many times as long the engines take, in turn; none: 1 for all.
+	speeds      []float64
+	loading     float64 // seconds a load of weights
+	loadsAtOnce int     // that don't slow each other down
+	trainers    []trainer
+	every       float64 // seconds between steps by the schedule
+	due         float64 // seconds until a step's results are due
+	patience    float64 // seconds until its trainer gives it up
+	length      float64 // seconds in which steps are asked for
+	hintError   float64 // standard deviation of the logarithm of a hint's error
+	seed        uint64
 	// byAge leaves Order out.
 	byAge bool
 	// unbounded: engines follow models as if loads took no time.
 	unbounded bool
+	// alike: engines of unlike speed are taken for equal ones.
+	alike bool
 }
 
 // trainer is one trainer with a model of its own.
@@ -49,6 +53,24 @@
 	}
 }
 
+// sixTrainers ask for x times the groups of a quiet day of 73 engines, of which each
+// third takes 1.3 times as long. A long sample takes seven seconds of the 7.5 in which
+// its step is due, at the faster ones.
+func sixTrainers(x float64, seed uint64) load {
+	l := load{
+		engines: 73, slots: 6, pace: 0.0745, speeds: []float64{1, 1, 1.3}, loading: 0.9, loadsAtOnce: 15, every: 4, due: 7.5, patience: 12, length: 34, hintError: 0.5, seed: seed,
+	}
+	for _, t := range []trainer{
+		{groups: 10, train: 1, events: 5.3, spread: 0.9, most: 45}, {groups: 9, train: 1, events: 12.9, spread: 0.84, most: 93},
+		{groups: 9, train: 1, events: 13.4, spread: 0.9, most: 96}, {groups: 9, train: 0.5, events: 6.3, spread: 0.84, most: 45},
+		{groups: 9, train: 0.5, events: 13, spread: 0.9, most: 96}, {groups: 10, train: 0.5, events: 13, spread: 0.9, most: 93},
+	} {
+		t.groups, t.size, t.share = int(math.Round(float64(t.groups)*x)), 8, 0.9
+		l.trainers = append(l.trainers, t)
+	}
+	return l
+}
+
 // outcome counts the groups that trainers waited for.
 type outcome struct {
 	owed, inTime, late int
@@ -99,6 +121,7 @@
 type replayEngine struct {
 	running  map[*replaySample]bool
 	versions []uint64
+	pace     float64 // seconds an event
 	loading  int     // model; -1: none
 	target   uint64  // version that it loads
 	left     float64 // seconds of its load, were it alone
@@ -176,7 +199,11 @@
 	}
 	for i := range l.engines {
 		r.fleet.Engines = append(r.fleet.Engines, fmt.Sprintf("e%03d", i))
-		r.engines = append(r.engines, &replayEngine{running: map[*replaySample]bool{}, versions: slices.Clone(r.named), loading: -1})
+		pace := l.pace
+		if len(l.speeds) > 0 {
+			pace *= l.speeds[i%len(l.speeds)]
+		}
+		r.engines = append(r.engines, &replayEngine{pace: pace, running: map[*replaySample]bool{}, versions: slices.Clone(r.named), loading: -1})
 	}
 	for _, engine := range r.fleet.Engines {
 		var parities []loads.Parity
@@ -194,7 +221,7 @@
 func (r *replay) progress() {
 	for _, e := range r.engines {
 		for s := range e.running {
-			s.made = max(s.made, int((r.now-s.begun)/r.pace))
+			s.made = max(s.made, int((r.now-s.begun)/e.pace))
 			if s.done() {
 				r.lengths[s.group.trainer].Learn(s.hint, float64(s.length))
 				r.takeBack(s)
@@ -388,7 +415,7 @@
 	for _, c := range Assign(engines, samples) {
 		s := queue[c.Sample]
 		placed[c.Sample] = true
-		s.engine, s.begun = c.Engine, r.now-float64(s.made)*r.pace
+		s.engine, s.begun = c.Engine, r.now-float64(s.made)*r.engines[c.Engine].pace
 		if s.made == 0 {
 			s.version = engines[c.Engine].Versions[samples[c.Sample].Model]
 		}
@@ -397,12 +424,29 @@
 	for i := range samples {
 		r.out.idle = r.out.idle || !placed[i] && anyRoom(engines, &samples[i])
 	}
+	if len(queue) == 0 && !r.alike {
+		r.leave(engines, all, of)
+	}
+}
+
+// leave takes one sample from a slower engine; it is placed anew in the next turn.
+func (r *replay) leave(engines []Engine, all []Sample, of []*replaySample) {
+	running := make([]Running, len(all))
+	for i, s := range of {
+		running[i] = Running{Sample: all[i], Engine: engines[s.engine].ID, Guessed: r.lengths[s.group.trainer].n >= lengthsFew}
+	}
+	if at := Leave(engines, running); at >= 0 {
+		r.takeBack(of[at])
+	}
 }
 
 func (r *replay) describe() []Engine {
 	engines := make([]Engine, len(r.engines))
 	for i, e := range r.engines {
-		engines[i] = Engine{ID: r.fleet.Engines[i], Slots: r.slots, Load: len(e.running), Pace: r.pace, Versions: map[string]uint64{}}
+		engines[i] = Engine{ID: r.fleet.Engines[i], Slots: r.slots, Load: len(e.running), Pace: e.pace, Versions: map[string]uint64{}}
+		if r.alike {
+			engines[i].Pace = r.pace
+		}
 		for m, model := range r.fleet.Models {
 			switch {
 			case e.loading == m:
--- a/gateway/jobs/placing.go
+++ b/gateway/jobs/placing.go
@@ -130,13 +130,14 @@
 	return true
 }
 
-// moveOne takes one sample from an engine that is much slower than others with room.
+// moveOne takes one sample from an engine that is slower than others with room.
 func (r *Runner) moveOne(works []*work, samples []place.Sample, engines []place.Engine, now time.Time) {
 	var moving []place.Running
 	var movers []*work
 	for i, w := range works {
 		if w.phase == running {
-			moving, movers = append(moving, place.Running{Sample: samples[i], Engine: w.server}), append(movers, w)
+			_, known := r.guess(w)
+			moving, movers = append(moving, place.Running{Sample: samples[i], Engine: w.server, Guessed: known}), append(movers, w)
 		}
 	}
 	at := place.Leave(engines, moving)
@@ -146,7 +147,7 @@
 	w := movers[at]
 	samplesMoved.Add(1)
 	r.zlog.Info("Sample leaves a slow engine.", zap.String("id", w.item.ID), zap.String("job", w.job.ID),
-		zap.String("server", w.server), zap.Float64("pace_s", r.pace[w.server]), zap.Int("events", len(w.events)))
+		zap.String("server", w.server), zap.Float64("pace_s", r.paces.At(now)[w.server]), zap.Float64("left", moving[at].Left), zap.Int("events", len(w.events)))
 	r.requeue(w, avoidSilent, now)
 	r.rouse()
 }
@@ -162,7 +163,7 @@
 	}
 	r.book.mu.Lock()
 	defer r.book.mu.Unlock()
-	others := r.othersLoad()
+	others, paces := r.othersLoad(), r.paces.At(now)
 	out := make([]place.Engine, 0, len(servers))
 	usable := make(map[string]members.Server, len(servers))
 	for _, s := range servers {
@@ -170,7 +171,7 @@
 			continue
 		}
 		usable[s.ID] = s
-		e := place.Engine{ID: s.ID, Slots: s.Slots, Load: own[s.ID] + others[s.ID], Pace: r.pace[s.ID]}
+		e := place.Engine{ID: s.ID, Slots: s.Slots, Load: own[s.ID] + others[s.ID], Pace: paces[s.ID]}
 		e.Versions, e.Loading = r.versions(s, now)
 		out = append(out, e)
 	}
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -47,8 +47,6 @@
 	ownerLinger = 6 * time.Second
 	// loadingMost is how long a word about a loading engine is believed.
 	loadingMost = 4 * time.Second
-	// paceWeight is the weight of the newest event in an engine's pace.
-	paceWeight = 0.15
 )
 
 var (
@@ -81,7 +79,7 @@
 	works    map[string]map[string]*work // by job and item
 	reading  map[string]bool             // jobs whose items and earlier texts are being read
 	dropped  map[string]carried          // texts of items whose job was ended, by item
-	pace     map[string]float64          // seconds an event, by engine
+	paces    place.Paces                 // seconds an event, by engine
 	lengths  map[string]*place.Lengths   // events of a text, by model
 	silence  place.Silence
 	observed map[jobs.EngineKey]uint64 // versions as answers told them
@@ -105,7 +103,7 @@
 	r := &Runner{
 		book: book, view: f.View, forward: f, pool: f.Pool, zlog: zlog, writer: writer,
 		wake:  make(chan struct{}, 1),
-		works: map[string]map[string]*work{}, reading: map[string]bool{}, dropped: map[string]carried{}, pace: map[string]float64{}, lengths: map[string]*place.Lengths{},
+		works: map[string]map[string]*work{}, reading: map[string]bool{}, dropped: map[string]carried{}, lengths: map[string]*place.Lengths{},
 		observed: map[jobs.EngineKey]uint64{}, denied: map[jobs.EngineKey]time.Time{}, shunned: map[string]time.Time{}, refusals: map[string]int{}, claimed: map[string]time.Time{}, released: map[string]uint64{},
 	}
 	r.out = newOutbox(log, writer, parts, r.owning, book.Texts.put, zlog)
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -192,7 +192,7 @@
 	now := time.Now()
 	delete(r.refusals, s.server)
 	if gap := now.Sub(w.lastEvent); w.streamed > 0 {
-		r.measure(w.server, gap)
+		r.paces.Saw(w.server, gap, now)
 		r.silence.Next(gap)
 	} else {
 		r.silence.First(gap)
@@ -210,16 +210,6 @@
 // noteEvents is how many events are gathered before they go to the outbox.
 const noteEvents = 6
 
-// measure updates an engine's pace with the time between two events.
-func (r *Runner) measure(server string, gap time.Duration) {
-	old, known := r.pace[server]
-	if !known {
-		r.pace[server] = gap.Seconds()
-		return
-	}
-	r.pace[server] = old + paceWeight*(gap.Seconds()-old)
-}
-
 // streamEnded decides what becomes of an item whose stream has ended.
 func (r *Runner) streamEnded(ctx context.Context, s *stream, end ending, status int, err error) {
 	r.mu.Lock()
