fold/jobs: records are packed

Every process reads every record, and after a loss of power all read the past at one moment. Deflate with the field names as its first words: 71 bytes a sample in place of 210, 11 microseconds a record to unpack; records of before are read as they are. Indexes in place of ids would save some 20 bytes more and make the records depend on each other: left.

--- a/fold/jobs/bench_test.go
+++ b/fold/jobs/bench_test.go
@@ -1,12 +1,42 @@
 package jobs
 
 import (
+	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 )
 
+// randomID returns an id as callers draw them.
+func randomID(rng *rand.Rand) string { return fmt.Sprintf("%016x", rng.Uint64()) }
+
+// Samples that start and get their results, four in a record: the bytes that each process
+// reads of one are 71, where they are not packed 210. Unpacking the record takes 11 µs.
+func BenchmarkSampleInARecord(b *testing.B) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	r := Record{Writer: ann}
+	const each = 4
+	job := randomID(rng)
+	for range each {
+		item, server := randomID(rng), fmt.Sprintf("i-%08x@%d", rng.Uint32(), 1790000000000+rng.IntN(1e6))
+		r.Starts = append(r.Starts, Start{Job: job, Item: item, Server: server})
+		r.Results = append(r.Results, Result{Job: job, Item: randomID(rng), Ref: &TextRef{Part: 3, Offset: rng.Uint64N(1e5), Bytes: rng.IntN(20000)},
+			Versions: []uint64{6, 7}, Score: fmt.Sprintf("%04x.07.5a2.600.0.%08x", rng.Uint32N(1<<16), rng.Uint32())})
+	}
+	plain, err := json.Marshal(&r)
+	require.NoError(b, err)
+	data, err := r.Encode()
+	require.NoError(b, err)
+	for b.Loop() {
+		_, err := unpack(data)
+		require.NoError(b, err)
+	}
+	b.ReportMetric(float64(len(plain))/each, "B/plain")
+	b.ReportMetric(float64(len(data))/each, "B/packed")
+}
+
 // One result read and folded by one process, and its bytes in the record.
 func BenchmarkFoldResult(b *testing.B) {
 	r := Record{Writer: ann}
--- a/fold/jobs/record.go
+++ b/fold/jobs/record.go
@@ -135,11 +135,18 @@
 // Encode returns the record's bytes.
 func (r *Record) Encode() ([]byte, error) {
 	data, err := json.Marshal(r)
-	return data, errors.Trace(err)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return pack(data)
 }
 
 // Decode reads a record.
 func Decode(data []byte) (*Record, error) {
+	data, err := unpack(data)
+	if err != nil {
+		return nil, errors.Annotate(err, "record of batch jobs")
+	}
 	var r Record
 	if err := json.Unmarshal(data, &r); err != nil {
 		return nil, errors.Annotate(err, "record of batch jobs")
