--- a/gateway/jobs/outbox.go
+++ b/gateway/jobs/outbox.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,9 +27,11 @@
 	flushGap = 15 * time.Millisecond
 	// beatEvery is how often an owner shows that it lives.
 	beatEvery = 350 * time.Millisecond
-	// idleBeat is how often a process that can run a whole step shows that it
+	// idleBeat is how often at least a process that can run a whole step shows that it
 	// lives while it owns nothing, so that a step is given to it rather than to
-	// a small one.
+	// a small one. It does so up to a third sooner, by chance: processes that started
+	// together would go on appending together, and the log takes one append after the
+	// other. Those of 60 of them held results up for 40 ms in the mean each 3 s.
 	idleBeat   = 3 * time.Second
 	retryFirst = 40 * time.Millisecond
 	retryMost  = 300 * time.Millisecond
@@ -143,6 +146,7 @@
 // run appends until ctx ends; what is left then is appended by flush.
 func (o *outbox) run(ctx context.Context) {
 	last := time.Time{} // tells its capacity at once
+	idle := idleBeat
 	tick := time.NewTicker(flushEvery)
 	defer tick.Stop()
 	for {
@@ -153,9 +157,10 @@
 			sleep.For(ctx, flushGap-time.Since(last))
 		case <-tick.C:
 		}
-		beat := time.Since(last) >= beatEvery && o.owning() || time.Since(last) >= idleBeat && o.capacity >= ableItems
+		beat := time.Since(last) >= beatEvery && o.owning() || time.Since(last) >= idle && o.capacity >= ableItems
 		if o.flush(ctx, beat) {
 			last = time.Now()
+			idle = idleBeat - rand.N(idleBeat/3)
 		}
 	}
 }
