gateway/jobs: an owner does not fall silent with one part of the store

Its signs of life waited behind an append of texts to a partition that was away.

Each partition of the texts has a lane of its own now; records of jobs wait for none. Whole texts go to another partition where their own takes nothing (a result names where its text stands), texts so far wait for theirs, in order, and a job is given up behind them. All jobs of an owner that is gone go to one successor. Ruled out: a sign of life beside the texts only; results would still not be listed.

--- a/decide/place/place.go
+++ b/decide/place/place.go
@@ -78,7 +78,7 @@
 	slowFactor = 1.7
 	// apart is how much slower an engine has to be than another for a long sample to
 	// go on there. Measured paces of equal engines differ by a few percent.
-	apart = 1.2
+	apart = 1.25
 	// leaveCost is the seconds that a sample has to gain by going on elsewhere, some
 	// times what it costs: the prompt and text so far are read again in 30 ms, and
 	// the event in the making, 40 to 100 ms, is made again.
--- a/gateway/jobs/api.go
+++ b/gateway/jobs/api.go
@@ -119,23 +119,45 @@
 }
 
 // appendItems appends a job's items with their bodies. By themselves they run
-// nothing, whatever becomes of the append.
+// nothing, whatever becomes of the append. A partition that does not take them is left
+// for the next one: the log may be away in parts, and the job names where its items
+// stand.
 func (s *Service) appendItems(ctx context.Context, job string, items []jobs.Item, done func() bool) (jobs.TextRef, *kinds.Error) {
-	ref := jobs.TextRef{Part: partOf(job, s.parts)}
 	records, err := itemRecords(s.writer, job, items)
 	if err != nil {
-		return ref, kinds.Hold().Refuse(kinds.BadRequest, "%v", err)
+		return jobs.TextRef{}, kinds.Hold().Refuse(kinds.BadRequest, "%v", err)
 	}
+	for part := partOf(job, s.parts); ; part = (part + 1) % s.parts {
+		offset, err := s.appendAllTo(ctx, textStream(part), records)
+		if err == nil || done() {
+			return jobs.TextRef{Part: part, Offset: offset}, nil
+		}
+		if errors.Is(err, platform.ErrLogRefused) {
+			s.zlog.Error("The log refuses records.", zap.Int("records", len(records)), zap.Error(err))
+			return jobs.TextRef{}, kinds.Hold().Refuse(kinds.TooLarge, "the log does not take a batch job of this size")
+		}
+		s.zlog.Warn("Items were not appended.", zap.String("job", job), zap.Int("part", part), zap.Error(err))
+		if !sleep.For(ctx, sleep.Jitter(callerRetry)) {
+			return jobs.TextRef{}, kinds.Hold().Refuse(kinds.LogUnavailable, "the log takes no records").WithRetryAfter(comeBack)
+		}
+	}
+}
+
+// appendAllTo appends records to a stream, as many at a time as the log takes, and
+// returns the offset of the first.
+func (s *Service) appendAllTo(ctx context.Context, stream string, records [][]byte) (uint64, error) {
+	first := uint64(0)
 	for i, call := range calls(records) {
-		offset, failed := s.appendUntil(ctx, textStream(ref.Part), call, done)
-		if failed != nil {
-			return ref, kinds.Hold().Refuse(kinds.LogUnavailable, "the log takes no records").WithRetryAfter(comeBack)
+		offset, err := s.log.AppendAll(ctx, stream, call)
+		if err != nil {
+			appendFailures.Add(1)
+			return 0, errors.Trace(err)
 		}
 		if i == 0 {
-			ref.Offset = offset
+			first = offset
 		}
 	}
-	return ref, nil
+	return first, nil
 }
 
 func (s *Service) has(job string) bool {
--- /dev/null
+++ b/gateway/jobs/lane.go
@@ -0,0 +1,280 @@
+package jobs
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"dandelionsill.org/base/sleep"
+	"dandelionsill.org/fold/jobs"
+	"dandelionsill.org/platform"
+)
+
+// lane holds what is to be appended to one partition of the texts. The log may be away
+// in parts: what the others take does not wait for this one. The outbox's mutex guards
+// it.
+type lane struct {
+	part  int
+	texts map[string]*jobTexts // by job
+	// releases are jobs to be given up behind their texts.
+	releases []string
+	// busy: it is being appended.
+	busy bool
+}
+
+// jobTexts is what is to be appended of one job's texts.
+type jobTexts struct {
+	claim    uint64
+	progress []jobs.Progress
+	results  []jobs.Result // with their texts
+}
+
+// lane returns the lane of a partition; o.mu is held.
+func (o *outbox) lane(part int) *lane {
+	l := o.lanes[part]
+	if l == nil {
+		l = &lane{part: part, texts: map[string]*jobTexts{}}
+		o.lanes[part] = l
+	}
+	return l
+}
+
+// job returns the pending texts of a job; o.mu is held.
+func (l *lane) job(id string, claim uint64) *jobTexts {
+	t := l.texts[id]
+	if t == nil {
+		t = &jobTexts{}
+		l.texts[id] = t
+	}
+	t.claim = claim
+	return t
+}
+
+func (l *lane) empty() bool { return len(l.texts) == 0 && len(l.releases) == 0 }
+
+// kick begins to append what a lane holds, unless that is being done; o.mu is held.
+func (o *outbox) kick(l *lane) {
+	if l.busy || l.empty() || o.flushing == nil {
+		return
+	}
+	l.busy = true
+	o.flushing(l)
+}
+
+func (o *outbox) kickAll() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, l := range o.lanes {
+		o.kick(l)
+	}
+}
+
+// runLane appends until the lane is empty or ctx ends.
+func (o *outbox) runLane(ctx context.Context, l *lane) {
+	delay := retryFirst
+	for o.more(l) {
+		wait := flushGap // results of one moment share an append
+		if o.flushLane(ctx, l) {
+			delay = retryFirst
+		} else {
+			wait, delay = sleep.Jitter(delay), min(retryMost, 2*delay)
+		}
+		if !sleep.For(ctx, wait) {
+			return
+		}
+	}
+}
+
+// more tells whether the lane holds anything; it is no longer busy where not.
+func (o *outbox) more(l *lane) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	l.busy = !l.empty()
+	return l.busy
+}
+
+// flushLane appends once what a lane holds, and has the jobs' stream tell of it. Where
+// the partition does not take it, results go to another one, for each names where its
+// text stands; the text so far has to stand behind its job's items and waits.
+func (o *outbox) flushLane(ctx context.Context, l *lane) bool {
+	o.mu.Lock()
+	texts, releases := l.texts, l.releases
+	l.texts, l.releases = map[string]*jobTexts{}, nil
+	o.mu.Unlock()
+	progress, results := o.split(texts)
+	failed := o.appendGroups(ctx, l.part, append(progress, results...))
+	if len(failed) == 0 {
+		o.listed(nil, releases)
+		return true
+	}
+	if elsewhere := o.otherPart(l.part); elsewhere != l.part {
+		progress, results = divide(failed)
+		failed = append(progress, o.appendGroups(ctx, elsewhere, results)...)
+	}
+	o.putBack(l, failed, releases)
+	return false
+}
+
+// otherPart is any partition but one, where there is another.
+func (o *outbox) otherPart(part int) int {
+	if o.parts == 1 {
+		return part
+	}
+	return (part + 1 + rand.IntN(o.parts-1)) % o.parts
+}
+
+// split makes records of texts: those of texts so far, and those of whole texts.
+func (o *outbox) split(texts map[string]*jobTexts) (progress, results []textGroup) {
+	var groups []textGroup
+	for job, t := range texts {
+		for _, g := range splitTexts(o.writer, job, t) {
+			data, err := g.record.Encode()
+			if err != nil {
+				o.zlog.Error("Texts can't be encoded and are lost.", zap.String("job", job), zap.Error(err))
+				continue
+			}
+			g.data = data
+			groups = append(groups, g)
+		}
+	}
+	return divide(groups)
+}
+
+// divide tells records of texts so far from those of whole texts.
+func divide(groups []textGroup) (progress, results []textGroup) {
+	for _, g := range groups {
+		if len(g.results) > 0 {
+			results = append(results, g)
+		} else {
+			progress = append(progress, g)
+		}
+	}
+	return progress, results
+}
+
+// appendGroups appends records to a partition, as many at a time as the log takes, and
+// returns those that it did not take. What it refuses for what it is is lost.
+func (o *outbox) appendGroups(ctx context.Context, part int, groups []textGroup) []textGroup {
+	for len(groups) > 0 {
+		call := nextCall(groups)
+		offset, err := o.try(ctx, textStream(part), call)
+		if err != nil && !errors.Is(err, platform.ErrLogRefused) {
+			return groups
+		}
+		if err == nil {
+			o.stand(part, offset, groups[:len(call)])
+		}
+		groups = groups[len(call):]
+	}
+	return nil
+}
+
+// nextCall returns the records of the next append.
+func nextCall(groups []textGroup) [][]byte {
+	var records [][]byte
+	size := 0
+	for _, g := range groups {
+		if size += len(g.data); size > callMost && len(records) > 0 {
+			break
+		}
+		records = append(records, g.data)
+	}
+	return records
+}
+
+// stand has the jobs' stream tell of results whose texts stand from an offset on.
+func (o *outbox) stand(part int, offset uint64, groups []textGroup) {
+	var results []jobs.Result
+	for i, g := range groups {
+		at := offset + uint64(i)
+		for _, res := range g.results {
+			res.Ref = &jobs.TextRef{Part: part, Offset: at, Bytes: len(res.Text)}
+			o.kept(textKey{part, at, res.Item}, res.Text)
+			results = append(results, res)
+		}
+	}
+	o.listed(results, nil)
+}
+
+// listed has the jobs' stream tell of results, and of jobs that are given up.
+func (o *outbox) listed(results []jobs.Result, releases []string) {
+	if len(results) == 0 && len(releases) == 0 {
+		return
+	}
+	o.add(true, func(r *jobs.Record) {
+		r.Results = append(r.Results, results...)
+		r.Releases = append(r.Releases, releases...)
+	})
+}
+
+// putBack puts what was not appended before what has come meanwhile.
+func (o *outbox) putBack(l *lane, groups []textGroup, releases []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	newer := l.texts
+	l.texts = map[string]*jobTexts{}
+	for _, g := range groups {
+		t := l.job(g.record.Job, g.record.Claim)
+		t.progress = append(t.progress, g.record.Progress...)
+		t.results = append(t.results, g.results...)
+	}
+	for job, n := range newer {
+		t := l.job(job, n.claim)
+		t.progress = append(t.progress, n.progress...)
+		t.results = append(t.results, n.results...)
+	}
+	l.releases = append(releases, l.releases...)
+}
+
+// textGroup is a record of texts with the results whose texts it holds.
+type textGroup struct {
+	record  jobs.TextRecord
+	data    []byte // of the record
+	results []jobs.Result
+}
+
+// splitTexts makes records of a size that the log takes. One holds texts so far or whole
+// texts, for these may stand elsewhere.
+func splitTexts(w jobs.Writer, job string, t *jobTexts) []textGroup {
+	s := &textSplitter{writer: w, job: job, claim: t.claim}
+	s.close()
+	for _, p := range t.progress {
+		bytes := startBytes
+		for _, e := range p.Events {
+			bytes += len(e.Data) + eventBytes
+		}
+		g := s.next(bytes)
+		g.record.Progress = append(g.record.Progress, p)
+	}
+	s.close()
+	for _, r := range t.results {
+		g := s.next(len(r.Text) + startBytes)
+		g.record.Texts = append(g.record.Texts, jobs.ItemText{Item: r.Item, Text: r.Text})
+		g.results = append(g.results, r)
+	}
+	return s.groups
+}
+
+// textSplitter gathers texts and begins a new record in time.
+type textSplitter struct {
+	writer jobs.Writer
+	job    string
+	claim  uint64
+	groups []textGroup
+	size   int // of the last record, in bytes
+}
+
+// close makes the next text begin a new record.
+func (s *textSplitter) close() { s.size = recordMost }
+
+// next returns the record for a text of some bytes.
+func (s *textSplitter) next(bytes int) *textGroup {
+	if s.size+bytes > recordMost {
+		s.groups = append(s.groups, textGroup{record: jobs.TextRecord{Writer: s.writer, Job: s.job, Claim: s.claim}})
+		s.size = 0
+	}
+	s.size += bytes
+	return &s.groups[len(s.groups)-1]
+}
--- a/gateway/jobs/outbox.go
+++ b/gateway/jobs/outbox.go
@@ -53,8 +53,11 @@
 	appendFailures = metrics.Counter("jobs_append_failures_total")
 )
 
-// outbox gathers what this process has to say and appends it in order: texts
-// first, then the records of jobs that name where they stand.
+// outbox gathers what this process has to say and appends it. Texts go to the
+// partitions of their jobs, each in a lane of its own, and what the jobs' stream is to
+// tell of them follows when they stand. Records of jobs, with the signs of life, wait
+// for no lane: an owner that was held up by one partition that was away fell silent, and
+// lost all its jobs to others, which were held up alike.
 type outbox struct {
 	log  Log
 	zlog *zap.Logger
@@ -76,21 +79,16 @@
 
 	mu      sync.Mutex
 	pending jobs.Record
-	texts   map[string]*jobTexts // by job
+	lanes   map[int]*lane // by partition
 	urgent  chan struct{}
-}
-
-// jobTexts is what is to be appended of one job's texts.
-type jobTexts struct {
-	claim    uint64
-	progress []jobs.Progress
-	results  []jobs.Result // with their texts
+	// flushing is told of lanes that have something to append.
+	flushing func(*lane)
 }
 
 func newOutbox(log Log, writer jobs.Writer, parts int, owning func() bool, kept func(textKey, string), zlog *zap.Logger) *outbox {
 	return &outbox{
 		log: log, zlog: zlog, retries: logs.Limited(zlog, retriesEvery), writer: writer, parts: max(1, parts), owning: owning, kept: kept,
-		texts: map[string]*jobTexts{}, urgent: make(chan struct{}, 1),
+		lanes: map[int]*lane{}, urgent: make(chan struct{}, 1),
 	}
 }
 
@@ -111,40 +109,44 @@
 	}
 }
 
-// job returns the pending texts of a job; o.mu is held.
-func (o *outbox) job(id string, claim uint64) *jobTexts {
-	t := o.texts[id]
-	if t == nil {
-		t = &jobTexts{}
-		o.texts[id] = t
-	}
-	t.claim = claim
-	return t
-}
-
 // progress adds to an item's text.
-func (o *outbox) progress(job string, claim uint64, p jobs.Progress) {
+func (o *outbox) progress(job *jobs.Job, claim uint64, p jobs.Progress) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	t := o.job(job, claim)
+	t := o.lane(job.At.Part).job(job.ID, claim)
 	t.progress = append(t.progress, p)
 }
 
 // result ends an item; it is appended at once.
-func (o *outbox) result(claim uint64, r jobs.Result) {
-	o.mu.Lock()
+func (o *outbox) result(job *jobs.Job, claim uint64, r jobs.Result) {
 	if r.GivenUp {
-		o.pending.Results = append(o.pending.Results, r)
-	} else {
-		t := o.job(r.Job, claim)
-		t.results = append(t.results, r)
+		o.add(true, func(rec *jobs.Record) { rec.Results = append(rec.Results, r) })
+		return
 	}
-	o.mu.Unlock()
-	o.rouse()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	l := o.lane(job.At.Part)
+	t := l.job(job.ID, claim)
+	t.results = append(t.results, r)
+	o.kick(l)
 }
 
-// run appends until ctx ends; what is left then is appended by flush.
+// release gives a job up behind its text so far.
+func (o *outbox) release(job *jobs.Job) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	l := o.lane(job.At.Part)
+	l.releases = append(l.releases, job.ID)
+	o.kick(l)
+}
+
+// run appends until ctx ends.
 func (o *outbox) run(ctx context.Context) {
+	var lanes sync.WaitGroup
+	defer lanes.Wait()
+	o.mu.Lock()
+	o.flushing = func(l *lane) { lanes.Go(func() { o.runLane(ctx, l) }) }
+	o.mu.Unlock()
 	last := time.Time{} // tells its capacity at once
 	idle := idleBeat
 	tick := time.NewTicker(flushEvery)
@@ -156,6 +158,7 @@
 		case <-o.urgent:
 			sleep.For(ctx, flushGap-time.Since(last))
 		case <-tick.C:
+			o.kickAll()
 		}
 		beat := time.Since(last) >= beatEvery && o.owning() || time.Since(last) >= idle && o.capacity >= ableItems
 		if o.flush(ctx, beat) {
@@ -165,14 +168,13 @@
 	}
 }
 
-// flush appends what is pending, or an empty record as a sign of life; it
-// tries until it is taken or ctx ends, and tells whether it appended.
+// flush appends what is pending for the jobs' stream, or an empty record as a sign of
+// life; it tries until it is taken or ctx ends, and tells whether it appended.
 func (o *outbox) flush(ctx context.Context, beat bool) bool {
 	o.mu.Lock()
-	r, texts := o.pending, o.texts
-	o.pending, o.texts = jobs.Record{}, map[string]*jobTexts{}
+	r := o.pending
+	o.pending = jobs.Record{}
 	o.mu.Unlock()
-	o.flushTexts(ctx, texts, &r)
 	if r.Empty() && !beat {
 		return false
 	}
@@ -195,21 +197,14 @@
 	delay := retryFirst
 	for {
 		begun := time.Now()
-		offset, err := o.log.AppendAll(ctx, stream, records)
+		offset, err := o.try(ctx, stream, records)
 		if err == nil {
 			o.took.Store(int64(time.Since(begun)))
-			appends.Add(1)
 			return offset, true
 		}
-		// Whether it was taken or not, the same records may follow: the fold
-		// passes over what it has seen.
-		appendFailures.Add(1)
 		if errors.Is(err, platform.ErrLogRefused) {
-			// A repeat would fail alike, and hold up all that comes after it.
-			o.zlog.Error("The log refuses records; they are lost.", zap.String("stream", stream), zap.Int("records", len(records)), zap.Error(err))
-			return 0, stream == Stream
+			return 0, true // a repeat would fail alike, and hold up all that comes after it
 		}
-		o.retries.Warn("Append failed.", zap.String("stream", stream), zap.Error(err))
 		if !sleep.For(ctx, sleep.Jitter(delay)) {
 			return 0, false
 		}
@@ -217,6 +212,23 @@
 	}
 }
 
+// try appends records once. Where that fails, whether they were taken or not, the same
+// records may follow: the fold passes over what it has seen.
+func (o *outbox) try(ctx context.Context, stream string, records [][]byte) (uint64, error) {
+	offset, err := o.log.AppendAll(ctx, stream, records)
+	switch {
+	case err == nil:
+		appends.Add(1)
+	case errors.Is(err, platform.ErrLogRefused):
+		appendFailures.Add(1)
+		o.zlog.Error("The log refuses records; they are lost.", zap.String("stream", stream), zap.Int("records", len(records)), zap.Error(err))
+	default:
+		appendFailures.Add(1)
+		o.retries.Warn("Append failed.", zap.String("stream", stream), zap.Error(err))
+	}
+	return offset, err
+}
+
 // encode splits r into records of a size that the log takes.
 func (o *outbox) encode(r *jobs.Record) ([][]byte, error) {
 	s := &splitter{writer: o.writer}
--- a/gateway/jobs/outbox_test.go
+++ b/gateway/jobs/outbox_test.go
@@ -48,6 +48,14 @@
 	return newOutbox(l, jobs.Writer{Node: "a", Life: "1"}, 4, func() bool { return true }, func(textKey, string) {}, zap.NewNop())
 }
 
+// flushAll appends all that an outbox holds.
+func flushAll(t *testing.T, o *outbox) bool {
+	for _, l := range o.lanes {
+		require.True(t, o.flushLane(t.Context(), l))
+	}
+	return o.flush(t.Context(), false)
+}
+
 // A job of more items than one record may name is split; its parts are appended
 // together, and name each item once.
 func TestManyItemsAreSplit(t *testing.T) {
@@ -82,9 +90,9 @@
 		r.Releases = []string{"j"}
 	})
 	for i := range 500 {
-		o.result(7, jobs.Result{Job: "j", Item: fmt.Sprint(i), Text: strings.Repeat("x", 20_000)})
+		o.result(&jobs.Job{Head: jobs.Head{ID: "j"}}, 7, jobs.Result{Job: "j", Item: fmt.Sprint(i), Text: strings.Repeat("x", 20_000)})
 	}
-	require.True(t, o.flush(t.Context(), false))
+	require.True(t, flushAll(t, o))
 	starts, results, texts, last := 0, 0, 0, -1
 	for i, data := range l.records {
 		if text, err := jobs.DecodeText(data); err == nil {
@@ -128,3 +136,57 @@
 	require.True(t, o.flush(t.Context(), true), "a sign of life")
 	require.Len(t, l.records, 1)
 }
+
+// A partition of the log is away for a while, with what is appended meanwhile.
+type awayLog struct {
+	strictLog
+	away    string
+	streams []string
+}
+
+func (l *awayLog) AppendAll(ctx context.Context, stream string, records [][]byte) (uint64, error) {
+	if stream == l.away {
+		return 0, platform.ErrLogUnavailable
+	}
+	for range records {
+		l.streams = append(l.streams, stream)
+	}
+	return l.strictLog.AppendAll(ctx, stream, records)
+}
+
+// A job's partition is away while its samples make events. Whole texts go elsewhere at
+// once; the texts so far wait, keep their order, and nothing of them is lost or
+// appended twice. The job is given up only behind them.
+func TestTextsSoFarWaitForTheirPartition(t *testing.T) {
+	l := &awayLog{away: textStream(2)}
+	o := newOutbox(l, jobs.Writer{Node: "a", Life: "1"}, 4, func() bool { return true }, func(textKey, string) {}, zap.NewNop())
+	j := &jobs.Job{Head: jobs.Head{ID: "j"}, At: jobs.TextRef{Part: 2}}
+	event := func(i int) jobs.Progress {
+		return jobs.Progress{Item: "slow", From: i, Events: []jobs.Event{{Data: fmt.Sprint(i), Version: 1}}}
+	}
+	for i := range 5 {
+		o.progress(j, 7, event(i))
+		o.result(j, 7, jobs.Result{Job: "j", Item: fmt.Sprint("whole", i), Text: "text"})
+		require.False(t, o.flushLane(t.Context(), o.lanes[2]))
+	}
+	o.release(j)
+	require.False(t, o.flushLane(t.Context(), o.lanes[2]))
+	require.Len(t, o.pending.Results, 5)
+	require.Empty(t, o.pending.Releases)
+	for _, r := range o.pending.Results {
+		require.NotEqual(t, 2, r.Ref.Part)
+	}
+	l.away = ""
+	require.True(t, o.flushLane(t.Context(), o.lanes[2]))
+	require.Equal(t, []string{"j"}, o.pending.Releases)
+	texts := jobs.NewTexts("j")
+	for i, data := range l.records {
+		record, err := jobs.DecodeText(data)
+		require.NoError(t, err)
+		if len(record.Progress) > 0 {
+			require.Equal(t, textStream(2), l.streams[i])
+		}
+		texts.Apply(record)
+	}
+	require.Len(t, texts.Best("slow", 1).Events, 5)
+}
--- a/gateway/jobs/ownership.go
+++ b/gateway/jobs/ownership.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
 
 	"dandelionsill.org/base/sleep"
+	"dandelionsill.org/decide/route"
 	"dandelionsill.org/decide/table"
 	"dandelionsill.org/fold/jobs"
 )
@@ -62,7 +62,16 @@
 	}
 	// Where appends take long, so do an owner's signs of life.
 	late := slowLog * time.Duration(r.out.took.Load())
-	return silent > takeOverAfter+late+time.Duration(rand.Float64()*float64(takeOverSpread))
+	return silent > takeOverAfter+late+r.takeOverTurn(j.Owner)
+}
+
+// takeOverTurn is how long this process lets others claim an owner's jobs first. It is
+// the same for all of them, so that they go on in one process, which knows all that it
+// runs: with a turn drawn for each job six steps went to five processes, which took
+// places from each other and learnt each engine's pace anew.
+func (r *Runner) takeOverTurn(owner jobs.Writer) time.Duration {
+	const turns = 1 << 16
+	return time.Duration(route.Hash(owner.Node+owner.Life+r.writer.Node)%turns) * takeOverSpread / turns
 }
 
 func (r *Runner) claim(j *jobs.Job, now time.Time) {
@@ -245,7 +254,7 @@
 			r.note(w, false)
 		}
 	}
-	r.out.add(true, func(rec *jobs.Record) { rec.Releases = append(rec.Releases, j.ID) })
+	r.out.release(j)
 }
 
 // Left waits until all jobs are given up, or ctx ends.
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -179,7 +179,7 @@
 	p.Events = append(p.Events, w.events[w.noted:]...)
 	w.noted = len(w.events)
 	if len(p.Events) > 0 || p.Failures > 0 || p.Whole {
-		r.out.progress(w.job.ID, w.claim, p)
+		r.out.progress(w.job, w.claim, p)
 	}
 	if w.told == server {
 		return
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -294,7 +294,7 @@
 		zap.Int("events", len(w.events)), zap.Uint64s("versions", result.Versions), zap.Uint64("floor", w.job.MinVersion),
 		zap.String("server", w.server), zap.Uint64("streams", w.stream), zap.Int("hint", w.size.Expected),
 		zap.Duration("waited", w.first.Sub(w.owned)), zap.Duration("streamed", w.texted.Sub(w.first)), zap.Duration("scored", now.Sub(w.texted)))
-	r.out.result(w.claim, result)
+	r.out.result(w.job, w.claim, result)
 }
 
 // textComplete asks for the score of a whole text; r.mu is held.
--- a/gateway/jobs/texts.go
+++ b/gateway/jobs/texts.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
-	"go.uber.org/zap"
 
 	"dandelionsill.org/decide/route"
 	"dandelionsill.org/fold/jobs"
@@ -24,81 +22,6 @@
 // partOf is the partition of a job's texts.
 func partOf(job string, parts int) int { return int(route.Hash(job) % uint64(parts)) }
 
-// flushTexts appends texts and adds to r what the jobs' stream is to tell of
-// them. Jobs stand in partitions of their own, so that they are appended side
-// by side.
-func (o *outbox) flushTexts(ctx context.Context, texts map[string]*jobTexts, r *jobs.Record) {
-	var mu sync.Mutex
-	var all sync.WaitGroup
-	for job, t := range texts {
-		all.Go(func() {
-			results := o.flushJob(ctx, job, t)
-			mu.Lock()
-			defer mu.Unlock()
-			r.Results = append(r.Results, results...)
-		})
-	}
-	all.Wait()
-}
-
-// flushJob appends the texts of one job and returns its results with where
-// their texts stand.
-func (o *outbox) flushJob(ctx context.Context, job string, t *jobTexts) []jobs.Result {
-	part := partOf(job, o.parts)
-	var results []jobs.Result
-	for _, group := range splitTexts(o.writer, job, t) {
-		data, err := group.record.Encode()
-		if err != nil {
-			o.zlog.Error("Texts can't be encoded and are lost.", zap.String("job", job), zap.Error(err))
-			continue
-		}
-		offset, ok := o.append(ctx, textStream(part), [][]byte{data})
-		if !ok {
-			continue
-		}
-		for _, res := range group.results {
-			res.Ref = &jobs.TextRef{Part: part, Offset: offset, Bytes: len(res.Text)}
-			o.kept(textKey{part, offset, res.Item}, res.Text)
-			results = append(results, res)
-		}
-	}
-	return results
-}
-
-// textGroup is a record of texts with the results whose texts it holds.
-type textGroup struct {
-	record  jobs.TextRecord
-	results []jobs.Result
-}
-
-// splitTexts makes records of a size that the log takes.
-func splitTexts(w jobs.Writer, job string, t *jobTexts) []textGroup {
-	var groups []textGroup
-	size := recordMost + 1
-	next := func(add int) *textGroup {
-		if size+add > recordMost {
-			groups = append(groups, textGroup{record: jobs.TextRecord{Writer: w, Job: job, Claim: t.claim}})
-			size = 0
-		}
-		size += add
-		return &groups[len(groups)-1]
-	}
-	for _, p := range t.progress {
-		bytes := startBytes
-		for _, e := range p.Events {
-			bytes += len(e.Data) + eventBytes
-		}
-		g := next(bytes)
-		g.record.Progress = append(g.record.Progress, p)
-	}
-	for _, r := range t.results {
-		g := next(len(r.Text) + startBytes)
-		g.record.Texts = append(g.record.Texts, jobs.ItemText{Item: r.Item, Text: r.Text})
-		g.results = append(g.results, r)
-	}
-	return groups
-}
-
 // errNoItems: the items of a job are not to be had now.
 var errNoItems = errors.New("the job's items can't be read")
 
