--- a/decide/place/leave.go
+++ b/decide/place/leave.go
@@ -16,7 +16,11 @@
 // pace not known yet. The one that gains the most goes first. One at a time
 // keeps the room that was seen from being promised twice.
 func Leave(engines []Engine, running []Running) int {
-	l := &leaver{engines: engines, median: medianPace(engines), byID: make(map[string]*Engine, len(engines)), fastest: map[want]*Engine{}}
+	paces := pacesOf(engines)
+	l := &leaver{
+		engines: engines, median: quantile(paces, 2), fast: quantile(paces, 4),
+		byID: make(map[string]*Engine, len(engines)), fastest: map[want]*Engine{},
+	}
 	if l.median == 0 {
 		return -1
 	}
@@ -36,7 +40,11 @@
 type leaver struct {
 	engines []Engine
 	median  float64
-	byID    map[string]*Engine
+	// fast is the pace that is believed of the fastest engines, that of the quarter. A
+	// process that reads its streams late and then several events at once measures some
+	// paces far too low, and samples followed those from one engine to the next.
+	fast float64
+	byID map[string]*Engine
 	// fastest are the engines with room for each kind of sample; nil: there is none.
 	fastest map[want]*Engine
 }
@@ -67,10 +75,10 @@
 // faulty is more seconds than a sample takes.
 const faulty = 1e6
 
-// pace is an engine's, or the median's where it is not known.
+// pace is an engine's as far as it is believed, or the median's where it is not known.
 func (l *leaver) pace(e *Engine) float64 {
 	if e.Pace > 0 {
-		return e.Pace
+		return max(e.Pace, l.fast)
 	}
 	return l.median
 }
--- a/decide/place/pace.go
+++ b/decide/place/pace.go
@@ -46,7 +46,7 @@
 	for _, e := range p.engines {
 		paces = append(paces, e.seconds)
 	}
-	usual := median(paces)
+	usual := quantile(paces, 2)
 	out := make(map[string]float64, len(p.engines))
 	for id, e := range p.engines {
 		kept := math.Exp2(-now.Sub(e.seen).Seconds() / paceFades.Seconds())
--- a/decide/place/place.go
+++ b/decide/place/place.go
@@ -77,12 +77,12 @@
 	// its samples to leave it whatever is left of them: those slowed by a fault.
 	slowFactor = 1.7
 	// apart is how much slower an engine has to be than another for a long sample to
-	// go on there. Measured paces of equal engines differ by a few percent.
+	// go on there. Measured paces of equal engines differ by a tenth.
 	apart = 1.25
 	// leaveCost is the seconds that a sample has to gain by going on elsewhere, some
 	// times what it costs: the prompt and text so far are read again in 30 ms, and
 	// the event in the making, 40 to 100 ms, is made again.
-	leaveCost = 0.3
+	leaveCost = 0.4
 )
 
 func fits(e *Engine, s *Sample) bool {
@@ -99,22 +99,25 @@
 	return load
 }
 
-func medianPace(engines []Engine) float64 {
+func medianPace(engines []Engine) float64 { return quantile(pacesOf(engines), 2) }
+
+func pacesOf(engines []Engine) []float64 {
 	paces := make([]float64, 0, len(engines))
 	for _, e := range engines {
 		paces = append(paces, e.Pace)
 	}
-	return median(paces)
+	return paces
 }
 
-// median is the lower median of the values above zero; 0: there are none.
-func median(values []float64) float64 {
+// quantile is the value above zero below which one in so many of them lie, 2 for the
+// lower median; 0: there are none.
+func quantile(values []float64, in int) float64 {
 	values = slices.DeleteFunc(values, func(v float64) bool { return v <= 0 })
 	if len(values) == 0 {
 		return 0
 	}
 	slices.Sort(values)
-	return values[(len(values)-1)/2]
+	return values[(len(values)-1)/in]
 }
 
 // Served tells whether any engine has the one version that may go on with a
--- a/decide/place/place_test.go
+++ b/decide/place/place_test.go
@@ -198,6 +198,10 @@
 	}
 	require.Equal(t, 2, Leave(engines, []Running{at("short", 10, true), at("long", 40, true), at("longer", 50, true)}))
 	require.Equal(t, -1, Leave(engines, []Running{at("short", 10, true), at("hinted", 500, false)}))
+	odd := engine("odd", 8, 0) // measured far too low
+	odd.Pace = 0.04
+	fewer := []Engine{usual, usual, usual, odd, usual}
+	require.Equal(t, -1, Leave(fewer, []Running{{Sample: sample("long", 50), Engine: "usual", Guessed: true}}))
 	avoiding := at("long", 40, true)
 	avoiding.Avoid = map[string]bool{"usual": true}
 	require.Equal(t, -1, Leave(engines, []Running{avoiding}))
