decide/fetch, gateway/jobs: calls come as fast as ever once a part of the store is back

Delays of refused calls grew with the number of processes (0.93 s at 133) and were only halved by each answer; a store that answers again is back, so the delay goes with the first answer, and halves only where the rate of calls was spent. Who was heard until the log went away is not silent for the outage: steps are given to the owner of before.

--- a/decide/fetch/delays.go
+++ b/decide/fetch/delays.go
@@ -4,15 +4,30 @@
 
 // Delays of calls to a store that turns everybody away.
 const (
-	// delayFirst is the first delay; each further refusal doubles it, each answer
-	// halves it.
+	// delayFirst is the first delay; each further refusal doubles it.
 	delayFirst = 50 * time.Millisecond
-	// delayMost is the longest delay of few processes: a store that is back after an
-	// outage is found within it. delayPerProcess is added for each one, since they
-	// share the store's rate: 300 of them with four loops each make 800 calls a
-	// second then.
-	delayMost       = 400 * time.Millisecond
-	delayPerProcess = 4 * time.Millisecond
+	// awayMost is the longest delay of few processes while a part of the store is away:
+	// its return is found within it. awayPerProcess is added for each one: the calls of a
+	// thousand processes with four loops each are 3,000 a second then.
+	awayMost       = 300 * time.Millisecond
+	awayPerProcess = time.Millisecond
+	// spentMost and spentPerProcess are the same while the rate of calls of all together
+	// is spent: 300 processes make 800 calls a second then.
+	spentMost       = 400 * time.Millisecond
+	spentPerProcess = 4 * time.Millisecond
+)
+
+// Refusal is why the store turned a call away.
+type Refusal uint8
+
+const (
+	// Away: the part of the store that the call is about is away. Once it answers it is
+	// back, and calls come as fast as ever: those that went on to be held back after an
+	// outage of 7 s left steps without an owner for 1.7 s more.
+	Away Refusal = iota
+	// Spent: the calls of all processes together are more than the store takes. An
+	// answer shows that they are fewer, so that the delay is halved.
+	Spent
 )
 
 // Delays are how long calls are held back while the store refuses their like. 300
@@ -21,36 +36,35 @@
 // followed the log for 20 s at a time, and of a calm day 0.06 was served. Its zero value
 // is ready. It is not safe for concurrent use.
 type Delays struct {
-	by map[string]time.Duration // by what was refused
+	away  map[string]time.Duration // by part
+	spent time.Duration
 }
 
-// Of returns the delay of a call that any of some kinds of refusal may meet.
-func (d *Delays) Of(kinds ...string) time.Duration {
-	longest := time.Duration(0)
-	for _, kind := range kinds {
-		longest = max(longest, d.by[kind])
+// Of returns the delay of a call to a part of the store.
+func (d *Delays) Of(part string) time.Duration { return max(d.spent, d.away[part]) }
+
+// Refused notes that the store turns a call to a part of it away, for all of some
+// processes.
+func (d *Delays) Refused(part string, why Refusal, processes int) {
+	if why == Spent {
+		d.spent = longer(d.spent, spentMost+time.Duration(processes)*spentPerProcess)
+		return
+	}
+	if d.away == nil {
+		d.away = map[string]time.Duration{}
 	}
-	return longest
+	d.away[part] = longer(d.away[part], awayMost+time.Duration(processes)*awayPerProcess)
 }
 
-// Refused notes a refusal of a kind to all of some processes.
-func (d *Delays) Refused(kind string, processes int) {
-	if d.by == nil {
-		d.by = map[string]time.Duration{}
-	}
-	most := delayMost + time.Duration(processes)*delayPerProcess
-	d.by[kind] = min(most, max(delayFirst, 2*d.by[kind]))
+func longer(delay, most time.Duration) time.Duration {
+	return min(most, max(delayFirst, 2*delay))
 }
 
-// Answered notes that the store took a call.
-func (d *Delays) Answered(kinds ...string) {
-	for _, kind := range kinds {
-		delay := d.by[kind] / 2
-		if delay < delayFirst {
-			delete(d.by, kind)
-			continue
-		}
-		d.by[kind] = delay
+// Answered notes that the store took a call to a part of it.
+func (d *Delays) Answered(part string) {
+	delete(d.away, part)
+	if d.spent /= 2; d.spent < delayFirst {
+		d.spent = 0
 	}
 }
 
--- a/decide/fetch/delays_test.go
+++ b/decide/fetch/delays_test.go
@@ -9,23 +9,38 @@
 	"dandelionsill.org/decide/fetch"
 )
 
-// The store refuses one topic for an outage and everything for its rate. Calls are held
-// back for what may meet them, the longer the more processes share the store, and come
-// as fast as ever once it answers.
+// A part of the store is away, and what all ask together is more than it takes. Calls
+// are held back for what may meet them, the longer the more processes share the store.
 func TestDelaysFollowRefusals(t *testing.T) {
 	var d fetch.Delays
-	require.Zero(t, d.Of("all", "jobs"))
-	d.Refused("jobs", 10)
-	require.Equal(t, 50*time.Millisecond, d.Of("all", "jobs"))
-	require.Zero(t, d.Of("all", "texts"))
+	require.Zero(t, d.Of("jobs"))
+	d.Refused("jobs", fetch.Away, 10)
+	require.Equal(t, 50*time.Millisecond, d.Of("jobs"))
+	require.Zero(t, d.Of("texts"))
 	for range 10 {
-		d.Refused("all", 100)
+		d.Refused("jobs", fetch.Away, 100)
+		d.Refused("jobs", fetch.Spent, 100)
 	}
-	require.Equal(t, 800*time.Millisecond, d.Of("all", "texts"))
+	require.Equal(t, 800*time.Millisecond, d.Of("texts"))
+	require.Equal(t, 800*time.Millisecond, d.Of("jobs"))
 	for range 5 {
-		d.Answered("all", "jobs")
+		d.Answered("texts")
 	}
-	require.Zero(t, d.Of("all", "jobs"))
+	require.Zero(t, d.Of("texts"))
+	require.Equal(t, 400*time.Millisecond, d.Of("jobs"))
+}
+
+// The store is back after an outage. The first answer shows it: a process that then went
+// on to wait half as long, and half of that, was two seconds late with what it had to
+// read before it could go on with a step.
+func TestCallsComeAsFastAsEverAfterAnOutage(t *testing.T) {
+	var d fetch.Delays
+	for range 10 {
+		d.Refused("jobs", fetch.Away, 133)
+	}
+	require.LessOrEqual(t, d.Of("jobs"), 500*time.Millisecond)
+	d.Answered("jobs")
+	require.Zero(t, d.Of("jobs"))
 }
 
 func TestPatienceGrowsWithWhatIsCutOff(t *testing.T) {
--- a/gateway/jobs/api.go
+++ b/gateway/jobs/api.go
@@ -197,7 +197,7 @@
 	defer s.book.mu.Unlock()
 	var able *jobs.Writer
 	for _, o := range s.book.state.Owners() {
-		silent := time.Since(s.book.heard[o.Owner])
+		silent := s.book.silent(o.Owner, time.Now())
 		switch {
 		case o.Items+items > capacityOr(o.Capacity):
 		case o.Items > 0 && silent <= ownerHeard, silent <= ownerHeard && o.Capacity >= ableItems:
--- a/gateway/jobs/book.go
+++ b/gateway/jobs/book.go
@@ -28,10 +28,6 @@
 	// well that this process is up to date.
 	tailWait  = 500 * time.Millisecond
 	tailRetry = 60 * time.Millisecond
-	// tailRetryMost is how far apart reads come to lie that go on failing: a log that
-	// is back after an outage is found within it, and hundreds of processes do not
-	// keep it busy with what they ask in vain.
-	tailRetryMost = 400 * time.Millisecond
 	// freshFor is how long after an answer of the log this process still
 	// counts as up to date.
 	freshFor = tailWait + 700*time.Millisecond
@@ -79,8 +75,9 @@
 	// asOf is when the read that last reached the log's end was sent: all that
 	// was acknowledged before it is folded.
 	asOf time.Time
-	// since is when reads began to succeed after the last failure.
-	since time.Time
+	// since is when reads began to succeed after the last failure, and lost when they
+	// had begun to fail then.
+	since, lost time.Time
 	// gaps counts how often records were missed, and gapOver is when all jobs that
 	// the last gap may concern are over.
 	gaps    int
@@ -118,7 +115,6 @@
 // Run follows the log until ctx ends.
 func (b *Book) Run(ctx context.Context) {
 	lost := false
-	retry := tailRetry
 	forget := time.Now().Add(forgetEvery)
 	for ctx.Err() == nil {
 		sent := time.Now()
@@ -128,7 +124,7 @@
 			if lost {
 				b.zlog.Info("The log is back.", zap.Uint64("offset", b.next))
 			}
-			lost, retry = false, tailRetry
+			lost = false
 			b.fold(page, sent)
 			if page.Next >= page.End {
 				sleep.For(ctx, b.pace()-time.Since(sent))
@@ -144,8 +140,7 @@
 			}
 			lost = true
 			b.failed()
-			sleep.For(ctx, sleep.Jitter(retry))
-			retry = min(tailRetryMost, 2*retry)
+			sleep.For(ctx, sleep.Jitter(tailRetry))
 		}
 		if time.Now().After(forget) {
 			b.forget()
@@ -181,6 +176,9 @@
 func (b *Book) failed() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !b.since.IsZero() {
+		b.lost = time.Now()
+	}
 	b.since = time.Time{}
 }
 
@@ -265,6 +263,20 @@
 	}
 }
 
+// silent is how long nothing was read of a writer, the time not counted in which the log
+// could not be read; mu is held.
+func (b *Book) silent(w jobs.Writer, now time.Time) time.Duration {
+	heard := b.heard[w]
+	switch {
+	case !heard.Before(b.since):
+		return now.Sub(heard)
+	case heard.Before(b.lost):
+		return now.Sub(b.since) + b.lost.Sub(heard)
+	default:
+		return now.Sub(b.since)
+	}
+}
+
 // owned tells whether a writer owns a job and has not given it up.
 func (b *Book) owned(job string, w jobs.Writer) bool {
 	b.mu.Lock()
--- a/gateway/jobs/ownership.go
+++ b/gateway/jobs/ownership.go
@@ -49,14 +49,10 @@
 	if j.Owner.Node == r.writer.Node || j.Released && r.out.capacity >= ableItems {
 		return true
 	}
-	heard := r.book.heard[j.Owner]
 	if j.Released {
-		return now.Sub(heard) > smallWaits
+		return now.Sub(r.book.heard[j.Owner]) > smallWaits
 	}
-	if heard.Before(r.book.since) {
-		heard = r.book.since
-	}
-	silent := now.Sub(heard)
+	silent := r.book.silent(j.Owner, now)
 	if r.out.capacity < ableItems {
 		silent -= smallWaits
 	}
