gateway/jobs: jobs that are given up are claimed in turn

An owner that leaves gives its jobs up, and all 60 processes that can run a step claimed each of them at one moment: the log takes one append after the other, and the jobs went to several.

--- a/gateway/jobs/ownership.go
+++ b/gateway/jobs/ownership.go
@@ -46,16 +46,16 @@
 	if !r.book.upToDate(now) || now.Sub(r.claimed[j.ID]) < takeOverAfter {
 		return false
 	}
-	if j.Owner.Node == r.writer.Node || j.Released && r.out.capacity >= ableItems {
+	if j.Owner.Node == r.writer.Node {
 		return true
 	}
-	if j.Released {
-		return now.Sub(r.book.heard[j.Owner]) > smallWaits
-	}
 	silent := r.book.silent(j.Owner, now)
 	if r.out.capacity < ableItems {
 		silent -= smallWaits
 	}
+	if j.Released { // half of the spread: nobody has to be sure that it is gone
+		return silent > r.takeOverTurn(j.Owner)/2
+	}
 	// Where appends take long, so do an owner's signs of life.
 	late := slowLog * time.Duration(r.out.took.Load())
 	return silent > takeOverAfter+late+r.takeOverTurn(j.Owner)
