gateway/jobs: results do not wait until a silent part of the store is found so

A partition that does not answer takes a second of each append; while it is away whole texts go to another one first. Lanes end before the outbox does.

--- a/gateway/jobs/lane.go
+++ b/gateway/jobs/lane.go
@@ -22,6 +22,8 @@
 	releases []string
 	// busy: it is being appended.
 	busy bool
+	// away: the partition took nothing the last time. Only whoever appends reads it.
+	away bool
 }
 
 // jobTexts is what is to be appended of one job's texts.
@@ -97,22 +99,25 @@
 
 // flushLane appends once what a lane holds, and has the jobs' stream tell of it. Where
 // the partition does not take it, results go to another one, for each names where its
-// text stands; the text so far has to stand behind its job's items and waits.
+// text stands; the text so far has to stand behind its job's items and waits. A
+// partition that is silent takes a second to be found so: the next results do not wait
+// for that.
 func (o *outbox) flushLane(ctx context.Context, l *lane) bool {
 	o.mu.Lock()
 	texts, releases := l.texts, l.releases
 	l.texts, l.releases = map[string]*jobTexts{}, nil
 	o.mu.Unlock()
 	progress, results := o.split(texts)
+	if l.away {
+		results = o.appendGroups(ctx, o.otherPart(l.part), results)
+	}
 	failed := o.appendGroups(ctx, l.part, append(progress, results...))
-	if len(failed) == 0 {
+	if l.away = len(failed) > 0; !l.away {
 		o.listed(nil, releases)
 		return true
 	}
-	if elsewhere := o.otherPart(l.part); elsewhere != l.part {
-		progress, results = divide(failed)
-		failed = append(progress, o.appendGroups(ctx, elsewhere, results)...)
-	}
+	progress, results = divide(failed)
+	failed = append(progress, o.appendGroups(ctx, o.otherPart(l.part), results)...)
 	o.putBack(l, failed, releases)
 	return false
 }
--- a/gateway/jobs/outbox.go
+++ b/gateway/jobs/outbox.go
@@ -143,10 +143,11 @@
 // run appends until ctx ends.
 func (o *outbox) run(ctx context.Context) {
 	var lanes sync.WaitGroup
-	defer lanes.Wait()
-	o.mu.Lock()
-	o.flushing = func(l *lane) { lanes.Go(func() { o.runLane(ctx, l) }) }
-	o.mu.Unlock()
+	o.setFlushing(func(l *lane) { lanes.Go(func() { o.runLane(ctx, l) }) })
+	defer func() {
+		o.setFlushing(nil) // none may begin beside the wait
+		lanes.Wait()
+	}()
 	last := time.Time{} // tells its capacity at once
 	idle := idleBeat
 	tick := time.NewTicker(flushEvery)
@@ -168,6 +169,12 @@
 	}
 }
 
+func (o *outbox) setFlushing(flushing func(*lane)) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.flushing = flushing
+}
+
 // flush appends what is pending for the jobs' stream, or an empty record as a sign of
 // life; it tries until it is taken or ctx ends, and tells whether it appended.
 func (o *outbox) flush(ctx context.Context, beat bool) bool {
