--- a/gateway/jobs/outage_test.go
+++ b/gateway/jobs/outage_test.go
@@ -49,6 +49,11 @@
 	a.submit(t, "j", 4, 1)
 	pf.Store.Fail(hostedtest.StoreFaults{SlowAppends: 700 * time.Millisecond})
 	requireWhole(t, b.results(t, "j", 4), 100)
+	requireNoClaims(t, pf)
+}
+
+// requireNoClaims makes sure that no job was taken from its owner.
+func requireNoClaims(t *testing.T, pf *gatewaytest.Platform) {
 	for _, data := range pf.Store.Records(jobs.Stream) {
 		r, err := fold.Decode(data)
 		require.NoError(t, err)
--- a/gateway/jobs/partaway_test.go
+++ b/gateway/jobs/partaway_test.go
@@ -7,9 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	fold "dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/gatewaytest"
-	"dandelionsill.org/gateway/jobs"
 	"dandelionsill.org/platform/hosted/hostedtest"
 )
 
@@ -36,11 +34,7 @@
 			for i := range 3 {
 				requireWhole(t, b.results(t, fmt.Sprint("j", i), 2), 100)
 			}
-			for _, data := range pf.Store.Records(jobs.Stream) {
-				r, err := fold.Decode(data)
-				require.NoError(t, err)
-				require.Empty(t, r.Claims)
-			}
+			requireNoClaims(t, pf)
 		})
 	}
 }
