--- a/fold/jobs/bench_test.go
+++ b/fold/jobs/bench_test.go
@@ -12,6 +12,14 @@
 // randomID returns an id as callers draw them.
 func randomID(rng *rand.Rand) string { return fmt.Sprintf("%016x", rng.Uint64()) }
 
+// randomResult returns a result with the names and seals of a real one's lengths.
+func randomResult(rng *rand.Rand, job string) Result {
+	return Result{
+		Job: job, Item: randomID(rng), Ref: &TextRef{Part: 3, Offset: rng.Uint64N(1e5), Bytes: rng.IntN(20000)},
+		Versions: []uint64{6, 7}, Score: fmt.Sprintf("%04x.07.5a2.600.0.%08x", rng.Uint32N(1<<16), rng.Uint32()),
+	}
+}
+
 // Samples that start and get their results, four in a record: the bytes that each process
 // reads of one are 71, where they are not packed 210. Unpacking the record takes 11 µs.
 func BenchmarkSampleInARecord(b *testing.B) {
@@ -22,8 +30,7 @@
 	for range each {
 		item, server := randomID(rng), fmt.Sprintf("i-%08x@%d", rng.Uint32(), 1790000000000+rng.IntN(1e6))
 		r.Starts = append(r.Starts, Start{Job: job, Item: item, Server: server})
-		r.Results = append(r.Results, Result{Job: job, Item: randomID(rng), Ref: &TextRef{Part: 3, Offset: rng.Uint64N(1e5), Bytes: rng.IntN(20000)},
-			Versions: []uint64{6, 7}, Score: fmt.Sprintf("%04x.07.5a2.600.0.%08x", rng.Uint32N(1<<16), rng.Uint32())})
+		r.Results = append(r.Results, randomResult(rng, job))
 	}
 	plain, err := json.Marshal(&r)
 	require.NoError(b, err)
@@ -39,11 +46,11 @@
 
 // One result read and folded by one process, and its bytes in the record.
 func BenchmarkFoldResult(b *testing.B) {
+	rng := rand.New(rand.NewPCG(1, 1))
 	r := Record{Writer: ann}
 	const each = 16
-	for i := range each {
-		r.Results = append(r.Results, Result{Job: "0123456789abcdef", Item: fmt.Sprintf("%016x", i), Ref: &TextRef{Part: 3, Offset: 123456, Bytes: 6400},
-			Versions: []uint64{6, 7}, Score: "3e1b.07.5a2.600.0.c9f2a4d1"})
+	for range each {
+		r.Results = append(r.Results, randomResult(rng, "0123456789abcdef"))
 	}
 	data, err := r.Encode()
 	require.NoError(b, err)
@@ -60,9 +67,10 @@
 
 // A job of 100 items without their bodies, read and folded by one process.
 func BenchmarkFoldJob(b *testing.B) {
+	rng := rand.New(rand.NewPCG(1, 1))
 	a := &Accept{Head: Head{ID: "j"}, Parts: 1}
 	for i := range 100 {
-		a.Items = append(a.Items, ItemRef{ID: fmt.Sprintf("%016x", i), Group: "g1002a"})
+		a.Items = append(a.Items, ItemRef{ID: randomID(rng), Group: fmt.Sprintf("g%x", 4096+i/8)})
 	}
 	data, err := (&Record{Writer: ann, Accept: a}).Encode()
 	require.NoError(b, err)
