--- a/gateway/jobs/api.go
+++ b/gateway/jobs/api.go
@@ -33,8 +33,10 @@
 	// calls does so for seconds, and another entry may reach it.
 	comeBack = 400 * time.Millisecond
 	// ownerHeard is how lately an owner must have shown that it lives to be
-	// given another job: two of its signs of life.
-	ownerHeard = 800 * time.Millisecond
+	// given another job: three of its signs of life. As an outage of the log ends, its
+	// last one is up to two of them and a read that waits older than the outage; with
+	// two, the entry took the step itself, and steps went to several owners.
+	ownerHeard = 1200 * time.Millisecond
 	// ownerItems is how many items an owner takes on that has not told its
 	// capacity.
 	ownerItems = 250
