gateway/jobs: texts of two claims of a job are kept apart

Found by reading: what an owner has not appended yet went out under the claim that it had last. A process that loses a job while its partition is away, and has it again, goes on from what the log had; its earlier events, put under the new claim, would stand in one text with those of another run for whoever takes the job over. The test fails on the code before.

--- a/gateway/jobs/lane.go
+++ b/gateway/jobs/lane.go
@@ -17,7 +17,7 @@
 // it.
 type lane struct {
 	part  int
-	texts map[string]*jobTexts // by job
+	texts map[claimed]*jobTexts
 	// releases are jobs to be given up behind their texts.
 	releases []string
 	// busy: it is being appended.
@@ -26,9 +26,16 @@
 	away bool
 }
 
+// claimed is a job under a claim. A process that lost a job and has it again goes on from
+// what the log had: what it made before, and has not appended yet, is of other runs.
+// Put under the new claim, events of two runs would stand in one text.
+type claimed struct {
+	job   string
+	claim uint64
+}
+
 // jobTexts is what is to be appended of one job's texts.
 type jobTexts struct {
-	claim    uint64
 	progress []jobs.Progress
 	results  []jobs.Result // with their texts
 }
@@ -37,20 +44,19 @@
 func (o *outbox) lane(part int) *lane {
 	l := o.lanes[part]
 	if l == nil {
-		l = &lane{part: part, texts: map[string]*jobTexts{}}
+		l = &lane{part: part, texts: map[claimed]*jobTexts{}}
 		o.lanes[part] = l
 	}
 	return l
 }
 
-// job returns the pending texts of a job; o.mu is held.
-func (l *lane) job(id string, claim uint64) *jobTexts {
-	t := l.texts[id]
+// of returns the pending texts of a job; o.mu is held.
+func (l *lane) of(c claimed) *jobTexts {
+	t := l.texts[c]
 	if t == nil {
 		t = &jobTexts{}
-		l.texts[id] = t
+		l.texts[c] = t
 	}
-	t.claim = claim
 	return t
 }
 
@@ -105,7 +111,7 @@
 func (o *outbox) flushLane(ctx context.Context, l *lane) bool {
 	o.mu.Lock()
 	texts, releases := l.texts, l.releases
-	l.texts, l.releases = map[string]*jobTexts{}, nil
+	l.texts, l.releases = map[claimed]*jobTexts{}, nil
 	o.mu.Unlock()
 	progress, results := o.split(texts)
 	if l.away {
@@ -131,13 +137,13 @@
 }
 
 // split makes records of texts: those of texts so far, and those of whole texts.
-func (o *outbox) split(texts map[string]*jobTexts) (progress, results []textGroup) {
+func (o *outbox) split(texts map[claimed]*jobTexts) (progress, results []textGroup) {
 	var groups []textGroup
-	for job, t := range texts {
-		for _, g := range splitTexts(o.writer, job, t) {
+	for c, t := range texts {
+		for _, g := range splitTexts(o.writer, c, t) {
 			data, err := g.record.Encode()
 			if err != nil {
-				o.zlog.Error("Texts can't be encoded and are lost.", zap.String("job", job), zap.Error(err))
+				o.zlog.Error("Texts can't be encoded and are lost.", zap.String("job", c.job), zap.Error(err))
 				continue
 			}
 			g.data = data
@@ -194,14 +200,14 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	newer := l.texts
-	l.texts = map[string]*jobTexts{}
+	l.texts = map[claimed]*jobTexts{}
 	for _, g := range groups {
-		t := l.job(g.record.Job, g.record.Claim)
+		t := l.of(claimed{g.record.Job, g.record.Claim})
 		t.progress = append(t.progress, g.record.Progress...)
 		t.results = append(t.results, g.results...)
 	}
-	for job, n := range newer {
-		t := l.job(job, n.claim)
+	for c, n := range newer {
+		t := l.of(c)
 		t.progress = append(t.progress, n.progress...)
 		t.results = append(t.results, n.results...)
 	}
--- a/gateway/jobs/outbox.go
+++ b/gateway/jobs/outbox.go
@@ -113,7 +113,7 @@
 func (o *outbox) progress(job *jobs.Job, claim uint64, p jobs.Progress) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	t := o.lane(job.At.Part).job(job.ID, claim)
+	t := o.lane(job.At.Part).of(claimed{job.ID, claim})
 	t.progress = append(t.progress, p)
 }
 
@@ -126,7 +126,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	l := o.lane(job.At.Part)
-	t := l.job(job.ID, claim)
+	t := l.of(claimed{job.ID, claim})
 	t.results = append(t.results, r)
 	o.kick(l)
 }
--- a/gateway/jobs/outbox_test.go
+++ b/gateway/jobs/outbox_test.go
@@ -190,3 +190,31 @@
 	}
 	require.Len(t, texts.Best("slow", 1).Events, 5)
 }
+
+// A job's partition is away. Its owner loses the job and has it again, and goes on from
+// the one event that the log had, with another run. The events that it had made before
+// stand under its earlier claim: under the new one they would be taken for that run's.
+func TestEventsOfTwoClaimsAreKeptApart(t *testing.T) {
+	l := &awayLog{away: textStream(2)}
+	o := newOutbox(l, jobs.Writer{Node: "a", Life: "1"}, 4, func() bool { return true }, func(textKey, string) {}, zap.NewNop())
+	j := &jobs.Job{Head: jobs.Head{ID: "j"}, At: jobs.TextRef{Part: 2}}
+	events := func(run string, from, to int) jobs.Progress {
+		p := jobs.Progress{Item: "i", From: from}
+		for k := from; k < to; k++ {
+			p.Events = append(p.Events, jobs.Event{Data: fmt.Sprint(run, k), Version: 1})
+		}
+		return p
+	}
+	o.progress(j, 7, events("first", 0, 4))
+	require.False(t, o.flushLane(t.Context(), o.lanes[2]))
+	o.progress(j, 9, events("second", 0, 6))
+	l.away = ""
+	require.True(t, o.flushLane(t.Context(), o.lanes[2]))
+	texts := jobs.NewTexts("j")
+	for _, data := range l.records {
+		record, err := jobs.DecodeText(data)
+		require.NoError(t, err)
+		texts.Apply(record)
+	}
+	require.Equal(t, events("second", 0, 6).Events, texts.Best("i", 1).Events)
+}
--- a/gateway/jobs/textgroups.go
+++ b/gateway/jobs/textgroups.go
@@ -11,8 +11,8 @@
 
 // splitTexts makes records of a size that the log takes. One holds texts so far or whole
 // texts, for these may stand elsewhere.
-func splitTexts(w jobs.Writer, job string, t *jobTexts) []textGroup {
-	s := &textSplitter{writer: w, job: job, claim: t.claim}
+func splitTexts(w jobs.Writer, of claimed, t *jobTexts) []textGroup {
+	s := &textSplitter{writer: w, of: of}
 	s.close()
 	for _, p := range t.progress {
 		bytes := startBytes
@@ -34,8 +34,7 @@
 // textSplitter gathers texts and begins a new record in time.
 type textSplitter struct {
 	writer jobs.Writer
-	job    string
-	claim  uint64
+	of     claimed
 	groups []textGroup
 	size   int // of the last record, in bytes
 }
@@ -46,7 +45,7 @@
 // next returns the record for a text of some bytes.
 func (s *textSplitter) next(bytes int) *textGroup {
 	if s.size+bytes > recordMost {
-		s.groups = append(s.groups, textGroup{record: jobs.TextRecord{Writer: s.writer, Job: s.job, Claim: s.claim}})
+		s.groups = append(s.groups, textGroup{record: jobs.TextRecord{Writer: s.writer, Job: s.of.job, Claim: s.of.claim}})
 		s.size = 0
 	}
 	s.size += bytes
