fold/once: a key issued at the very bound of the skew is lost with its record

The floor behind a gap was the last millisecond in which a key of a lost record can have been issued, and keys below the floor are lost: the key of that very millisecond was free. It takes a caller's clock and an agent's at the full bound of their skew, which rapid draws on purpose. Ruled out: the reset of the stream and another window (the case shrinks to one gap and two records).

--- a/fold/once/once.go
+++ b/fold/once/once.go
@@ -189,10 +189,13 @@
 }
 
 // closeGap sets the floor from a time not before that of any lost record: a
-// key claimed in one of those was issued at most skewsPerKey skews later.
+// key claimed in one of those was issued at most skewsPerKey skews later. The
+// floor lies behind that millisecond: a key that was issued in it may stand in a
+// lost record, and if it were taken for free its request would run twice.
 func (s *State) closeGap(ms int64) {
 	s.gap = false
-	s.gapFloor = max(s.gapFloor, ms+skewsPerKey*s.terms.Skew.Milliseconds())
+	lastIssue := ms + skewsPerKey*s.terms.Skew.Milliseconds()
+	s.gapFloor = max(s.gapFloor, lastIssue+1)
 }
 
 // claim lets the first claim win. A claim below a floor never wins: the one
--- a/fold/once/once_test.go
+++ b/fold/once/once_test.go
@@ -126,6 +126,28 @@
 	})
 }
 
+// An agent missed the record in which a key was claimed, and reads a later one.
+// The caller's clock and the claiming agent's are as far ahead as the bound on
+// skew allows, so the key was issued in the very millisecond to which the gap
+// reaches. Taken for free, it would be given to a second agent, which runs the
+// order again.
+func TestKeyAtTheBoundOfSkewIsLostWithItsRecord(t *testing.T) {
+	lastIssue := epoch.Add(skewsPerKey * terms.Skew)
+	k := keyAt("shop", lastIssue, 1)
+	claim := func(incarnation string) []byte {
+		return Encode(Batch{Owner: Owner{Name: "a", Incarnation: incarnation}, Claims: []Claim{{Key: k}}})
+	}
+	whole, missed := New(terms), New(terms)
+	whole.Apply(platform.Record{Offset: 0, Time: epoch, Data: claim("1")})
+	missed.Gap(1)
+	second := platform.Record{Offset: 1, Time: epoch, Data: claim("2")}
+	whole.Apply(second)
+	missed.Apply(second)
+	require.Equal(t, Owner{Name: "a", Incarnation: "1"}.Holder(), whole.Find(k).Owner)
+	require.Equal(t, Lost, missed.Find(k).Status)
+	require.Equal(t, Free, missed.Find(keyAt("shop", lastIssue.Add(time.Millisecond), 2)).Status)
+}
+
 // An order ran; its key fell out of the window and was forgotten. A frozen
 // agent's claim of the same key lands now. If it won, the order would run
 // twice; so would it if a new manifest revision widened the window again.
