gateway/backend: the test of extra answers tells its two cases apart

Its server wrote the second answer by a write of its own, so that it came before or after the connection was checked.

--- a/gateway/backend/backend_test.go
+++ b/gateway/backend/backend_test.go
@@ -106,17 +106,19 @@
 	require.True(t, pool.Kept(p.addr))
 }
 
-// A faulty server sends a second answer behind the first, at once or late. It
-// would be taken for the answer of the next request, whose caller would get
-// another caller's bytes.
+// A faulty server sends a second answer behind the first, in the same bytes or
+// while its connection is idle. It would be taken for the answer of the next
+// request, whose caller would get another caller's bytes.
 func TestExtraAnswerReachesNobody(t *testing.T) {
 	late := make(chan struct{})
 	p := newPeer(t, func(r *http.Request, w net.Conn) bool {
 		id := r.Header.Get("X-Id")
-		ok(w, id, "answer to "+id, "")
+		answers := bufio.NewWriter(w) // one write: both answers are there at once
+		defer answers.Flush()
+		ok(answers, id, "answer to "+id, "")
 		switch id {
 		case "1":
-			ok(w, id, "again to "+id, "")
+			ok(answers, id, "again to "+id, "")
 		case "3":
 			time.AfterFunc(20*time.Millisecond, func() { ok(w, id, "late to "+id, ""); close(late) })
 		}
@@ -135,6 +137,35 @@
 	}, 5*time.Second, time.Millisecond)
 }
 
+// The second answer comes at any moment: before the connection is checked, or
+// after, when the next request is on its way. That request then ends with
+// ErrMismatch, its outcome unknown; it never gets the other's bytes, and the one
+// behind it is served, for the connection was closed.
+func TestExtraAnswerAtAnyMomentIsNotTheNextOnes(t *testing.T) {
+	p := newPeer(t, func(r *http.Request, w net.Conn) bool {
+		id := r.Header.Get("X-Id")
+		ok(w, id, "answer to "+id, "")
+		if strings.HasPrefix(id, "twice") {
+			ok(w, id, "again to "+id, "")
+		}
+		return true
+	})
+	pool := newPool(t)
+	for i := range 200 {
+		for _, kind := range []string{"twice", "next", "last"} {
+			id := fmt.Sprint(kind, i)
+			body, err := fetch(t, pool, p.addr, id)
+			if kind == "next" && err != nil {
+				require.ErrorIs(t, err, ErrMismatch)
+				require.NotErrorIs(t, err, ErrNotSent)
+				continue
+			}
+			require.NoError(t, err)
+			require.Equal(t, "answer to "+id, body)
+		}
+	}
+}
+
 // The late answer arrives after the next request was sent: it bears another
 // id, and the request's outcome is unknown.
 func TestAnswerOfAnotherRequestIsRefused(t *testing.T) {
