--- a/decide/gather/gather.go
+++ b/decide/gather/gather.go
@@ -9,10 +9,14 @@
 
 import "time"
 
-// timelyBehindDue is how long behind their due time results may be read and still
-// count as timely, 0.7 s by the users' protocol, less what an answer takes to its
-// caller with its texts.
-const timelyBehindDue = 600 * time.Millisecond
+const (
+	// timelyBehindDue is how long behind their due time results may be read and still
+	// count as timely: 0.7 s by the users' protocol, less an answer's way.
+	timelyBehindDue = 600 * time.Millisecond
+	// textsTake is kept for reading the results' texts from whoever has them: some 30
+	// ms, and several times that while the log is busy.
+	textsTake = 200 * time.Millisecond
+)
 
 // Read is a waiting read for which there are results.
 type Read struct {
@@ -38,7 +42,7 @@
 	}
 	hold := r.Most - r.Waited
 	if timely := r.Due + timelyBehindDue; r.Due != 0 && timely > 0 {
-		hold = min(hold, timely)
+		hold = min(hold, timely-textsTake)
 	}
 	return max(0, hold)
 }
--- a/decide/gather/gather_test.go
+++ b/decide/gather/gather_test.go
@@ -24,8 +24,9 @@
 		{"it has waited longer", gather.Read{Waited: 1200 * ms, Most: time.Second}, 0},
 		{"its caller waits for less", gather.Read{Waited: 100 * ms, Most: 300 * ms}, 200 * ms},
 		{"its caller has all that it waits for", gather.Read{Waited: 100 * ms, Most: time.Second, Enough: true}, 0},
-		{"results are due soon", gather.Read{Most: time.Second, Due: 200 * ms}, 800 * ms},
-		{"they were due just now", gather.Read{Most: time.Second, Due: -500 * ms}, 100 * ms},
+		{"results are due soon", gather.Read{Most: time.Second, Due: 200 * ms}, 600 * ms},
+		{"they were due just now", gather.Read{Most: time.Second, Due: -300 * ms}, 100 * ms},
+		{"they are timely if they are read at once", gather.Read{Most: time.Second, Due: -500 * ms}, 0},
 		{"they no longer count as timely", gather.Read{Most: time.Second, Due: -time.Second}, 1000 * ms},
 	} {
 		t.Run(c.name, func(t *testing.T) {
