gateway/jobs: a writer that does not give its texts is told of

Calls to writers that failed were only counted; the line names whom, how many texts and why, once a second at most. No behaviour is changed.

--- a/gateway/jobs/book.go
+++ b/gateway/jobs/book.go
@@ -88,7 +88,7 @@
 func NewBook(log Log, zlog *zap.Logger) *Book {
 	reader := newReader(log)
 	return &Book{
-		Texts: newLibrary(reader), pace: func() time.Duration { return 0 }, log: reader, zlog: zlog, state: jobs.New(),
+		Texts: newLibrary(reader, zlog), pace: func() time.Duration { return 0 }, log: reader, zlog: zlog, state: jobs.New(),
 		heard: map[jobs.Writer]time.Time{}, engineAt: map[jobs.EngineKey]time.Time{}, arrived: map[string]time.Time{},
 	}
 }
--- a/gateway/jobs/library.go
+++ b/gateway/jobs/library.go
@@ -7,6 +7,9 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
+	"dandelionsill.org/base/logs"
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/fold/jobs"
 )
@@ -32,6 +35,7 @@
 type Library struct {
 	log  *reader
 	http *http.Client
+	zlog *zap.Logger
 	// peer returns where a VM's process hands out texts, IP:port; empty: unknown.
 	peer func(node string) string
 
@@ -50,9 +54,9 @@
 
 func keyOf(r *jobs.Result) textKey { return textKey{r.Ref.Part, r.Ref.Offset, r.Item} }
 
-func newLibrary(log *reader) *Library {
+func newLibrary(log *reader, zlog *zap.Logger) *Library {
 	return &Library{
-		log: log, texts: map[textKey]string{}, peer: func(string) string { return "" },
+		log: log, zlog: logs.Limited(zlog, retriesEvery), texts: map[textKey]string{}, peer: func(string) string { return "" },
 		http: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: callsAtOnce}},
 	}
 }
--- a/gateway/jobs/library_test.go
+++ b/gateway/jobs/library_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/platform"
@@ -64,7 +65,7 @@
 func TestTextsOfAnAnswerAreReadFromTheLogOnce(t *testing.T) {
 	log := &textLog{}
 	results := log.written(t, 100, 5000)
-	filled, err := newLibrary(newReader(log)).fill(t.Context(), results)
+	filled, err := newLibrary(newReader(log), zap.NewNop()).fill(t.Context(), results)
 	require.NoError(t, err)
 	requireTexts(t, filled, 100, 5000)
 	require.LessOrEqual(t, log.reads, 8)
@@ -75,13 +76,13 @@
 func TestTextsComeFromTheirWriter(t *testing.T) {
 	log := &textLog{}
 	results := log.written(t, 60, 5000)
-	writer := newLibrary(newReader(log))
+	writer := newLibrary(newReader(log), zap.NewNop())
 	for _, r := range results {
 		writer.put(keyOf(&r), strings.Repeat(r.Item[len(r.Item)-1:], 5000))
 	}
 	server := httptest.NewServer(writer)
 	defer server.Close()
-	l := newLibrary(newReader(log))
+	l := newLibrary(newReader(log), zap.NewNop())
 	l.SetPeers(func(string) string { return strings.TrimPrefix(server.URL, "http://") })
 	filled, err := l.fill(t.Context(), results)
 	require.NoError(t, err)
@@ -93,7 +94,7 @@
 func TestLargeRecordIsRead(t *testing.T) {
 	log := &exactLog{}
 	results := log.written(t, 3, 300<<10)
-	filled, err := newLibrary(newReader(log)).fill(t.Context(), results)
+	filled, err := newLibrary(newReader(log), zap.NewNop()).fill(t.Context(), results)
 	require.NoError(t, err)
 	requireTexts(t, filled, 3, 300<<10)
 }
--- a/gateway/jobs/outbox.go
+++ b/gateway/jobs/outbox.go
@@ -35,7 +35,7 @@
 	idleBeat   = 3 * time.Second
 	retryFirst = 40 * time.Millisecond
 	retryMost  = 300 * time.Millisecond
-	// retriesEvery is how often a line tells that appends fail.
+	// retriesEvery is how often a line tells that appends, or calls for texts, fail.
 	retriesEvery = time.Second
 	// recordMost is the size at which a record is closed, in bytes of text; the
 	// platform takes 256 KB a record.
--- a/gateway/jobs/textcalls.go
+++ b/gateway/jobs/textcalls.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"go.uber.org/zap"
 
 	"dandelionsill.org/fold/jobs"
 )
@@ -90,6 +91,7 @@
 	given, err := l.exchange(ctx, call)
 	if err != nil {
 		textCallsFailed.Add(1)
+		l.zlog.Info("A writer did not give its texts.", zap.String("addr", call.addr), zap.Int("texts", len(call.asked)), zap.Error(err))
 		return
 	}
 	for _, text := range given {
