gateway: logs tell a server that ended under a request from a connection that broke

Callers saw 502 again and again; the lines of their tries said only that a connection broke, with an id that is new for each attempt. Whether the servers ended, and under one request or many, could not be told from them.

After a connection broke the machine is asked for a new one: a refusal proves that the server's process ended, a new connection is kept for the retry, silence proves nothing. The line names the request by its content (decide/poison), alike for each attempt and process, and tells how many other requests the process had there. Nothing is decided by it yet.

--- /dev/null
+++ b/decide/poison/name.go
@@ -0,0 +1,52 @@
+package poison
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"hash"
+	"net/http"
+)
+
+// Name names what a request asks for. Each attempt of a caller has an id of its
+// own, so that ids can't tell that a request comes again; its content can. The
+// empty name names nothing.
+type Name string
+
+// nameBytes of the digest are kept. The digest is a cryptographic one: with any
+// other a caller could make a request that gets another one's name.
+const nameBytes = 8
+
+// Content is what makes two requests the same one to a server.
+type Content struct {
+	Method string
+	Host   string
+	URI    string // path and query
+	Header http.Header
+	Body   []byte
+}
+
+// callerHeaders tell whose request it is where the path does not. All other headers
+// are left out: many of them differ from attempt to attempt.
+var callerHeaders = []string{"Authorization", "Cookie"}
+
+// Name returns the content's name.
+func (c *Content) Name() Name {
+	h := sha256.New()
+	for _, field := range []string{c.Method, c.Host, c.URI} {
+		write(h, []byte(field))
+	}
+	for _, name := range callerHeaders {
+		write(h, []byte(c.Header.Get(name)))
+	}
+	write(h, c.Body)
+	return Name(hex.EncodeToString(h.Sum(nil)[:nameBytes]))
+}
+
+// write adds a field behind its length, so that no two contents run into one.
+func write(h hash.Hash, field []byte) {
+	var size [8]byte
+	binary.BigEndian.PutUint64(size[:], uint64(len(field)))
+	_, _ = h.Write(size[:]) // a hash returns no errors
+	_, _ = h.Write(field)
+}
--- a/gateway/backend/backend.go
+++ b/gateway/backend/backend.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -46,8 +47,9 @@
 )
 
 var (
-	connsOpened = metrics.Counter("backend_connections_opened_total")
-	mismatches  = metrics.Counter("backend_mismatched_answers_total")
+	connsOpened  = metrics.Counter("backend_connections_opened_total")
+	mismatches   = metrics.Counter("backend_mismatched_answers_total")
+	serversEnded = metrics.Counter("backend_servers_ended_total")
 )
 
 // Request is one request to a server.
@@ -234,6 +236,26 @@
 	p.idle[addr] = append(p.idle[addr], c)
 }
 
+// Ended tells whether the process of the server at addr has ended: its machine
+// refuses connections. It is asked after a connection broke, which alone tells
+// nothing: networks reset connections, and servers close them. A machine that does
+// not answer proves nothing either. A connection that is made is kept.
+func (p *Pool) Ended(ctx context.Context, addr string) bool {
+	raw, err := p.dial(ctx, addr)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		serversEnded.Add(1)
+		return true
+	case err != nil:
+		return false
+	}
+	connsOpened.Add(1)
+	c := newConn(raw)
+	c.expires = time.Now().Add(defaultKeep)
+	p.keep(addr, c)
+	return false
+}
+
 // Retain closes the connections to all servers but those at the addresses.
 func (p *Pool) Retain(addrs map[string]bool) {
 	p.mu.Lock()
--- a/gateway/backend/backend_test.go
+++ b/gateway/backend/backend_test.go
@@ -331,3 +331,22 @@
 		a.Close()
 	}
 }
+
+// A connection broke. Only a machine that refuses connections shows that the server's
+// process ended; one that takes a new one lives, and that one is kept for the retry.
+func TestEndedServerRefusesConnections(t *testing.T) {
+	p := newPeer(t, func(r *http.Request, w net.Conn) bool { ok(w, r.Header.Get("X-Id"), "x", ""); return true })
+	pool := NewPool(idOf)
+	require.False(t, pool.Ended(t.Context(), p.addr))
+	require.True(t, pool.Kept(p.addr))
+	pool.Retain(nil)
+
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, gone.Close())
+	require.True(t, pool.Ended(t.Context(), gone.Addr().String()))
+
+	silent, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.False(t, pool.Ended(silent, gone.Addr().String()), "a machine that does not answer proves nothing")
+}
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -17,6 +17,7 @@
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/base/trace"
 	"dandelionsill.org/decide/members"
+	"dandelionsill.org/decide/poison"
 	"dandelionsill.org/decide/route"
 	"dandelionsill.org/decide/table"
 	"dandelionsill.org/gateway/backend"
@@ -65,6 +66,11 @@
 	Deadline time.Time
 }
 
+// content is what makes the call the same one as another attempt's.
+func (c *Call) content() *poison.Content {
+	return &poison.Content{Method: c.Method, Host: c.Host, URI: c.URI, Header: c.Header, Body: c.Body}
+}
+
 // Reply is the whole answer of a server.
 type Reply struct {
 	Status int
@@ -122,6 +128,7 @@
 	reply  *Reply
 	err    error
 	notRun bool
+	ended  bool // the server's process ended under the request
 	took   time.Duration
 }
 
@@ -187,6 +194,9 @@
 		s.refusals++
 	}
 	s.f.logTry(&s.call, s.service, &o)
+	if o.ended {
+		s.f.logEnded(&s.call, s.service, &o.choice)
+	}
 	if o.err == nil && !o.notRun {
 		if o.reply.Status < http.StatusInternalServerError {
 			return o.reply, nil, true
@@ -302,10 +312,18 @@
 	o.took = time.Since(begin)
 	o.notRun = errors.Is(o.err, backend.ErrNotSent) || o.err == nil && hosted.NotExecuted(o.reply.Status, o.reply.Header)
 	gone := ctx.Err() != nil
+	o.ended = !gone && errors.Is(o.err, backend.ErrBroken) && f.EndedUnder(ctx, service, server)
 	f.fleet.ended(service, server.ID, o.took, !gone && (o.err != nil || o.reply.Status >= http.StatusInternalServerError))
 	return o
 }
 
+// EndedUnder tells whether a connection that broke under a request shows that the
+// server's process ended. One that leaves ends by itself, whatever it runs.
+func (f *Forwarder) EndedUnder(ctx context.Context, service string, server members.Server) bool {
+	listed, known := f.View.Now().Server(service, server.ID)
+	return known && !listed.Leaving && f.Pool.Ended(ctx, server.Addr)
+}
+
 func (f *Forwarder) exchange(ctx context.Context, call Call, server members.Server) (*Reply, error) {
 	answer, err := f.open(ctx, call, server)
 	if err != nil {
@@ -323,6 +341,12 @@
 	return &Reply{Status: answer.Status, Header: answer.Header, Body: body, Server: server.ID}, nil
 }
 
+// logEnded names the request under which a server ended alike for all its attempts.
+func (f *Forwarder) logEnded(call *Call, service string, c *choice) {
+	f.log.Warn("A server ended under a request.", zap.String("id", call.ID), zap.String("request", string(call.content().Name())),
+		zap.String("service", service), zap.String("server", c.server.ID), zap.Int("others", c.load))
+}
+
 // logTry writes one line for a try: why that server, and how it ended.
 func (f *Forwarder) logTry(call *Call, service string, o *outcome) {
 	status := 0
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -50,6 +50,9 @@
 		end, err := s.from(ctx, c)
 		f.log.Info("Stream of a server ended.", zap.String("id", call.ID), zap.String("service", s.service), zap.String("server", c.server.ID),
 			zap.String("picked", c.why), zap.String("end", string(end)), zap.Int("last_event", s.last), zap.Error(err))
+		if end == streamBroken && ctx.Err() == nil && f.EndedUnder(ctx, s.service, c.server) {
+			f.logEnded(&s.call, s.service, &c)
+		}
 		switch {
 		case end == streamDone:
 			return s.status, nil
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -13,6 +13,7 @@
 
 	"dandelionsill.org/base/trace"
 	"dandelionsill.org/decide/members"
+	"dandelionsill.org/decide/poison"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/backend"
 	"dandelionsill.org/platform/hosted"
@@ -57,12 +58,17 @@
 	streamsStarted.Add(1)
 	s := &stream{r: r, w: w, number: w.stream, server: server.ID, name: server.Name, addr: server.Addr, behind: len(w.events), only: w.only()}
 	r.note(w, true)
+	service := w.service
 	r.tasks.Go(func() {
 		defer stop()
 		end, status, err := s.exchange(ctx)
 		if ctx.Err() != nil {
 			return // the item was taken back before
 		}
+		if end == broken && r.forward.EndedUnder(ctx, service, server) {
+			r.zlog.Warn("A server ended under a sample.", zap.String("id", w.item.ID), zap.String("job", w.job.ID),
+				zap.String("request", string(s.content().Name())), zap.String("server", server.ID))
+		}
 		r.streamEnded(parent, s, end, status, err)
 	})
 }
@@ -94,6 +100,12 @@
 	return &backend.Request{Method: http.MethodPost, URI: item.Path, Host: item.Host, Header: header, Body: item.Body, ID: item.ID}
 }
 
+// content is what makes the item the same request as in another job.
+func (s *stream) content() *poison.Content {
+	item := &s.w.item
+	return &poison.Content{Method: http.MethodPost, Host: item.Host, URI: item.Path, Body: item.Body}
+}
+
 func (s *stream) exchange(ctx context.Context) (ending, int, error) {
 	ctx, span := trace.Tracer("gateway: jobs").Start(ctx, "jobs.stream",
 		oteltrace.WithAttributes(attribute.String("id", s.w.item.ID), attribute.String("server", s.server)))
