--- a/gateway/gatewaytest/gatewaytest.go
+++ b/gateway/gatewaytest/gatewaytest.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"dandelionsill.org/decide/members"
 	"dandelionsill.org/gateway/backend"
 	"dandelionsill.org/gateway/forward"
 	"dandelionsill.org/gateway/view"
@@ -27,6 +30,8 @@
 	Store   *hostedtest.Store
 	Engines []*hostedtest.Server
 	Plain   []*hostedtest.Server
+
+	starts int // of servers in the place of others
 }
 
 // NewPlatform starts a store with a configuration, engines of the model m and
@@ -57,6 +62,37 @@
 	p.Store.Put(hostedtest.TopicServers, s.ID, s.Entry(state))
 }
 
+// Revive starts a server with the same faults in the place of each plain one that
+// crashed, and returns how many there were. Processes may not know of them yet.
+func (p *Platform) Revive(t testing.TB, f hostedtest.ServerFaults) int {
+	revived := 0
+	for i, s := range p.Plain {
+		if !s.Crashed() {
+			continue
+		}
+		p.Store.Drop(hostedtest.TopicServers, s.ID)
+		revived++
+		p.starts++
+		p.Plain[i] = p.add(t, hostedtest.NewServer(name("p", i)+"-"+strconv.Itoa(p.starts), "plain"))
+		p.Plain[i].Fail(f)
+	}
+	return revived
+}
+
+// Knows tells whether the process knows just the plain servers of the platform.
+func (p *Process) Knows(pf *Platform) bool {
+	known := p.View.Now().Servers["plain"]
+	if len(known) != len(pf.Plain) {
+		return false
+	}
+	for _, s := range pf.Plain {
+		if !slices.ContainsFunc(known, func(k members.Server) bool { return k.Name == s.ID }) {
+			return false
+		}
+	}
+	return true
+}
+
 // Process is what the parts of one process share.
 type Process struct {
 	Store   *hosted.Store
