gateway: a request that crashes each server that runs it is refused by all gateways

Callers saw 502 for one request again and again, and no server at all for their others: 13 to 17 servers ended under one request, a whole service four times over.

Cause: what happened under a request was kept with its attempt only. A caller's retry has a new id and comes to another gateway, so that each attempt could end as many servers as its route has tries, for as long as callers asked. Class: memory of failures kept by server and by attempt, none by request. Ruled out by the logs: bystanders (the same content each time, nothing else ended these servers), and the hedge alone (it doubles an attempt, not more).

Now: a request is named by its content; a refused connection after a broken one proves that a server ended; three servers without one answer quarantine the request for an hour, in the gateway's memory, at all peers within milliseconds and in a keyed stream of the store, which a gateway reads before it counts as ready. A suspect goes to one server at a time. One answer clears it everywhere; bystanders, which the next server answers, are told to nobody.

--- a/decide/poison/name.go
+++ b/decide/poison/name.go
@@ -13,9 +13,9 @@
 // empty name names nothing.
 type Name string
 
-// nameBytes of the digest are kept. The digest is a cryptographic one: with any
-// other a caller could make a request that gets another one's name.
-const nameBytes = 8
+// digestBytes of a digest are kept. It is a cryptographic one: with any other a caller
+// could make a request that gets another one's name.
+const digestBytes = 8
 
 // Content is what makes two requests the same one to a server.
 type Content struct {
@@ -40,7 +40,13 @@
 		write(h, []byte(c.Header.Get(name)))
 	}
 	write(h, c.Body)
-	return Name(hex.EncodeToString(h.Sum(nil)[:nameBytes]))
+	return Name(hex.EncodeToString(h.Sum(nil)[:digestBytes]))
+}
+
+// digest names what may be longer than a key of the store.
+func digest(text string) string {
+	sum := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(sum[:digestBytes])
 }
 
 // write adds a field behind its length, so that no two contents run into one.
--- a/decide/poison/poison.go
+++ b/decide/poison/poison.go
@@ -40,6 +40,9 @@
 	At      time.Time
 }
 
+// Key names the crash among all.
+func (c Crash) Key() string { return string(c.Request) + "/" + digest(c.Server) }
+
 // Verdict is what may be done with a request.
 type Verdict uint8
 
@@ -167,6 +170,9 @@
 	return gone
 }
 
+// Servers is how many servers ended under a request, whatever they are put down to.
+func (l *Ledger) Servers(request Name) int { return len(l.crashes[request]) }
+
 // Standing returns what is known against a request.
 func (l *Ledger) Standing(request Name) Standing { return l.Standings()[request] }
 
--- a/decide/poison/poison_test.go
+++ b/decide/poison/poison_test.go
@@ -145,3 +145,24 @@
 		require.Empty(t, one.Standings())
 	})
 }
+
+// A name is made of each request while anything is suspected: 600 B are the usual body.
+func BenchmarkName(b *testing.B) {
+	c := poison.Content{Method: "POST", Host: "app.example", URI: "/orders/81723", Body: make([]byte, 600)}
+	for b.Loop() {
+		_ = c.Name()
+	}
+}
+
+// What is known is made anew with each server's end, here of a full ledger.
+func BenchmarkStandings(b *testing.B) {
+	l := poison.NewLedger()
+	for i := range poison.RequestsMost {
+		for server := range poison.QuarantineAt {
+			l.Add(crash(fmt.Sprint(i), i+server, start), start)
+		}
+	}
+	for b.Loop() {
+		_ = l.Standings()
+	}
+}
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -14,13 +14,14 @@
 	oteltrace "go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
+	"dandelionsill.org/base/logs"
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/base/trace"
 	"dandelionsill.org/decide/members"
-	"dandelionsill.org/decide/poison"
 	"dandelionsill.org/decide/route"
 	"dandelionsill.org/decide/table"
 	"dandelionsill.org/gateway/backend"
+	"dandelionsill.org/gateway/quarantine"
 	"dandelionsill.org/gateway/view"
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/platform/hosted"
@@ -66,11 +67,6 @@
 	Deadline time.Time
 }
 
-// content is what makes the call the same one as another attempt's.
-func (c *Call) content() *poison.Content {
-	return &poison.Content{Method: c.Method, Host: c.Host, URI: c.URI, Header: c.Header, Body: c.Body}
-}
-
 // Reply is the whole answer of a server.
 type Reply struct {
 	Status int
@@ -85,6 +81,8 @@
 type Forwarder struct {
 	View *view.View
 	Pool *backend.Pool
+	// Quarantine keeps requests that crash servers from reaching any.
+	Quarantine *quarantine.Quarantine
 
 	domain string
 	log    *zap.Logger
@@ -99,7 +97,7 @@
 		Scorers: []route.Scorer{route.LoadScore{}, route.DistanceScore{}, route.ConnectScore{}},
 		Picker:  route.Lowest{},
 	}
-	return &Forwarder{View: v, Pool: pool, domain: domain, log: log, fleet: newFleet(), policy: policy}
+	return &Forwarder{View: v, Pool: pool, Quarantine: quarantine.New(logs.Part(log, "quarantine")), domain: domain, log: log, fleet: newFleet(), policy: policy}
 }
 
 // Send returns a server's answer or the reason why there is none. ctx ends
@@ -109,7 +107,9 @@
 	defer cancel()
 	s := &sending{f: f, call: call, held: kinds.Hold(), outcomes: make(chan outcome, call.Route.MaxAttempts+refusalsMost+1),
 		service: call.Route.Pick(route.Hash(call.ID)), tried: map[string]bool{}, start: time.Now()}
-	return s.run(ctx)
+	reply, err := s.run(ctx)
+	s.judge(reply)
+	return reply, err
 }
 
 // choice is why a server was asked.
@@ -148,13 +148,14 @@
 	refusals int
 	failures int      // internal errors that servers answered
 	last     *outcome // the newest failure that a server answered itself
+	suspect  suspect
 }
 
 func (s *sending) run(ctx context.Context) (*Reply, *kinds.Error) {
 	hedge := time.NewTimer(s.hedgeAfter())
 	defer hedge.Stop()
 	if !s.launch(ctx) {
-		return nil, s.refuse(kinds.NoServer, "no server of the service takes work")
+		return nil, s.noServer()
 	}
 	for {
 		select {
@@ -164,7 +165,7 @@
 				return reply, err
 			}
 		case <-hedge.C:
-			if s.mayRepeat() && s.launch(ctx) {
+			if s.mayRepeat() && !s.suspected() && s.launch(ctx) {
 				hedges.Add(1)
 			}
 		case <-ctx.Done():
@@ -195,7 +196,7 @@
 	}
 	s.f.logTry(&s.call, s.service, &o)
 	if o.ended {
-		s.f.logEnded(&s.call, s.service, &o.choice)
+		s.serverEnded(&o.choice)
 	}
 	if o.err == nil && !o.notRun {
 		if o.reply.Status < http.StatusInternalServerError {
@@ -220,10 +221,13 @@
 	if !s.mayRepeat() || s.refusals > refusalsMost || time.Until(s.call.Deadline) < leastLeft {
 		return false
 	}
+	if s.running > 0 && s.suspected() {
+		return false // one server at a time: the one that has it may end as well
+	}
 	if s.launch(ctx) {
 		return true
 	}
-	if s.running > 0 {
+	if s.running > 0 || s.quarantined() {
 		return false
 	}
 	// Every server had its turn: after a short pause they get another.
@@ -242,6 +246,9 @@
 		s.last.reply.Failures = s.failures
 		return s.last.reply, nil, true
 	}
+	if s.quarantined() {
+		return nil, s.noServer(), true
+	}
 	if s.mayRun == 0 {
 		return nil, s.refuse(kinds.Overloaded, "all servers refused the request"), true
 	}
@@ -269,6 +276,9 @@
 
 // launch sends the request to one more server; false: there is none.
 func (s *sending) launch(ctx context.Context) bool {
+	if s.quarantined() {
+		return false
+	}
 	c, ok := s.pick()
 	if !ok {
 		return false
@@ -341,12 +351,6 @@
 	return &Reply{Status: answer.Status, Header: answer.Header, Body: body, Server: server.ID}, nil
 }
 
-// logEnded names the request under which a server ended alike for all its attempts.
-func (f *Forwarder) logEnded(call *Call, service string, c *choice) {
-	f.log.Warn("A server ended under a request.", zap.String("id", call.ID), zap.String("request", string(call.content().Name())),
-		zap.String("service", service), zap.String("server", c.server.ID), zap.Int("others", c.load))
-}
-
 // logTry writes one line for a try: why that server, and how it ended.
 func (f *Forwarder) logTry(call *Call, service string, o *outcome) {
 	status := 0
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -40,7 +40,11 @@
 		sending: &sending{f: f, call: call, held: kinds.Hold(), service: call.Route.Pick(route.Hash(call.ID)), tried: map[string]bool{}, start: time.Now()},
 		w:       w, last: hosted.Resumed(call.Header),
 	}
+	defer func() { s.judge(nil) }()
 	for {
+		if s.quarantined() {
+			return s.giveUp(s.noServer())
+		}
 		c, ok := s.pick()
 		if !ok || s.refusals > refusalsMost {
 			return s.giveUp(s.refuse(kinds.Overloaded, "no server took the stream"))
@@ -51,10 +55,13 @@
 		f.log.Info("Stream of a server ended.", zap.String("id", call.ID), zap.String("service", s.service), zap.String("server", c.server.ID),
 			zap.String("picked", c.why), zap.String("end", string(end)), zap.Int("last_event", s.last), zap.Error(err))
 		if end == streamBroken && ctx.Err() == nil && f.EndedUnder(ctx, s.service, c.server) {
-			f.logEnded(&s.call, s.service, &c)
+			s.serverEnded(&c)
 		}
 		switch {
 		case end == streamDone:
+			if s.status < http.StatusInternalServerError {
+				s.survived()
+			}
 			return s.status, nil
 		case end == streamRefused:
 			s.refusals++
--- a/gateway/gatewaytest/gatewaytest.go
+++ b/gateway/gatewaytest/gatewaytest.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http/httptest"
 	"slices"
 	"strconv"
 	"sync"
@@ -32,6 +33,22 @@
 	Plain   []*hostedtest.Server
 
 	starts int // of servers in the place of others
+
+	mu    sync.Mutex
+	peers []string // where processes take their peers' calls
+}
+
+// others returns where the processes but one take their peers' calls.
+func (p *Platform) others(self string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(p.peers), func(addr string) bool { return addr == self })
+}
+
+func (p *Platform) addPeer(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peers = append(p.peers, addr)
 }
 
 // NewPlatform starts a store with a configuration, engines of the model m and
@@ -105,6 +122,16 @@
 	Stop func()
 }
 
+// share lets a process hear of its peers' quarantine and tell them of its own.
+func (p *Platform) share(t testing.TB, proc *Process) {
+	calls := httptest.NewServer(proc.Forward.Quarantine)
+	t.Cleanup(calls.Close)
+	self := calls.Listener.Addr().String()
+	p.addPeer(self)
+	proc.Forward.Quarantine.Share(proc.Store, func() []string { return p.others(self) }, 0)
+	proc.Go(proc.Forward.Quarantine.Run)
+}
+
 // NewProcess starts a process's view of the platform and waits until it knows
 // all servers.
 func (p *Platform) NewProcess(t testing.TB) *Process {
@@ -118,6 +145,7 @@
 	var once sync.Once
 	proc.Stop = func() { once.Do(func() { cancel(); loops.Wait(); pool.Retain(nil) }) }
 	t.Cleanup(proc.Stop)
+	p.share(t, proc)
 	proc.Go(v.Run)
 	require.Eventually(t, func() bool {
 		snap := v.Now()
--- /dev/null
+++ b/gateway/quarantine/quarantine_test.go
@@ -0,0 +1,213 @@
+package quarantine_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"dandelionsill.org/decide/poison"
+	"dandelionsill.org/gateway/gatewaytest"
+	"dandelionsill.org/gateway/quarantine"
+	"dandelionsill.org/platform/hosted"
+	"dandelionsill.org/platform/hosted/hostedtest"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fleet is processes with a store.
+type fleet struct {
+	store *hostedtest.Store
+
+	mu    sync.Mutex
+	peers []string
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{store: hostedtest.NewStore()}
+	t.Cleanup(f.store.Close)
+	return f
+}
+
+// process is one process's quarantine; stop ends it.
+type process struct {
+	*quarantine.Quarantine
+	stop func()
+}
+
+// start starts a process. Its peers reach it where it is told to them.
+func (f *fleet) start(t *testing.T, told bool) *process {
+	q := quarantine.New(zap.NewNop())
+	calls := httptest.NewServer(q)
+	self := calls.Listener.Addr().String()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if told {
+		f.peers = append(f.peers, self)
+	}
+	q.Share(hosted.NewStore(f.store.Addr()), func() []string { return f.others(self) }, 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	var loops sync.WaitGroup
+	loops.Go(func() { q.Run(ctx) })
+	p := &process{q, sync.OnceFunc(func() { cancel(); loops.Wait(); calls.Close() })}
+	t.Cleanup(p.stop)
+	require.Eventually(t, q.Known, gatewaytest.Wait, time.Millisecond)
+	return p
+}
+
+func (f *fleet) others(self string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var others []string
+	for _, addr := range f.peers {
+		if addr != self {
+			others = append(others, addr)
+		}
+	}
+	return others
+}
+
+// end ends servers under a request.
+func (p *process) end(request poison.Name, servers int) {
+	for i := range servers {
+		p.Ended(request, fmt.Sprintf("server %d of %s", i, request))
+	}
+}
+
+func (p *process) requireVerdict(t *testing.T, request poison.Name, want poison.Verdict) {
+	t.Helper()
+	require.Eventually(t, func() bool { return p.Verdict(request) == want }, gatewaytest.Wait, time.Millisecond, "want %v", want)
+}
+
+// Servers end under a request at two processes, one of them too few for either to
+// refuse it. Together they are enough, and a third that saw nothing refuses it too.
+func TestProcessesAddUpWhatTheySaw(t *testing.T) {
+	f := newFleet(t)
+	one, two, three := f.start(t, true), f.start(t, true), f.start(t, true)
+	one.Ended("r", "s1")
+	one.Ended("r", "s2")
+	two.requireVerdict(t, "r", poison.Suspect)
+	two.Ended("r", "s3")
+	for _, p := range []*process{one, two, three} {
+		p.requireVerdict(t, "r", poison.Quarantined)
+		p.requireVerdict(t, "other", poison.Clear)
+	}
+}
+
+// The store is away, and a request ends servers at one process. The others hear of it
+// from that process, and the store once it is back.
+func TestPeersTellWhileTheStoreIsAway(t *testing.T) {
+	f := newFleet(t)
+	one, two := f.start(t, true), f.start(t, true)
+	f.store.Fail(hostedtest.StoreFaults{Down: true})
+	one.end("r", poison.QuarantineAt)
+	two.requireVerdict(t, "r", poison.Quarantined)
+	require.Empty(t, f.store.Records(hostedtest.TopicCrashes))
+	f.store.Fail(hostedtest.StoreFaults{})
+	require.Eventually(t, func() bool { return len(f.store.Records(hostedtest.TopicCrashes)) >= poison.QuarantineAt }, gatewaytest.Wait, time.Millisecond)
+}
+
+// A process can't be reached by the others but reaches the store. It hears of the
+// request there.
+func TestStoreTellsWhereNoPeerDoes(t *testing.T) {
+	f := newFleet(t)
+	one, apart := f.start(t, true), f.start(t, false)
+	one.end("r", poison.QuarantineAt)
+	apart.requireVerdict(t, "r", poison.Quarantined)
+}
+
+// All processes end at one moment. The request comes again at the first that is back,
+// and would end three more servers if nobody remembered.
+func TestQuarantineOutlastsAllProcesses(t *testing.T) {
+	f := newFleet(t)
+	one, two := f.start(t, true), f.start(t, true)
+	one.end("r", poison.QuarantineAt)
+	require.Eventually(t, func() bool { return len(f.store.Records(hostedtest.TopicCrashes)) >= poison.QuarantineAt }, gatewaytest.Wait, time.Millisecond)
+	one.stop()
+	two.stop()
+	require.Equal(t, poison.Quarantined, f.start(t, true).Verdict("r"))
+}
+
+// A process starts while the part of the store that holds the quarantine is away. It
+// serves callers all the same, and hears of the quarantine when that part is back.
+func TestProcessServesWithoutTheQuarantinesPartOfTheStore(t *testing.T) {
+	f := newFleet(t)
+	one := f.start(t, true)
+	one.end("r", poison.QuarantineAt)
+	require.Eventually(t, func() bool { return len(f.store.Records(hostedtest.TopicCrashes)) >= poison.QuarantineAt }, gatewaytest.Wait, time.Millisecond)
+	one.stop()
+	f.store.Fail(hostedtest.StoreFaults{Away: []string{hostedtest.TopicCrashes}})
+	two := f.start(t, false)
+	require.Equal(t, poison.Clear, two.Verdict("r"))
+	f.store.Fail(hostedtest.StoreFaults{})
+	two.requireVerdict(t, "r", poison.Quarantined)
+}
+
+// An attempt ended without an answer after one server had ended under it. Its caller
+// asks again at another process, which has to know; then a server answers it, and no
+// process suspects it any more.
+func TestAnswerClearsARequestEverywhere(t *testing.T) {
+	f := newFleet(t)
+	one, two := f.start(t, true), f.start(t, true)
+	one.Ended("r", "s1")
+	require.True(t, two.Empty(), "nearly all such requests are bystanders")
+	one.GaveUp("r")
+	two.requireVerdict(t, "r", poison.Suspect)
+	two.Survived("r")
+	one.requireVerdict(t, "r", poison.Clear)
+	two.requireVerdict(t, "r", poison.Clear)
+	require.Equal(t, poison.Clear, f.start(t, true).Verdict("r"), "the store has forgotten it too")
+}
+
+// Other writers' records, and words that can't be read, change nothing.
+func TestWhatCannotBeReadIsLeftOut(t *testing.T) {
+	f := newFleet(t)
+	f.store.Put(hostedtest.TopicCrashes, "no request", "x")
+	f.store.Put(hostedtest.TopicCrashes, "r/x", 7)
+	f.store.Put(hostedtest.TopicCrashes, "r/y", map[string]any{"request": "other", "server": "s", "at_ms": time.Now().UnixMilli()})
+	p := f.start(t, true)
+	require.True(t, p.Empty())
+	for _, body := range []string{"", "{", `[{"request":"r"}]`, `[{"server":"s"}]`} {
+		w := httptest.NewRecorder()
+		p.ServeHTTP(w, httptest.NewRequest(http.MethodPost, quarantine.PathPeers, strings.NewReader(body)))
+		require.Equal(t, http.StatusBadRequest, w.Code, body)
+	}
+	require.True(t, p.Empty())
+}
+
+// A rack fails under load: thousands of attempts end without an answer. What is kept of
+// them is bounded, and a request in quarantine stays there.
+func TestFloodOfSuspectsIsBounded(t *testing.T) {
+	f := newFleet(t)
+	one, two := f.start(t, true), f.start(t, true)
+	one.end("r", poison.QuarantineAt)
+	two.requireVerdict(t, "r", poison.Quarantined)
+	for i := range 3 * poison.RequestsMost {
+		name := poison.Name(fmt.Sprintf("flood %d", i))
+		one.Ended(name, "rack")
+		one.GaveUp(name)
+	}
+	require.Equal(t, poison.Quarantined, one.Verdict("r"))
+	two.requireVerdict(t, "r", poison.Quarantined)
+}
+
+// The verdict is asked before each try of each request.
+func BenchmarkVerdict(b *testing.B) {
+	q := quarantine.New(zap.NewNop())
+	for i := range poison.QuarantineAt {
+		q.Ended("r", fmt.Sprint(i))
+	}
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			_ = q.Verdict("r")
+		}
+	})
+}
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -23,6 +23,7 @@
 	"dandelionsill.org/gateway/forward"
 	"dandelionsill.org/gateway/front"
 	gatewayjobs "dandelionsill.org/gateway/jobs"
+	"dandelionsill.org/gateway/quarantine"
 	"dandelionsill.org/gateway/view"
 	"dandelionsill.org/platform/hosted"
 )
@@ -69,24 +70,26 @@
 	v.Pace = func() time.Duration { return feedPace(peers, set.Store.ReadsPerS) }
 	pool := backend.NewPool(hosted.AttemptID)
 	forwarder := forward.New(v, pool, set.Process.FailureDomain, logs.Part(log, "forward"))
+	forwarder.Quarantine.Share(store, peers.Addrs, set.Store.ReadsPerS)
 	book := gatewayjobs.NewBook(store, logs.Part(log, "jobs"))
 	runner := gatewayjobs.NewRunner(book, store, forwarder, writer, set.Store.Parts, capacity, logs.Part(log, "runner"))
 	handler := &front.Front{
 		View: v, Forward: forwarder, Log: logs.Part(log, "front"), Latency: metrics.NewHistogram("front_latency"),
 		Jobs: gatewayjobs.NewService(book, store, writer, set.Store.Parts, capacity, logs.Part(log, "jobs")),
 	}
-	ready := &readiness{view: v, book: book}
+	ready := &readiness{view: v, book: book, quarantine: forwarder.Quarantine}
 	book.Texts.SetPeers(peers.Addr)
 	book.SetPace(func() time.Duration { return gatewayjobs.Pace(len(peers.Addrs())+1, set.Store.ReadsPerS) })
 	var loops sync.WaitGroup
 	loops.Go(func() { peers.Run(ctx) })
 	loops.Go(func() { v.Run(ctx) })
 	loops.Go(func() { v.RunCopies(ctx, func() int { return len(peers.Addrs()) + 1 }) })
+	loops.Go(func() { forwarder.Quarantine.Run(ctx) })
 	loops.Go(func() { book.Run(ctx) })
 	loops.Go(func() { runner.Run(ctx) })
 	log.Info("Starting.", zap.String("name", writer.Node), zap.String("life", writer.Life), zap.String("callers", set.Listen.Callers), zap.String("store", set.Store.Address))
 	return &run.Process{
-		Servers:      gatewayServers(set, handler, book.Texts, ready, store),
+		Servers:      gatewayServers(set, handler, peerCalls(book.Texts, forwarder.Quarantine, store), ready),
 		Ready:        func(is bool) { ready.up.Store(is); leave(is, handler, runner) },
 		StopDelay:    time.Duration(serveOn * float64(set.Process.Grace)),
 		Drain:        func(ctx context.Context) error { return drain(ctx, handler, runner, log) },
@@ -137,7 +140,16 @@
 	return handler.Drain(ctx)
 }
 
-func gatewayServers(set Gateway, handler, texts http.Handler, ready *readiness, store *hosted.Store) []transport.Server {
+// peerCalls serves what peers ask of this process.
+func peerCalls(texts, quarantined http.Handler, store *hosted.Store) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(gatewayjobs.PathTexts, texts)
+	mux.Handle(quarantine.PathPeers, quarantined)
+	mux.Handle("/", store.Relay())
+	return mux
+}
+
+func gatewayServers(set Gateway, handler, calls http.Handler, ready *readiness) []transport.Server {
 	callers := run.NewHTTP(set.Listen.Callers)
 	callers.Handler = handler // no router between: paths go on as they came
 	callers.IdleTimeout = idleTimeout
@@ -146,10 +158,7 @@
 	servers := []transport.Server{callers, questions}
 	if set.Listen.Peers != "" {
 		relay := run.NewHTTP(set.Listen.Peers)
-		mux := http.NewServeMux()
-		mux.Handle(gatewayjobs.PathTexts, texts)
-		mux.Handle("/", store.Relay())
-		relay.Handler = mux
+		relay.Handler = calls
 		servers = append(servers, relay)
 	}
 	if set.Process.Metrics != "" && set.Process.Metrics != set.Listen.Ready {
@@ -177,13 +186,14 @@
 
 // readiness answers the platform's question whether callers may be sent here.
 type readiness struct {
-	view *view.View
-	book *gatewayjobs.Book
-	up   atomic.Bool
+	view       *view.View
+	book       *gatewayjobs.Book
+	quarantine *quarantine.Quarantine
+	up         atomic.Bool
 }
 
 func (r *readiness) serve(w http.ResponseWriter, _ *http.Request) {
-	if !r.up.Load() || r.view.Now().Table == nil || !r.book.CaughtUp() {
+	if !r.up.Load() || r.view.Now().Table == nil || !r.book.CaughtUp() || !r.quarantine.Known() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/kinds/kinds.go
+++ b/kinds/kinds.go
@@ -62,6 +62,7 @@
 	LogUnavailable   NotRunKind = "log_unavailable"    // a claim can't be written now
 	RevisionConflict NotRunKind = "revision_conflict"  // a commit lost the race
 	NotReady         NotRunKind = "not_ready"          // the process is starting
+	Quarantined      NotRunKind = "quarantined"        // each server that runs it crashes
 )
 
 // Who may repeat a refused or failed request.
@@ -114,6 +115,7 @@
 	string(LogUnavailable):   {http.StatusServiceUnavailable, codes.Unavailable, true, Caller, 5 * time.Second},
 	string(RevisionConflict): {http.StatusConflict, codes.Aborted, true, Nobody, 0},
 	string(NotReady):         {http.StatusServiceUnavailable, codes.Unavailable, true, Entry, time.Second},
+	string(Quarantined):      {http.StatusServiceUnavailable, codes.FailedPrecondition, true, Nobody, time.Hour},
 }
 
 // All returns the names of every kind.
--- a/kinds/kinds_test.go
+++ b/kinds/kinds_test.go
@@ -89,7 +89,7 @@
 	notRun := []NotRunKind{
 		BadRequest, Unauthenticated, Forbidden, NotFound, TooLarge, KeyReused, KeyTooOld, ClaimedElsewhere,
 		RateLimited, Overloaded, DeadlineTooShort, Leaving, NoServer, StaleWeights, LogUnavailable,
-		RevisionConflict, NotReady,
+		RevisionConflict, NotReady, Quarantined,
 	}
 	others := []Kind{OutcomeUnknown, BackendFailed, DeadlineExceeded, SampleDiscarded, Superseded, Cancelled, Internal}
 	require.Len(t, All(), len(notRun)+len(others))
