gateway/jobs: a sample or score call that crashes each server that runs it is held back

The same class elsewhere: an engine that ends is no failure of the sample's own, so that its owner moved it on to the next engine for as long as its job was open, and the engines' other samples with it; a call for a score was made anew each 60 ms. Samples are named like requests and kept by the same quarantine; one that is in it waits, for it has not failed in a way that its trainer may be told of. Whether a server ended is asked for 0.1 s at most: a retry waits for the answer.

--- a/gateway/backend/backend.go
+++ b/gateway/backend/backend.go
@@ -36,6 +36,8 @@
 	// dialTimeout bounds a connection to a server a few milliseconds away; a
 	// silent machine is known by it.
 	dialTimeout = 300 * time.Millisecond
+	// endedTimeout bounds the question whether a server has ended: a retry waits for it.
+	endedTimeout = 100 * time.Millisecond
 	// keptPerServer bounds the idle connections kept to one server.
 	keptPerServer = 16
 	// drainLimit is how much is read of an answer that nobody wants, to keep
@@ -241,6 +243,8 @@
 // nothing: networks reset connections, and servers close them. A machine that does
 // not answer proves nothing either. A connection that is made is kept.
 func (p *Pool) Ended(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, endedTimeout)
+	defer cancel()
 	raw, err := p.dial(ctx, addr)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
--- a/gateway/jobs/placing.go
+++ b/gateway/jobs/placing.go
@@ -11,6 +11,7 @@
 
 	"dandelionsill.org/decide/members"
 	"dandelionsill.org/decide/place"
+	"dandelionsill.org/decide/poison"
 	"dandelionsill.org/fold/jobs"
 )
 
@@ -60,6 +61,9 @@
 			if w.phase == waiting && w.whole {
 				r.textComplete(ctx, w)
 			}
+			if w.phase == waiting && r.quarantined(w) {
+				continue
+			}
 			if service := w.serviceBy(snap.Table); service != "" {
 				byService[service] = append(byService[service], w)
 			}
@@ -70,6 +74,22 @@
 	}
 }
 
+// quarantined tells whether each engine that ran the item crashed. It then waits until
+// the quarantine or its job ends: it has not failed in a way that its trainer may be
+// told of, and the next engine would crash as well, with all others' samples there.
+func (r *Runner) quarantined(w *work) bool {
+	if r.quarantine.Empty() || r.quarantine.Verdict(w.request()) != poison.Quarantined {
+		return false
+	}
+	if !w.held {
+		w.held = true
+		samplesHeld.Add(1)
+		r.zlog.Warn("Sample is held back: each engine that ran it crashed.", zap.String("id", w.item.ID), zap.String("job", w.job.ID),
+			zap.String("request", string(w.request())), zap.Duration("for", r.quarantine.Refused(w.request())), zap.Int("events", len(w.events)))
+	}
+	return true
+}
+
 func (r *Runner) placeService(ctx context.Context, servers []members.Server, works []*work, now time.Time) {
 	slices.SortFunc(works, func(a, b *work) int { return cmp.Compare(a.item.ID, b.item.ID) })
 	engines, usable := r.engines(servers, now)
--- /dev/null
+++ b/gateway/jobs/poison_test.go
@@ -0,0 +1,69 @@
+package jobs_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"dandelionsill.org/decide/poison"
+	"dandelionsill.org/gateway/gatewaytest"
+	"dandelionsill.org/platform/hosted/hostedtest"
+)
+
+func crashed(servers []*hostedtest.Server) int {
+	n := 0
+	for _, s := range servers {
+		if s.Crashed() {
+			n++
+		}
+	}
+	return n
+}
+
+// One sample of a step crashes each engine that begins it. An engine that ends is no
+// failure of the sample's own, so that its owner moved it on from engine to engine until
+// none was left, and the whole step with it. Now the fourth engine never gets it: the
+// step's other samples are whole, also those that were at the engines that ended.
+func TestSampleThatCrashesEnginesIsHeldBack(t *testing.T) {
+	t.Parallel()
+	pf := gatewaytest.NewPlatform(t, 6, 1)
+	for _, s := range pf.Engines {
+		s.Fail(hostedtest.ServerFaults{CrashOn: "/jobs/x/j-i0"})
+	}
+	e := newEntry(t, pf, "a")
+	e.submit(t, "j", 6, 1)
+	requireWhole(t, e.results(t, "j", 5), pf.Engines[0].Events)
+	require.Eventually(t, func() bool { return crashed(pf.Engines) == poison.QuarantineAt }, gatewaytest.Wait, time.Millisecond)
+
+	// The trainer hands the same sample in again, in a later job and at another owner.
+	other := newEntry(t, pf, "b")
+	head, items := decode(t, "k", hostedtest.Job("j", "m", 2, 1))
+	require.Nil(t, other.service.Submit(t.Context(), head, items))
+	requireWhole(t, other.results(t, "k", 1), pf.Engines[0].Events)
+	require.Equal(t, poison.QuarantineAt, crashed(pf.Engines))
+	for _, job := range []string{"j", "k"} {
+		_, results, err := other.service.Results(t.Context(), job, 0, 0)
+		require.Nil(t, err)
+		for _, r := range results {
+			require.NotEqual(t, "j-i0", r.Item, "it has not failed in a way that its trainer may be told of")
+		}
+	}
+}
+
+// The call for one sample's score crashes each server that runs it, and is made again
+// for as long as the sample's job is open. The servers that are left score the others.
+func TestScoreThatCrashesServersIsStopped(t *testing.T) {
+	t.Parallel()
+	pf := gatewaytest.NewPlatform(t, 2, 5)
+	for _, s := range pf.Plain {
+		s.Fail(hostedtest.ServerFaults{CrashOn: "/score/j-i0"})
+	}
+	e := newEntry(t, pf, "a")
+	e.submit(t, "j", 6, 1)
+	requireWhole(t, e.results(t, "j", 5), pf.Engines[0].Events)
+	require.Eventually(t, func() bool { return crashed(pf.Plain) == poison.QuarantineAt }, gatewaytest.Wait, time.Millisecond)
+	e.submit(t, "k", 4, 1)
+	requireWhole(t, e.results(t, "k", 4), pf.Engines[0].Events)
+	require.Equal(t, poison.QuarantineAt, crashed(pf.Plain))
+}
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -13,6 +13,7 @@
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/backend"
 	"dandelionsill.org/gateway/forward"
+	"dandelionsill.org/gateway/quarantine"
 	"dandelionsill.org/gateway/view"
 )
 
@@ -64,6 +65,7 @@
 	scoreRefusals   = metrics.Counter("jobs_score_failures_total")
 	samplesReused   = metrics.Counter("jobs_samples_reused_total")
 	samplesGivenUp  = metrics.Counter("jobs_samples_given_up_total")
+	samplesHeld     = metrics.Counter("jobs_samples_quarantined_total")
 	versionsTooOld  = metrics.Counter("jobs_versions_too_old_total")
 	samplesFinished = metrics.Counter("jobs_samples_finished_total")
 )
@@ -74,10 +76,12 @@
 	view    *view.View
 	forward *forward.Forwarder
 	pool    *backend.Pool
-	zlog    *zap.Logger
-	writer  jobs.Writer
-	out     *outbox
-	wake    chan struct{}
+	// quarantine keeps items that crash engines from reaching any.
+	quarantine *quarantine.Quarantine
+	zlog       *zap.Logger
+	writer     jobs.Writer
+	out        *outbox
+	wake       chan struct{}
 
 	mu      sync.Mutex
 	works   map[string]map[string]*work // by job and item
@@ -107,7 +111,7 @@
 // number of items that this process can run.
 func NewRunner(book *Book, log Log, f *forward.Forwarder, writer jobs.Writer, parts, capacity int, zlog *zap.Logger) *Runner {
 	r := &Runner{
-		book: book, view: f.View, forward: f, pool: f.Pool, zlog: zlog, writer: writer,
+		book: book, view: f.View, forward: f, pool: f.Pool, quarantine: f.Quarantine, zlog: zlog, writer: writer,
 		wake:  make(chan struct{}, 1),
 		works: map[string]map[string]*work{}, reading: map[string]bool{}, dropped: map[string]carried{}, lengths: map[string]*place.Lengths{},
 		observed: map[jobs.EngineKey]uint64{}, denied: map[jobs.EngineKey]time.Time{}, shunned: map[string]time.Time{}, refusals: map[string]int{}, claimed: map[string]time.Time{}, released: map[string]uint64{},
--- a/gateway/jobs/score.go
+++ b/gateway/jobs/score.go
@@ -19,6 +19,9 @@
 	scoreDeadline = 2 * time.Second
 	// scorePause lies between two calls for one score.
 	scorePause = 60 * time.Millisecond
+	// heldPause is the longest pause after a call that is in quarantine, and so how
+	// long after the end of the quarantine a score may still be missing.
+	heldPause = 5 * time.Second
 )
 
 // score asks for the score of a whole text until it has it, the calls have
@@ -43,12 +46,20 @@
 			r.unscored(w)
 			return
 		}
-		if !sleep.For(ctx, scorePause) || !r.stillScoring(w) {
+		if !sleep.For(ctx, pauseAfter(err)) || !r.stillScoring(w) {
 			return
 		}
 	}
 }
 
+// pauseAfter is how long after a call that gave no score the next one is made.
+func pauseAfter(err *kinds.Error) time.Duration {
+	if err == nil || err.Kind() != string(kinds.Quarantined) {
+		return scorePause
+	}
+	return min(heldPause, max(scorePause, err.Answer().RetryAfter))
+}
+
 func (r *Runner) logScore(w *work, reply *forward.Reply, err *kinds.Error, failures int) {
 	fields := []zap.Field{zap.String("id", w.item.ID), zap.String("score_id", w.item.Score.ID), zap.String("job", w.job.ID), zap.Int("failures", failures)}
 	if reply != nil {
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -56,7 +56,7 @@
 		w.sinceText, w.beforeText = now, len(w.events)
 	}
 	streamsStarted.Add(1)
-	s := &stream{r: r, w: w, number: w.stream, server: server.ID, name: server.Name, addr: server.Addr, behind: len(w.events), only: w.only()}
+	s := &stream{r: r, w: w, number: w.stream, server: server.ID, name: server.Name, addr: server.Addr, behind: len(w.events), only: w.only(), request: w.request()}
 	r.note(w, true)
 	service := w.service
 	r.tasks.Go(func() {
@@ -65,9 +65,13 @@
 		if ctx.Err() != nil {
 			return // the item was taken back before
 		}
-		if end == broken && r.forward.EndedUnder(ctx, service, server) {
+		switch {
+		case end == broken && r.forward.EndedUnder(ctx, service, server):
 			r.zlog.Warn("A server ended under a sample.", zap.String("id", w.item.ID), zap.String("job", w.job.ID),
-				zap.String("request", string(s.content().Name())), zap.String("server", server.ID))
+				zap.String("request", string(s.request)), zap.String("server", server.ID))
+			r.quarantine.Ended(s.request, server.ID)
+		case end == complete:
+			r.quarantine.Survived(s.request)
 		}
 		r.streamEnded(parent, s, end, status, err)
 	})
@@ -83,10 +87,12 @@
 	addr   string
 	behind int // events that were known before
 	only   uint64
+	// request names what the item asks for, in whatever job.
+	request poison.Name
 }
 
-// request is the item as the engine gets it.
-func (s *stream) request() *backend.Request {
+// message is the item as the engine gets it.
+func (s *stream) message() *backend.Request {
 	item := &s.w.item
 	header := make(http.Header, len(item.Header)+3)
 	for name, value := range item.Header {
@@ -100,17 +106,11 @@
 	return &backend.Request{Method: http.MethodPost, URI: item.Path, Host: item.Host, Header: header, Body: item.Body, ID: item.ID}
 }
 
-// content is what makes the item the same request as in another job.
-func (s *stream) content() *poison.Content {
-	item := &s.w.item
-	return &poison.Content{Method: http.MethodPost, Host: item.Host, URI: item.Path, Body: item.Body}
-}
-
 func (s *stream) exchange(ctx context.Context) (ending, int, error) {
 	ctx, span := trace.Tracer("gateway: jobs").Start(ctx, "jobs.stream",
 		oteltrace.WithAttributes(attribute.String("id", s.w.item.ID), attribute.String("server", s.server)))
 	defer span.End()
-	answer, err := s.r.pool.Do(ctx, s.addr, s.request())
+	answer, err := s.r.pool.Do(ctx, s.addr, s.message())
 	if errors.Is(err, backend.ErrNotSent) {
 		return unreached, 0, err
 	}
--- a/gateway/jobs/work.go
+++ b/gateway/jobs/work.go
@@ -1,9 +1,11 @@
 package jobs
 
 import (
+	"net/http"
 	"time"
 
 	"dandelionsill.org/decide/place"
+	"dandelionsill.org/decide/poison"
 	"dandelionsill.org/decide/route"
 	"dandelionsill.org/decide/table"
 	"dandelionsill.org/fold/jobs"
@@ -62,6 +64,19 @@
 	beforeText int
 	setbacks   int
 	avoid      map[string]time.Time
+
+	name poison.Name // empty: not needed yet
+	held bool        // it was logged that the item is in quarantine
+}
+
+// request names what the item asks for. A trainer hands in again the groups that it did
+// not wait for, and they are the same requests in the later job.
+func (w *work) request() poison.Name {
+	if w.name == "" {
+		content := poison.Content{Method: http.MethodPost, Host: w.item.Host, URI: w.item.Path, Body: w.item.Body}
+		w.name = content.Name()
+	}
+	return w.name
 }
 
 // newWork takes an item on with what was made of it before; that is appended
