quarantine: a library of its own, for the processes of both paths

Moved from gateway/, with the way to peers behind an interface: the entries' own protocol is another than the gateways'. No behaviour is changed.

--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -21,10 +21,10 @@
 	"dandelionsill.org/decide/route"
 	"dandelionsill.org/decide/table"
 	"dandelionsill.org/gateway/backend"
-	"dandelionsill.org/gateway/quarantine"
 	"dandelionsill.org/gateway/view"
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/platform/hosted"
+	"dandelionsill.org/quarantine"
 )
 
 // Limits of the tries of one request.
--- a/gateway/gatewaytest/gatewaytest.go
+++ b/gateway/gatewaytest/gatewaytest.go
@@ -20,6 +20,7 @@
 	"dandelionsill.org/gateway/view"
 	"dandelionsill.org/platform/hosted"
 	"dandelionsill.org/platform/hosted/hostedtest"
+	"dandelionsill.org/quarantine"
 )
 
 // Wait is how long tests wait for what has to come at some time. The longest of them
@@ -128,7 +129,9 @@
 	t.Cleanup(calls.Close)
 	self := calls.Listener.Addr().String()
 	p.addPeer(self)
-	proc.Forward.Quarantine.Share(proc.Store, func() []string { return p.others(self) }, 0)
+	peers := quarantine.NewHTTPPeers(func() []string { return p.others(self) })
+	t.Cleanup(peers.Close)
+	proc.Forward.Quarantine.Share(proc.Store, peers, 0)
 	proc.Go(proc.Forward.Quarantine.Run)
 }
 
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -13,8 +13,8 @@
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/backend"
 	"dandelionsill.org/gateway/forward"
-	"dandelionsill.org/gateway/quarantine"
 	"dandelionsill.org/gateway/view"
+	"dandelionsill.org/quarantine"
 )
 
 // Times of the owner.
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -23,9 +23,9 @@
 	"dandelionsill.org/gateway/forward"
 	"dandelionsill.org/gateway/front"
 	gatewayjobs "dandelionsill.org/gateway/jobs"
-	"dandelionsill.org/gateway/quarantine"
 	"dandelionsill.org/gateway/view"
 	"dandelionsill.org/platform/hosted"
+	"dandelionsill.org/quarantine"
 )
 
 // Times of the stop, as shares of the grace.
@@ -70,7 +70,7 @@
 	v.Pace = func() time.Duration { return feedPace(peers, set.Store.ReadsPerS) }
 	pool := backend.NewPool(hosted.AttemptID)
 	forwarder := forward.New(v, pool, set.Process.FailureDomain, logs.Part(log, "forward"))
-	forwarder.Quarantine.Share(store, peers.Addrs, set.Store.ReadsPerS)
+	forwarder.Quarantine.Share(store, quarantine.NewHTTPPeers(peers.Addrs), set.Store.ReadsPerS)
 	book := gatewayjobs.NewBook(store, logs.Part(log, "jobs"))
 	runner := gatewayjobs.NewRunner(book, store, forwarder, writer, set.Store.Parts, capacity, logs.Part(log, "runner"))
 	handler := &front.Front{
--- a/gateway/quarantine/change.go
+++ b/quarantine/change.go
@@ -11,17 +11,22 @@
 	"dandelionsill.org/platform"
 )
 
-// change is one server's end under a request, or the word that it is no longer put
+// Change is one server's end under a request, or the word that it is no longer put
 // down to it.
-type change struct {
-	crash poison.Crash
-	key   string // that of the crash; all that a dropped record has
-	gone  bool
+type Change struct {
+	Crash poison.Crash
+	Gone  bool
+	// dropped is the key of a record of which the store has nothing else.
+	dropped string
 }
 
-func ended(c poison.Crash) change { return change{crash: c, key: c.Key()} }
-
-func gone(c poison.Crash) change { return change{crash: c, key: c.Key(), gone: true} }
+// Key names the crash among all.
+func (c *Change) Key() string {
+	if c.dropped != "" {
+		return c.dropped
+	}
+	return c.Crash.Key()
+}
 
 // changeJSON is a change as peers tell it.
 type changeJSON struct {
@@ -32,12 +37,12 @@
 }
 
 // MarshalJSON implements json.Marshaler.
-func (c change) MarshalJSON() ([]byte, error) {
-	return json.Marshal(changeJSON{string(c.crash.Request), c.crash.Server, c.crash.At.UnixMilli(), c.gone})
+func (c Change) MarshalJSON() ([]byte, error) {
+	return json.Marshal(changeJSON{string(c.Crash.Request), c.Crash.Server, c.Crash.At.UnixMilli(), c.Gone})
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
-func (c *change) UnmarshalJSON(data []byte) error {
+func (c *Change) UnmarshalJSON(data []byte) error {
 	var in changeJSON
 	if err := json.Unmarshal(data, &in); err != nil {
 		return errors.Trace(err)
@@ -45,35 +50,34 @@
 	if in.Request == "" || in.Server == "" {
 		return errors.NotValidf("server's end without a request or a server")
 	}
-	crash := poison.Crash{Request: poison.Name(in.Request), Server: in.Server, At: time.UnixMilli(in.AtMS)}
-	*c = change{crash: crash, key: crash.Key(), gone: in.Gone}
+	*c = Change{Crash: poison.Crash{Request: poison.Name(in.Request), Server: in.Server, At: time.UnixMilli(in.AtMS)}, Gone: in.Gone}
 	return nil
 }
 
 // record is the change as the store keeps it. Each server's end has a key of its own,
 // so that no writer undoes what another one wrote.
-func (c change) record() (platform.KeyedRecord, error) {
-	r := platform.KeyedRecord{Key: c.key}
-	if c.gone {
+func (c *Change) record() (platform.KeyedRecord, error) {
+	r := platform.KeyedRecord{Key: c.Key()}
+	if c.Gone {
 		return r, nil
 	}
-	value, err := json.Marshal(c)
+	value, err := json.Marshal(*c)
 	r.Value = value
 	return r, errors.Trace(err)
 }
 
 // fromRecord reads a change of the store; false: it is none.
-func fromRecord(r platform.KeyedRecord) (change, bool) {
+func fromRecord(r platform.KeyedRecord) (Change, bool) {
 	request, _, found := strings.Cut(r.Key, "/")
 	if !found {
-		return change{}, false
+		return Change{}, false
 	}
 	if len(r.Value) == 0 {
-		return change{crash: poison.Crash{Request: poison.Name(request)}, key: r.Key, gone: true}, true
+		return Change{Crash: poison.Crash{Request: poison.Name(request)}, Gone: true, dropped: r.Key}, true
 	}
-	var c change
-	if err := json.Unmarshal(r.Value, &c); err != nil || c.key != r.Key {
-		return change{}, false
+	var c Change
+	if err := json.Unmarshal(r.Value, &c); err != nil || c.Key() != r.Key {
+		return Change{}, false
 	}
 	return c, true
 }
@@ -83,13 +87,13 @@
 
 // queue holds changes until they are told. Its owner's lock guards it.
 type queue struct {
-	changes []change
+	changes []Change
 	wake    chan struct{}
 }
 
 func newQueue() queue { return queue{wake: make(chan struct{}, 1)} }
 
-func (q *queue) add(changes ...change) {
+func (q *queue) add(changes ...Change) {
 	q.changes = append(q.changes, changes...)
 	if over := len(q.changes) - queueMost; over > 0 {
 		changesLost.Add(int64(over))
@@ -102,7 +106,7 @@
 }
 
 // take removes the first changes, at most so many.
-func (q *queue) take(most int) []change {
+func (q *queue) take(most int) []Change {
 	n := min(most, len(q.changes))
 	taken := q.changes[:n:n]
 	q.changes = q.changes[n:]
--- a/gateway/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -113,7 +113,7 @@
 	q.log.Info("A request is cleared: a server has answered it.", zap.String("request", string(request)), zap.Int("servers_ended", len(known)))
 	if len(known) > untold {
 		for _, c := range known {
-			q.enqueue(gone(c))
+			q.enqueue(Change{Crash: c, Gone: true})
 		}
 	}
 	q.publish("here")
@@ -123,28 +123,28 @@
 func (q *Quarantine) tell(request poison.Name) {
 	for _, c := range q.untold[request] {
 		crashesTold.Add(1)
-		q.enqueue(ended(c))
+		q.enqueue(Change{Crash: c})
 	}
 	delete(q.untold, request)
 }
 
-func (q *Quarantine) enqueue(c change) {
+func (q *Quarantine) enqueue(c Change) {
 	q.toPeers.add(c)
 	q.toStore.add(c)
 }
 
-// apply takes what another process told.
-func (q *Quarantine) apply(from string, changes []change) {
+// Apply takes what another process told; from says by which way it came.
+func (q *Quarantine) Apply(from string, changes []Change) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.now()
 	var news []poison.Crash
 	for _, c := range changes {
 		switch {
-		case c.gone && q.ledger.Remove(c.crash.Request, func(known poison.Crash) bool { return known.Key() == c.key }):
-			q.log.Info("A server's end is no longer put down to a request.", zap.String("from", from), zap.String("request", string(c.crash.Request)))
-		case !c.gone && q.ledger.Add(c.crash, now):
-			news = append(news, c.crash)
+		case c.Gone && q.ledger.Remove(c.Crash.Request, func(known poison.Crash) bool { return known.Key() == c.Key() }):
+			q.log.Info("A server's end is no longer put down to a request.", zap.String("from", from), zap.String("request", string(c.Crash.Request)))
+		case !c.Gone && q.ledger.Add(c.Crash, now):
+			news = append(news, c.Crash)
 		}
 	}
 	q.publish(from, news...)
@@ -178,7 +178,7 @@
 	old := q.ledger.Expire(q.now())
 	if turn {
 		for _, c := range old {
-			q.toStore.add(gone(c))
+			q.toStore.add(Change{Crash: c, Gone: true})
 		}
 	}
 	maps.DeleteFunc(q.untold, func(request poison.Name, _ []poison.Crash) bool { return q.ledger.Servers(request) == 0 })
--- a/gateway/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -15,12 +15,15 @@
 	"go.uber.org/zap"
 
 	"dandelionsill.org/decide/poison"
-	"dandelionsill.org/gateway/gatewaytest"
-	"dandelionsill.org/gateway/quarantine"
+
 	"dandelionsill.org/platform/hosted"
 	"dandelionsill.org/platform/hosted/hostedtest"
+	"dandelionsill.org/quarantine"
 )
 
+// generous is how long tests wait for what has to come at some time.
+const generous = 30 * time.Second
+
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 // fleet is processes with a store.
@@ -53,13 +56,14 @@
 	if told {
 		f.peers = append(f.peers, self)
 	}
-	q.Share(hosted.NewStore(f.store.Addr()), func() []string { return f.others(self) }, 0)
+	peers := quarantine.NewHTTPPeers(func() []string { return f.others(self) })
+	q.Share(hosted.NewStore(f.store.Addr()), peers, 0)
 	ctx, cancel := context.WithCancel(context.Background())
 	var loops sync.WaitGroup
 	loops.Go(func() { q.Run(ctx) })
-	p := &process{q, sync.OnceFunc(func() { cancel(); loops.Wait(); calls.Close() })}
+	p := &process{q, sync.OnceFunc(func() { cancel(); loops.Wait(); peers.Close(); calls.Close() })}
 	t.Cleanup(p.stop)
-	require.Eventually(t, q.Known, gatewaytest.Wait, time.Millisecond)
+	require.Eventually(t, q.Known, generous, time.Millisecond)
 	return p
 }
 
@@ -84,7 +88,7 @@
 
 func (p *process) requireVerdict(t *testing.T, request poison.Name, want poison.Verdict) {
 	t.Helper()
-	require.Eventually(t, func() bool { return p.Verdict(request) == want }, gatewaytest.Wait, time.Millisecond, "want %v", want)
+	require.Eventually(t, func() bool { return p.Verdict(request) == want }, generous, time.Millisecond, "want %v", want)
 }
 
 // Servers end under a request at two processes, one of them too few for either to
@@ -112,7 +116,7 @@
 	two.requireVerdict(t, "r", poison.Quarantined)
 	require.Empty(t, f.store.Records(hostedtest.TopicCrashes))
 	f.store.Fail(hostedtest.StoreFaults{})
-	require.Eventually(t, func() bool { return len(f.store.Records(hostedtest.TopicCrashes)) >= poison.QuarantineAt }, gatewaytest.Wait, time.Millisecond)
+	require.Eventually(t, func() bool { return len(f.store.Records(hostedtest.TopicCrashes)) >= poison.QuarantineAt }, generous, time.Millisecond)
 }
 
 // A process can't be reached by the others but reaches the store. It hears of the
@@ -130,7 +134,7 @@
 	f := newFleet(t)
 	one, two := f.start(t, true), f.start(t, true)
 	one.end("r", poison.QuarantineAt)
-	require.Eventually(t, func() bool { return len(f.store.Records(hostedtest.TopicCrashes)) >= poison.QuarantineAt }, gatewaytest.Wait, time.Millisecond)
+	require.Eventually(t, func() bool { return len(f.store.Records(hostedtest.TopicCrashes)) >= poison.QuarantineAt }, generous, time.Millisecond)
 	one.stop()
 	two.stop()
 	require.Equal(t, poison.Quarantined, f.start(t, true).Verdict("r"))
@@ -142,7 +146,7 @@
 	f := newFleet(t)
 	one := f.start(t, true)
 	one.end("r", poison.QuarantineAt)
-	require.Eventually(t, func() bool { return len(f.store.Records(hostedtest.TopicCrashes)) >= poison.QuarantineAt }, gatewaytest.Wait, time.Millisecond)
+	require.Eventually(t, func() bool { return len(f.store.Records(hostedtest.TopicCrashes)) >= poison.QuarantineAt }, generous, time.Millisecond)
 	one.stop()
 	f.store.Fail(hostedtest.StoreFaults{Away: []string{hostedtest.TopicCrashes}})
 	two := f.start(t, false)
--- a/gateway/quarantine/share.go
+++ b/quarantine/share.go
@@ -1,12 +1,8 @@
 package quarantine
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 
@@ -17,14 +13,10 @@
 	"dandelionsill.org/platform"
 )
 
-// PathPeers is where a process takes what its peers saw.
-const PathPeers = "/quarantine"
-
 // Times and sizes of telling peers.
 const (
-	// batchMost is how many changes one call tells, and batchBytes more than they take.
-	batchMost  = 256
-	batchBytes = 64 << 10
+	// batchMost is how many changes one call tells.
+	batchMost = 256
 	// peerTimeout bounds a call to a peer, a few milliseconds away.
 	peerTimeout = 400 * time.Millisecond
 	// peerTries is how often a peer is told. With their pauses they cover some
@@ -59,21 +51,27 @@
 // any other.
 const keyMade = "made"
 
+// Peers are the other processes that keep a quarantine.
+type Peers interface {
+	// Addrs returns where they take calls.
+	Addrs() []string
+	// Tell tells one of them what this process saw.
+	Tell(ctx context.Context, addr string, changes []Change) error
+}
+
 // sharing is how a process tells others and hears of them.
 type sharing struct {
 	store     platform.Keyed
-	peers     func() []string // IP:port
+	peers     Peers
 	readsPerS float64
-	http      *http.Client
 	telling   sync.WaitGroup
 	slots     chan struct{}
 }
 
 // Share sets whom this process tells; it is called before Run. The store takes so many
 // reads a second of all processes together; 0: not told.
-func (q *Quarantine) Share(store platform.Keyed, peers func() []string, readsPerS float64) {
+func (q *Quarantine) Share(store platform.Keyed, peers Peers, readsPerS float64) {
 	q.sharing.store, q.sharing.peers, q.sharing.readsPerS = store, peers, readsPerS
-	q.sharing.http = &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableCompression: true, IdleConnTimeout: time.Minute}}
 	q.sharing.slots = make(chan struct{}, peersAtOnce)
 }
 
@@ -89,11 +87,10 @@
 	loops.Go(func() { q.follow(ctx) })
 	loops.Wait()
 	q.sharing.telling.Wait()
-	q.sharing.http.CloseIdleConnections()
 }
 
 // next waits for changes of a queue and takes them; nil: ctx has ended.
-func (q *Quarantine) next(ctx context.Context, from *queue) []change {
+func (q *Quarantine) next(ctx context.Context, from *queue) []Change {
 	for {
 		q.mu.Lock()
 		taken := from.take(batchMost)
@@ -116,25 +113,20 @@
 		if len(changes) == 0 {
 			return
 		}
-		body, err := json.Marshal(changes)
-		if err != nil {
-			q.log.Error("Servers' ends can't be encoded.", zap.Error(err))
-			continue
-		}
-		peers := q.sharing.peers()
+		peers := q.sharing.peers.Addrs()
 		for _, addr := range peers {
-			q.sharing.telling.Go(func() { q.tellPeer(ctx, addr, body) })
+			q.sharing.telling.Go(func() { q.tellPeer(ctx, addr, changes) })
 		}
 		sleep.For(ctx, tellGap+time.Duration(len(peers))*tellPerPeer)
 	}
 }
 
 // tellPeer tells one peer, again where it does not answer.
-func (q *Quarantine) tellPeer(ctx context.Context, addr string, body []byte) {
+func (q *Quarantine) tellPeer(ctx context.Context, addr string, changes []Change) {
 	pause := peerFirst
 	var err error
 	for range peerTries {
-		if err = q.post(ctx, addr, body); err == nil {
+		if err = q.tellOnce(ctx, addr, changes); err == nil {
 			return
 		}
 		if !sleep.For(ctx, sleep.Jitter(pause)) {
@@ -146,35 +138,12 @@
 	q.log.Info("A peer was not told of servers' ends.", zap.String("addr", addr), zap.Error(err))
 }
 
-func (q *Quarantine) post(ctx context.Context, addr string, body []byte) error {
+func (q *Quarantine) tellOnce(ctx context.Context, addr string, changes []Change) error {
 	q.sharing.slots <- struct{}{}
 	defer func() { <-q.sharing.slots }()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+PathPeers, bytes.NewReader(body))
-	if err != nil {
-		return errors.Trace(err)
-	}
-	resp, err := q.sharing.http.Do(req)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	defer resp.Body.Close()
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, batchBytes)) // so that the connection is kept
-	if resp.StatusCode != http.StatusNoContent {
-		return errors.Errorf("status %d", resp.StatusCode)
-	}
-	return nil
-}
-
-// ServeHTTP takes what a peer saw.
-func (q *Quarantine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	var changes []change
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, batchBytes)).Decode(&changes); err != nil {
-		q.log.Warn("A peer's word can't be read.", zap.String("peer", r.RemoteAddr), zap.Error(err))
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	q.apply("peer", changes)
-	w.WriteHeader(http.StatusNoContent)
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	return q.sharing.peers.Tell(ctx, addr, changes)
 }
 
 // tellStore writes what is new here.
@@ -200,17 +169,17 @@
 	}
 }
 
-func (q *Quarantine) putBack(changes []change) {
+func (q *Quarantine) putBack(changes []Change) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	newer := q.toStore.take(queueMost)
 	q.toStore.add(append(changes, newer...)...)
 }
 
-func (q *Quarantine) records(changes []change) []platform.KeyedRecord {
+func (q *Quarantine) records(changes []Change) []platform.KeyedRecord {
 	records := make([]platform.KeyedRecord, 0, len(changes))
-	for _, c := range changes {
-		r, err := c.record()
+	for i := range changes {
+		r, err := changes[i].record()
 		if err != nil {
 			q.log.Error("A server's end can't be encoded.", zap.Error(err))
 			continue
@@ -226,7 +195,7 @@
 	if q.sharing.readsPerS <= 0 {
 		return retryFirst
 	}
-	processes := float64(len(q.sharing.peers()) + 1)
+	processes := float64(len(q.sharing.peers.Addrs()) + 1)
 	return time.Duration(processes / (share * q.sharing.readsPerS) * float64(time.Second))
 }
 
@@ -264,7 +233,7 @@
 		}
 		next = end
 		q.heard(records)
-		q.expire(rand.N(len(q.sharing.peers())+1) < expirers)
+		q.expire(rand.N(len(q.sharing.peers.Addrs())+1) < expirers)
 		pause := q.pace(readShare)
 		if early := time.Since(begun) < followWait/2; early && len(records) == 0 {
 			// There is no such stream, and nothing to wait for in it.
@@ -285,7 +254,7 @@
 }
 
 func (q *Quarantine) heard(records []platform.KeyedRecord) {
-	changes := make([]change, 0, len(records))
+	changes := make([]Change, 0, len(records))
 	for _, r := range records {
 		if c, ok := fromRecord(r); ok {
 			changes = append(changes, c)
@@ -294,6 +263,6 @@
 		}
 	}
 	if len(changes) > 0 {
-		q.apply("store", changes)
+		q.Apply("store", changes)
 	}
 }
