--- a/agent/calls/reply.go
+++ b/agent/calls/reply.go
@@ -11,6 +11,7 @@
 	"dandelionsill.org/base/logs"
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/wire/pb"
+	"dandelionsill.org/wire/refusal"
 )
 
 // pieceBytes is the size of a body piece in the stream.
@@ -30,13 +31,7 @@
 	default:
 		c.cfg.Explain.Add(ctx, part, c.open.RequestId, "failed: "+w.Kind, w.Message)
 	}
-	return c.stream.Send(&pb.CallReply{Part: &pb.CallReply_Refusal{Refusal: &pb.Refusal{
-		Kind:         w.Kind,
-		Message:      w.Message,
-		NotRun:       w.NotRun,
-		RetryAfterMs: w.RetryAfter.Milliseconds(),
-		Holder:       w.Holder,
-	}}})
+	return c.stream.Send(&pb.CallReply{Part: &pb.CallReply_Refusal{Refusal: refusal.Encode(err)}})
 }
 
 func (c *call) explainSent(ctx context.Context, err *kinds.Error) {
--- a/agent/generate/handler.go
+++ b/agent/generate/handler.go
@@ -30,6 +30,7 @@
 	"dandelionsill.org/manifest"
 	"dandelionsill.org/platform"
 	"dandelionsill.org/wire/pb"
+	"dandelionsill.org/wire/refusal"
 )
 
 const (
@@ -97,7 +98,7 @@
 	span.RecordError(err)
 	h.counts.refused(err)
 	h.cfg.Explain.Add(ctx, part, req.GetRequestId(), err.Kind(), err.Message())
-	return out.Send(&pb.GenerateReply{Part: &pb.GenerateReply_Refusal{Refusal: refusal(err)}})
+	return out.Send(&pb.GenerateReply{Part: &pb.GenerateReply_Refusal{Refusal: refusal.Encode(err)}})
 }
 
 // generate returns nil after Done was sent.
@@ -308,14 +309,6 @@
 	}
 }
 
-func refusal(err *kinds.Error) *pb.Refusal {
-	w := kinds.ToWire(err)
-	return &pb.Refusal{
-		Kind: w.Kind, Message: w.Message, NotRun: w.NotRun,
-		RetryAfterMs: w.RetryAfter.Milliseconds(), Holder: w.Holder,
-	}
-}
-
 // counts are the part's metrics.
 type counts struct {
 	done, discarded, superseded, notRun, failed, adopted interface{ Add(int64) }
--- a/entry/calls/attempt.go
+++ b/entry/calls/attempt.go
@@ -6,9 +6,9 @@
 	"google.golang.org/grpc"
 
 	"dandelionsill.org/entry/fleet"
-	"dandelionsill.org/entry/front"
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/wire/pb"
+	"dandelionsill.org/wire/refusal"
 )
 
 // target is a server that a try goes to.
@@ -170,11 +170,11 @@
 	if r.err != nil {
 		return nil, a.broken(r.err)
 	}
-	refusal := r.msg.GetRefusal()
-	if refusal == nil {
+	refused := r.msg.GetRefusal()
+	if refused == nil {
 		return r.msg, nil
 	}
-	err := front.Refusal(refusal)
+	err := refusal.Decode(refused)
 	a.c.Refused(err)
 	return nil, err
 }
--- a/entry/completions/run.go
+++ b/entry/completions/run.go
@@ -15,6 +15,7 @@
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/platform"
 	"dandelionsill.org/wire/pb"
+	"dandelionsill.org/wire/refusal"
 )
 
 var (
@@ -185,7 +186,7 @@
 // refused decodes an agent's refusal. One without proof speaks of a stream
 // that ran: it counts as failed.
 func refused(c *completion, r *pb.Refusal) (fleet.Outcome, error) {
-	err := front.Refusal(r)
+	err := refusal.Decode(r)
 	c.Refused(err)
 	if r.NotRun {
 		return fleet.Refused, err
--- a/entry/steps/generate.go
+++ b/entry/steps/generate.go
@@ -19,6 +19,7 @@
 	"dandelionsill.org/entry/fleet"
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/wire/pb"
+	"dandelionsill.org/wire/refusal"
 )
 
 // Backoff of lost samples. There is no limit of tries: a step has no answer
@@ -115,18 +116,11 @@
 		case *pb.GenerateReply_Done:
 			return part.Done, checkDone(part.Done, req)
 		case *pb.GenerateReply_Refusal:
-			return nil, refusalError(part.Refusal)
+			return nil, refusal.Decode(part.Refusal)
 		}
 	}
 }
 
-func refusalError(r *pb.Refusal) *kinds.Error {
-	return kinds.FromWire(kinds.Refusal{
-		Kind: r.GetKind(), Message: r.GetMessage(), Holder: r.GetHolder(), NotRun: r.GetNotRun(),
-		RetryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
-	})
-}
-
 func (s *Steps) noteStart(r *run) {
 	s.mu.Lock()
 	s.begun(r)
--- a/entry/steps/score.go
+++ b/entry/steps/score.go
@@ -15,6 +15,7 @@
 	"dandelionsill.org/entry/fleet"
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/wire/pb"
+	"dandelionsill.org/wire/refusal"
 )
 
 const (
@@ -154,7 +155,7 @@
 		}
 		switch part := reply.GetPart().(type) {
 		case *pb.CallReply_Refusal:
-			return 0, refusalError(part.Refusal)
+			return 0, refusal.Decode(part.Refusal)
 		case *pb.CallReply_Head:
 			status = part.Head.GetStatus()
 		case *pb.CallReply_Body:
--- a/kinds/kinds.go
+++ b/kinds/kinds.go
@@ -135,6 +135,7 @@
 	notRun     bool
 	retryAfter time.Duration
 	holder     string
+	ended      string
 	cause      error
 }
 
@@ -171,6 +172,14 @@
 // WithRetryAfter returns a copy that tells when to come back.
 func (e *Error) WithRetryAfter(d time.Duration) *Error { c := *e; c.retryAfter = d; return &c }
 
+// Ended names the start of the backend server that ended under the request; empty:
+// none is known to have.
+func (e *Error) Ended() string { return e.ended }
+
+// WithEnded returns a copy that names the start of a backend server which ended under
+// the request.
+func (e *Error) WithEnded(server string) *Error { c := *e; c.ended = server; return &c }
+
 // WithHolder returns a copy that names the key's owner.
 func (e *Error) WithHolder(name string) *Error { c := *e; c.holder = name; return &c }
 
@@ -243,9 +252,9 @@
 
 // Refusal is the wire form of an Error.
 type Refusal struct {
-	Kind, Message, Holder string
-	NotRun                bool
-	RetryAfter            time.Duration
+	Kind, Message, Holder, Ended string
+	NotRun                       bool
+	RetryAfter                   time.Duration
 }
 
 // ToWire returns the wire form of err; any other error becomes Internal.
@@ -254,10 +263,10 @@
 	if !ok {
 		e = New(Internal, "%v", err)
 	}
-	return Refusal{Kind: e.kind, Message: e.Error()[len(e.kind)+2:], Holder: e.holder, NotRun: e.notRun, RetryAfter: e.retryAfter}
+	return Refusal{Kind: e.kind, Message: e.Error()[len(e.kind)+2:], Holder: e.holder, Ended: e.ended, NotRun: e.notRun, RetryAfter: e.retryAfter}
 }
 
 // FromWire decodes a refusal of the next hop. NotRun is that hop's proof.
 func FromWire(r Refusal) *Error {
-	return &Error{kind: r.Kind, msg: r.Message, holder: r.Holder, notRun: r.NotRun, retryAfter: r.RetryAfter}
+	return &Error{kind: r.Kind, msg: r.Message, holder: r.Holder, ended: r.Ended, notRun: r.NotRun, retryAfter: r.RetryAfter}
 }
--- /dev/null
+++ b/wire/refusal/refusal.go
@@ -0,0 +1,28 @@
+// Package refusal turns errors into the message that carries them between our
+// processes, and back.
+package refusal
+
+import (
+	"time"
+
+	"dandelionsill.org/kinds"
+	"dandelionsill.org/wire/pb"
+)
+
+// Encode returns the message of an error.
+func Encode(err *kinds.Error) *pb.Refusal {
+	w := kinds.ToWire(err)
+	return &pb.Refusal{
+		Kind: w.Kind, Message: w.Message, NotRun: w.NotRun, RetryAfterMs: w.RetryAfter.Milliseconds(),
+		Holder: w.Holder, Ended: w.Ended,
+	}
+}
+
+// Decode returns the error of a message.
+func Decode(r *pb.Refusal) *kinds.Error {
+	return kinds.FromWire(kinds.Refusal{
+		Kind: r.GetKind(), Message: r.GetMessage(), NotRun: r.GetNotRun(),
+		RetryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
+		Holder:     r.GetHolder(), Ended: r.GetEnded(),
+	})
+}
