entry, agent: a request that ends each backend server that runs it is refused by all entries

An agent that got no whole answer asks its backend server's VM for a connection; a refusal proves the end, and the refusal of the request names the start that ended. Entries keep a quarantine of requests by caller and content, tell each other by Peer.Tell and a stream of the log, and refuse a quarantined request with quarantined, not run, and when to come back; a suspect sample gets no second copy. What names a request's caller is a field of its own (poison.Content). The VM list's roles are constants of platform in place of four copies.

--- a/agent/calls/backend.go
+++ b/agent/calls/backend.go
@@ -49,22 +49,22 @@
 // when a server closes an idle connection in the same moment.
 type backend struct {
 	addr   string
+	starts *starts
 	fresh  *http.Transport // one request per connection
 	pooled *http.Transport // kept-alive connections, for idempotent requests
 }
 
-func newBackend(addr string) *backend {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	b := &backend{addr: addr}
+func newBackend(name, addr string) *backend {
+	b := &backend{addr: addr, starts: newStarts(name)}
 	b.fresh = newTransport(func(ctx context.Context, network, addr string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, addr)
+		conn, err := b.starts.dial(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
 		return &gatedConn{Conn: conn, gate: ctx.Value(gateKey{}).(*gate)}, nil
 	})
 	b.fresh.DisableKeepAlives = true
-	b.pooled = newTransport(dialer.DialContext)
+	b.pooled = newTransport(b.starts.dial)
 	b.pooled.MaxIdleConnsPerHost = maxIdle
 	b.pooled.IdleConnTimeout = idleTimeout
 	return b
@@ -97,12 +97,12 @@
 	// RoundTrip, not a Client: a Client follows redirects, which sends again.
 	resp, err := roundTrip(b.fresh, req.WithContext(ctx))
 	if err != nil {
-		return nil, g.failed(err)
+		return nil, b.blame(ctx, g.failed(err))
 	}
 	defer resp.Body.Close()
 	answer, err := readWhole(resp, limit)
 	if err != nil {
-		return nil, g.failed(err)
+		return nil, b.blame(ctx, g.failed(err))
 	}
 	return answer, nil
 }
@@ -125,7 +125,7 @@
 	case err == nil:
 		return resp, nil
 	case held.Sent():
-		return nil, broken(ctx, err)
+		return nil, b.blame(ctx, broken(ctx, err))
 	}
 	return nil, unsent(held, err)
 }
--- a/agent/calls/calls.go
+++ b/agent/calls/calls.go
@@ -48,6 +48,7 @@
 
 // Config is a handler's configuration.
 type Config struct {
+	Name    string // this agent's
 	Service string
 	Backend string // IP:port of the backend server
 	Queue   *admission.Queue
@@ -69,7 +70,7 @@
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
-	return &Handler{cfg: cfg, backend: newBackend(cfg.Backend), now: time.Now}
+	return &Handler{cfg: cfg, backend: newBackend(cfg.Name, cfg.Backend), now: time.Now}
 }
 
 // Close closes idle connections to the backend server.
--- a/agent/calls/reply.go
+++ b/agent/calls/reply.go
@@ -105,7 +105,7 @@
 	}
 	c.cfg.Explain.Add(ctx, part, c.open.RequestId, "sent to the backend server", outcome(readErr))
 	if readErr != nil {
-		return broken(ctx, readErr)
+		return c.backend.blame(ctx, broken(ctx, readErr))
 	}
 	_ = c.end(n)
 	return nil
--- /dev/null
+++ b/agent/calls/starts_test.go
@@ -0,0 +1,91 @@
+package calls
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"dandelionsill.org/kinds"
+)
+
+// mortal is a backend server whose process ends under each request, or only breaks its
+// connection off.
+type mortal struct {
+	addr  string
+	lis   net.Listener
+	ends  atomic.Bool
+	holds chan struct{} // nil: it ends at once
+}
+
+func (m *mortal) start(t *testing.T) {
+	lis, err := net.Listen("tcp", m.addr)
+	require.NoError(t, err)
+	m.lis, m.addr = lis, lis.Addr().String()
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if m.holds != nil {
+			<-m.holds
+		}
+		if m.ends.Load() {
+			_ = lis.Close()
+		}
+		panic(http.ErrAbortHandler)
+	})}
+	server.SetKeepAlivesEnabled(false)
+	served := make(chan struct{})
+	go func() { defer close(served); _ = server.Serve(lis) }()
+	t.Cleanup(func() { _ = server.Close(); <-served })
+}
+
+// A backend server ends under a request, starts again at its address and ends under the
+// next. The entry is told which start of it ended each time, so that it can tell one end
+// that two requests saw from two. A connection that only breaks tells of no end.
+func TestEndOfTheBackendServerIsTold(t *testing.T) {
+	m := &mortal{addr: "127.0.0.1:0"}
+	m.start(t)
+	r := newRigAt(t, m.addr)
+	once, repeatable := order(), order()
+	repeatable.Idempotent = true
+
+	broken := r.call(t, repeatable)
+	broken.requireRefusal(t, string(kinds.BackendFailed), false)
+	require.Empty(t, broken.refusal.GetEnded())
+
+	m.ends.Store(true)
+	first := r.call(t, repeatable)
+	first.requireRefusal(t, string(kinds.BackendFailed), false)
+	require.NotEmpty(t, first.refusal.GetEnded())
+
+	refused := r.call(t, repeatable)
+	require.True(t, refused.refusal.GetNotRun())
+	require.Empty(t, refused.refusal.GetEnded(), "it ended under another request")
+
+	m.start(t)
+	second := r.call(t, once)
+	second.requireRefusal(t, string(kinds.OutcomeUnknown), false)
+	require.NotEmpty(t, second.refusal.GetEnded())
+	require.NotEqual(t, first.refusal.GetEnded(), second.refusal.GetEnded())
+}
+
+// Two requests are at the backend server when it ends: both name the same end.
+func TestOneEndHasOneName(t *testing.T) {
+	m := &mortal{addr: "127.0.0.1:0", holds: make(chan struct{})}
+	m.ends.Store(true)
+	m.start(t)
+	r := newRigAt(t, m.addr)
+	replies := make(chan reply, 2)
+	for range 2 {
+		open := order()
+		open.Idempotent = true
+		stream := r.open(t, t.Context(), open)
+		go func() { replies <- finish(stream) }()
+	}
+	require.Eventually(t, func() bool { return r.queue.Stats().Running == 2 }, generous, time.Millisecond)
+	close(m.holds)
+	one, two := <-replies, <-replies
+	require.NotEmpty(t, one.refusal.GetEnded())
+	require.Equal(t, one.refusal.GetEnded(), two.refusal.GetEnded())
+}
--- a/agent/generate/fakes_test.go
+++ b/agent/generate/fakes_test.go
@@ -33,6 +33,7 @@
 
 	mu   sync.Mutex
 	st   platform.EngineState
+	real platform.Engine                                    // tells the state, if set
 	obey func(info platform.WeightInfo, token uint64) error // under mu
 }
 
@@ -42,12 +43,22 @@
 	return s, nil
 }
 
-func (e *fakeEngine) State(context.Context) (platform.EngineState, error) {
+func (e *fakeEngine) State(ctx context.Context) (platform.EngineState, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.real != nil {
+		return e.real.State(ctx)
+	}
 	return e.st, nil
 }
 
+// setState has another engine tell the state from now on.
+func (e *fakeEngine) setState(real platform.Engine) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.real = real
+}
+
 func (e *fakeEngine) LoadWeights(_ context.Context, info platform.WeightInfo, _ io.Reader, token uint64) error {
 	e.mu.Lock()
 	obey := e.obey
--- a/agent/generate/produce.go
+++ b/agent/generate/produce.go
@@ -7,6 +7,8 @@
 	"io"
 	"strconv"
 	"strings"
+	"syscall"
+	"time"
 
 	"dandelionsill.org/agent/held"
 	"dandelionsill.org/agent/weights"
@@ -241,7 +243,7 @@
 // of the step can go on from.
 func (h *Handler) ended(ctx context.Context, r *run, p *product, err error) *kinds.Error {
 	if ctx.Err() == nil {
-		return r.fail("%v", err)
+		return h.blame(ctx, p, r.fail("%v", err))
 	}
 	kerr := r.explainEnd(ctx, nil)
 	superseded := kerr.Kind() == string(kinds.Superseded)
@@ -251,6 +253,22 @@
 	return kerr
 }
 
+// endedTimeout bounds the question whether the engine has ended: a retry elsewhere
+// waits for it. It runs on this VM.
+const endedTimeout = 100 * time.Millisecond
+
+// blame names the engine's start in the error of a run that failed, if that start has
+// ended: it refuses connections. The entry that has the request keeps it from ending
+// the next one.
+func (h *Handler) blame(ctx context.Context, p *product, err *kinds.Error) *kinds.Error {
+	ctx, cancel := context.WithTimeout(ctx, endedTimeout)
+	defer cancel()
+	if _, stateErr := h.cfg.Engine.State(ctx); errors.Is(stateErr, syscall.ECONNREFUSED) {
+		return err.WithEnded(p.boot)
+	}
+	return err
+}
+
 // partial returns the proved part, nil where there is none.
 func (p *product) partial(r *run) *partial {
 	if p.label.Err() != nil || p.label.Tokens() == 0 {
--- a/agent/server/build.go
+++ b/agent/server/build.go
@@ -158,6 +158,7 @@
 	})
 	cfg.CaughtUp = table.CaughtUp
 	cfg.Calls = calls.New(calls.Config{
+		Name:    b.set.Process.Name,
 		Service: b.set.Backend.Serves,
 		Backend: b.set.Backend.Addr,
 		Queue:   b.queue,
--- a/agent/server/roster.go
+++ b/agent/server/roster.go
@@ -23,7 +23,6 @@
 	rosterPace    = 100 * time.Millisecond
 	rosterRetry   = 5 * time.Second
 	rosterTimeout = 2 * time.Second
-	roleAgent     = "agent"
 )
 
 // roster learns which other agents serve the same model. The VM list does not
@@ -68,7 +67,7 @@
 	r.unanswered = false
 	rows := make(map[platform.VM]bool)
 	for _, vm := range r.vms.VMs() {
-		if vm.Role != roleAgent || vm.Name == r.self {
+		if vm.Role != platform.RoleAgent || vm.Name == r.self {
 			continue
 		}
 		vm.State = platform.VMLive // a change of state alone asks nothing
--- a/agent/server/roster_test.go
+++ b/agent/server/roster_test.go
@@ -39,7 +39,9 @@
 // again; one that is gone from the list is forgotten.
 func TestRosterFindsAgentsOfTheSameModel(t *testing.T) {
 	sites := &sites{changed: make(chan struct{})}
-	vm := func(name string) platform.VM { return platform.VM{Name: name, Role: roleAgent, Addr: name + ":1"} }
+	vm := func(name string) platform.VM {
+		return platform.VM{Name: name, Role: platform.RoleAgent, Addr: name + ":1"}
+	}
 	entry := platform.VM{Name: "e", Role: "entry", Addr: "e:1"}
 	sites.set(nil, vm("self"), vm("a"), vm("b"), vm("other"), vm("plain"), entry)
 	serves := map[string]*pb.AgentState{
--- a/decide/poison/name.go
+++ b/decide/poison/name.go
@@ -19,26 +19,26 @@
 
 // Content is what makes two requests the same one to a server.
 type Content struct {
+	// Caller is whose request it is, where that is known.
+	Caller string
 	Method string
 	Host   string
 	URI    string // path and query
-	Header http.Header
 	Body   []byte
 }
 
-// callerHeaders tell whose request it is where the path does not. All other headers
-// are left out: many of them differ from attempt to attempt.
-var callerHeaders = []string{"Authorization", "Cookie"}
+// CallerOf returns what the headers of an HTTP request tell of its caller. All others
+// name nothing: many of them differ from attempt to attempt.
+func CallerOf(h http.Header) string {
+	return h.Get("Authorization") + "\n" + h.Get("Cookie")
+}
 
 // Name returns the content's name.
 func (c *Content) Name() Name {
 	h := sha256.New()
-	for _, field := range []string{c.Method, c.Host, c.URI} {
+	for _, field := range []string{c.Caller, c.Method, c.Host, c.URI} {
 		write(h, []byte(field))
 	}
-	for _, name := range callerHeaders {
-		write(h, []byte(c.Header.Get(name)))
-	}
 	write(h, c.Body)
 	return Name(hex.EncodeToString(h.Sum(nil)[:digestBytes]))
 }
--- a/decide/poison/name_test.go
+++ b/decide/poison/name_test.go
@@ -11,21 +11,31 @@
 )
 
 func TestNameIsThatOfTheContent(t *testing.T) {
-	c := poison.Content{Method: "POST", Host: "a", URI: "/b?c", Body: []byte("d")}
+	c := poison.Content{Caller: "o", Method: "POST", Host: "a", URI: "/b?c", Body: []byte("d")}
 	same := c
-	same.Header = http.Header{"X-Attempt": {"7"}, "Date": {"now"}}
-	require.Equal(t, c.Name(), same.Name(), "what differs from attempt to attempt names nothing")
-	for what, other := range map[string]poison.Content{
-		"method": {Method: "PUT", Host: "a", URI: "/b?c", Body: []byte("d")},
-		"host":   {Method: "POST", Host: "x", URI: "/b?c", Body: []byte("d")},
-		"query":  {Method: "POST", Host: "a", URI: "/b?x", Body: []byte("d")},
-		"body":   {Method: "POST", Host: "a", URI: "/b?c", Body: []byte("x")},
-		"caller": {Method: "POST", Host: "a", URI: "/b?c", Body: []byte("d"), Header: http.Header{"Authorization": {"x"}}},
+	require.Equal(t, c.Name(), same.Name())
+	for what, change := range map[string]func(*poison.Content){
+		"caller": func(c *poison.Content) { c.Caller = "x" },
+		"method": func(c *poison.Content) { c.Method = "PUT" },
+		"host":   func(c *poison.Content) { c.Host = "x" },
+		"query":  func(c *poison.Content) { c.URI = "/b?x" },
+		"body":   func(c *poison.Content) { c.Body = []byte("x") },
 	} {
+		other := c
+		change(&other)
 		require.NotEqual(t, c.Name(), other.Name(), what)
 	}
 }
 
+// Two callers ask for the same path with a token each: what crashes servers for one of
+// them may be harmless for the other. What differs from attempt to attempt tells nothing.
+func TestCallerOfARequest(t *testing.T) {
+	one := http.Header{"Authorization": {"one"}, "X-Attempt": {"1"}}
+	require.Equal(t, poison.CallerOf(one), poison.CallerOf(http.Header{"Authorization": {"one"}, "X-Attempt": {"2"}}))
+	require.NotEqual(t, poison.CallerOf(one), poison.CallerOf(http.Header{"Authorization": {"two"}, "X-Attempt": {"1"}}))
+	require.NotEqual(t, poison.CallerOf(one), poison.CallerOf(http.Header{"Cookie": {"one"}}))
+}
+
 func TestNamesOfFieldsDoNotRunIntoEachOther(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		text := rapid.StringMatching(`[a-c]{0,4}`)
--- a/entry/calls/calls.go
+++ b/entry/calls/calls.go
@@ -18,11 +18,13 @@
 	"dandelionsill.org/base/explain"
 	"dandelionsill.org/base/logs"
 	"dandelionsill.org/base/metrics"
+	"dandelionsill.org/decide/poison"
 	"dandelionsill.org/decide/route"
 	"dandelionsill.org/entry/fleet"
 	"dandelionsill.org/entry/front"
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/manifest"
+	"dandelionsill.org/quarantine"
 	"dandelionsill.org/wire/pb"
 )
 
@@ -63,6 +65,8 @@
 	Seed        uint64 // of the routing's random choices
 	Ring        *explain.Ring
 	Logger      *zap.Logger
+	// Quarantine keeps requests that crash servers from reaching any; nil: nothing does.
+	Quarantine *quarantine.Quarantine
 }
 
 // Handler serves requests under Prefix.
@@ -110,6 +114,7 @@
 		return refusal
 	}
 	answer, err := h.run(ctx, c)
+	c.Judge(err == nil && answer.whole && answer.head.Status < http.StatusInternalServerError)
 	if err != nil {
 		if kinds.Of(err) == string(kinds.OutcomeUnknown) {
 			unknownTotal.Add(1)
@@ -141,9 +146,15 @@
 	if query := r.HTTP.URL.RawQuery; query != "" {
 		c.path += "?" + query
 	}
+	c.Guard(h.cfg.Quarantine, c.content)
 	return c, c.readKey()
 }
 
+// content is what makes two requests of a caller the same one.
+func (c *call) content() poison.Content {
+	return poison.Content{Caller: c.Caller.Name, Method: c.HTTP.Method, Host: c.service.Name, URI: c.path, Body: c.Body}
+}
+
 // split cuts /svc/{service}/{path…}; the path keeps its escapes, so that the
 // backend server gets what the caller sent.
 func split(r *http.Request) (service, path string) {
--- a/entry/calls/run.go
+++ b/entry/calls/run.go
@@ -16,6 +16,9 @@
 	pool := fleet.ServicePool(c.service.Name)
 	var last error
 	for {
+		if stopped := c.Stopped(); stopped != nil {
+			return nil, h.final(ctx, c, "an agent", stopped)
+		}
 		r := c.Route()
 		if c.key != "" {
 			r.Key = route.Hash(c.key)
--- a/entry/completions/completions.go
+++ b/entry/completions/completions.go
@@ -19,9 +19,11 @@
 	"dandelionsill.org/base/explain"
 	"dandelionsill.org/base/logs"
 	"dandelionsill.org/base/metrics"
+	"dandelionsill.org/decide/poison"
 	"dandelionsill.org/entry/fleet"
 	"dandelionsill.org/entry/front"
 	"dandelionsill.org/kinds"
+	"dandelionsill.org/quarantine"
 )
 
 const part = "entry: completions"
@@ -46,6 +48,8 @@
 	Seed        uint64 // of the routing's random choices
 	Ring        *explain.Ring
 	Logger      *zap.Logger
+	// Quarantine keeps requests that crash engines from reaching any; nil: nothing does.
+	Quarantine *quarantine.Quarantine
 }
 
 // Handler serves completions.
@@ -103,6 +107,7 @@
 	}
 	out := &output{w: w, c: c}
 	err := h.run(ctx, c, out)
+	c.Judge(err == nil)
 	if err == nil {
 		return out.finish()
 	}
@@ -146,9 +151,16 @@
 	if body.Seed != nil {
 		c.seed = *body.Seed
 	}
+	c.Guard(h.cfg.Quarantine, c.content)
 	return c, nil
 }
 
+// content is what makes two requests of a caller the same one. The seed is left out:
+// most callers leave it to us.
+func (c *completion) content() poison.Content {
+	return poison.Content{Caller: c.Caller.Name, Method: http.MethodPost, Host: c.model, URI: Path, Body: []byte(c.prompt)}
+}
+
 // decode reads the body. Unknown fields are refused: a sampling parameter that
 // is silently left out changes the answer.
 func decode(r *front.Request) (Body, *kinds.Error) {
--- a/entry/completions/completions_test.go
+++ b/entry/completions/completions_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
+	"go.uber.org/zap"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
@@ -23,6 +24,7 @@
 	"dandelionsill.org/entry/front"
 	"dandelionsill.org/manifest"
 	"dandelionsill.org/platform"
+	"dandelionsill.org/quarantine"
 	"dandelionsill.org/wire/pb"
 )
 
@@ -144,7 +146,7 @@
 	m, err := manifest.Parse("test", []byte(manifestText))
 	require.NoError(t, err)
 	gate := front.New(front.Config{Viewer: confsync.Static{V: &confsync.View{Number: 1, Manifest: m}}})
-	web := httptest.NewServer(gate.Handle("completions", New(Config{Agents: s.fleet}).Serve))
+	web := httptest.NewServer(gate.Handle("completions", New(Config{Agents: s.fleet, Quarantine: quarantine.New(zap.NewNop())}).Serve))
 	t.Cleanup(web.Close)
 	s.url = web.URL
 	return s
--- /dev/null
+++ b/entry/completions/poison_test.go
@@ -0,0 +1,43 @@
+package completions
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"dandelionsill.org/decide/poison"
+	"dandelionsill.org/kinds"
+	"dandelionsill.org/wire/pb"
+	"dandelionsill.org/wire/refusal"
+)
+
+// A prompt ends each engine that begins it, after a token or two. It was carried on by
+// one engine after the other, and its caller then asked for it again. Now the fourth
+// engine never sees it: the caller is told that it did not run and when to come back.
+func TestCompletionThatEndsEnginesIsStopped(t *testing.T) {
+	var ended atomic.Int64
+	mortal := func(f *fakeAgent, req *pb.GenerateRequest, s stream) error {
+		if req.Prompt != "deadly" {
+			return says(7)(f, req, s)
+		}
+		ended.Add(1)
+		chunk(s, word(req, tokensOf(req.Resume)), 1, 7)
+		err := kinds.New(kinds.BackendFailed, "the engine's stream broke off").WithEnded(f.name + "/" + req.RequestId)
+		return s.Send(&pb.GenerateReply{Part: &pb.GenerateReply_Refusal{Refusal: refusal.Encode(err)}})
+	}
+	s := start(t, mortal, mortal, mortal, mortal, mortal)
+	const deadly = `{"model":"drafter","prompt":"deadly"}`
+	status, _, failure := s.whole(t, deadly)
+	require.Equal(t, http.StatusBadGateway, status)
+	require.False(t, failure.NotRun)
+	require.EqualValues(t, poison.QuarantineAt, ended.Load())
+	_, _, failure = s.whole(t, deadly)
+	require.Equal(t, string(kinds.Quarantined), failure.Kind)
+	require.True(t, failure.NotRun)
+	require.Positive(t, failure.RetryAfterMS)
+	require.EqualValues(t, poison.QuarantineAt, ended.Load())
+	status, _, _ = s.whole(t, `{"model":"drafter","prompt":"p"}`)
+	require.Equal(t, http.StatusOK, status)
+}
--- a/entry/completions/run.go
+++ b/entry/completions/run.go
@@ -90,6 +90,9 @@
 			out.made.finish = finishLength
 			return nil
 		}
+		if stopped := c.Stopped(); stopped != nil {
+			return c.Final(ctx, stopped)
+		}
 		r := c.Route()
 		r.Prefix, r.Warm, r.Floor = prefix, warm, out.made.newest()
 		if r.Left <= 0 {
--- a/entry/fleet/agents.go
+++ b/entry/fleet/agents.go
@@ -17,12 +17,6 @@
 	"dandelionsill.org/wire/pb"
 )
 
-// Roles in the VM list.
-const (
-	roleEntry = "entry"
-	roleAgent = "agent"
-)
-
 // Times of the picture.
 const (
 	// DefaultSilent is how long an agent may say nothing before it counts as
@@ -171,7 +165,7 @@
 	defer a.mu.Unlock()
 	a.learnt = false
 	for _, vm := range vms {
-		if vm.Role == roleAgent && wanted[vm.Name] {
+		if vm.Role == platform.RoleAgent && wanted[vm.Name] {
 			a.keepAgent(ctx, vm)
 		}
 	}
@@ -189,9 +183,9 @@
 	for _, vm := range vms {
 		m := subset.Member{Name: vm.Name, FailureDomain: vm.FailureDomain}
 		switch vm.Role {
-		case roleEntry:
+		case platform.RoleEntry:
 			entries = append(entries, m)
-		case roleAgent:
+		case platform.RoleAgent:
 			m.Pool = a.pools[vm.Name]
 			agents = append(agents, m)
 		}
@@ -382,7 +376,7 @@
 func (a *Agents) Entries() int {
 	n := 0
 	for _, vm := range a.cfg.VMs.VMs() {
-		if vm.Role == roleEntry && vm.State == platform.VMLive && vm.Name != a.cfg.Name {
+		if vm.Role == platform.RoleEntry && vm.State == platform.VMLive && vm.Name != a.cfg.Name {
 			n++
 		}
 	}
@@ -393,7 +387,7 @@
 // closes the connection.
 func (a *Agents) Dial(name string) (client pb.AgentClient, release func(), ok bool) {
 	for _, vm := range a.cfg.VMs.VMs() {
-		if vm.Name != name || vm.Role != roleAgent {
+		if vm.Name != name || vm.Role != platform.RoleAgent {
 			continue
 		}
 		conn, err := dial(vm.Addr)
--- a/entry/front/tries.go
+++ b/entry/front/tries.go
@@ -21,6 +21,7 @@
 	unreached  bool // the last try reached no server
 	tried      map[string]bool
 	domains    map[string]bool
+	guard      guard
 }
 
 // NewTries returns the tries of a request, none made yet.
@@ -68,6 +69,9 @@
 func (t *Tries) Again(ctx context.Context, err error, server, domain string) bool {
 	t.tried[server] = true
 	e, ok := kinds.As(err)
+	if ok {
+		t.guard.noteEnd(e)
+	}
 	if !ok || ctx.Err() != nil {
 		return false
 	}
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -21,6 +21,7 @@
 	"dandelionsill.org/base/logs"
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/base/run"
+	"dandelionsill.org/base/sleep"
 	"dandelionsill.org/base/trace"
 	"dandelionsill.org/confsync"
 	"dandelionsill.org/entry/calls"
@@ -30,6 +31,7 @@
 	"dandelionsill.org/entry/steps"
 	"dandelionsill.org/manifest"
 	"dandelionsill.org/platform"
+	"dandelionsill.org/quarantine"
 	"dandelionsill.org/wire/pb"
 )
 
@@ -53,6 +55,8 @@
 	keeper      *confsync.Keeper
 	viewer      confsync.Viewer // the keeper
 	agents      *fleet.Agents
+	quarantine  *quarantine.Quarantine
+	entryPeers  *entryPeers
 	front       *front.Front
 	steps       *steps.Steps
 	start       time.Time
@@ -112,6 +116,9 @@
 		return nil, err
 	}
 	e.keeper, e.viewer = keeper, keeper
+	e.quarantine = quarantine.New(logs.Part(e.logger, "quarantine"))
+	e.entryPeers = newEntryPeers(name, e.vms)
+	e.quarantine.Share(quarantine.OverLog(e.platformLog), e.entryPeers, logReadsPerS)
 	e.agents = e.newAgents()
 	metrics.Gauge("entry_agents_watched", func() any { return e.agents.Watched() })
 	metrics.Gauge("entry_agents_ejected", func() any { return e.agents.Ejected() })
@@ -153,7 +160,9 @@
 		Explain: e.ring,
 		Logger:  logs.Part(e.logger, "steps"),
 		Policy:  e.set.Steps,
-		MaxBody: int64(e.set.Entry.MaxStepBody),
+
+		Quarantine: e.quarantine,
+		MaxBody:    int64(e.set.Entry.MaxStepBody),
 	})
 }
 
@@ -172,12 +181,16 @@
 	wg.Go(func() { e.vms.Run(ctx) })
 	wg.Go(func() { e.keeper.Run(ctx) })
 	wg.Go(func() { e.agents.Run(ctx) })
+	wg.Go(func() {
+		e.quarantine.Run(ctx)
+		e.entryPeers.close()
+	})
 	return wg.Wait
 }
 
 func (e *entry) grpc() transport.Server {
 	server := run.NewGRPC(e.set.Process.Listen)
-	pb.RegisterPeerServer(server.Server, e.keeper)
+	pb.RegisterPeerServer(server.Server, &peerServer{e.keeper, e.quarantine})
 	return server
 }
 
@@ -192,6 +205,7 @@
 		Seed:        rand.Uint64(),
 		Ring:        e.ring,
 		Logger:      e.logger,
+		Quarantine:  e.quarantine,
 	})
 	toModels := completions.New(completions.Config{
 		Agents:      e.agents,
@@ -200,6 +214,7 @@
 		Seed:        rand.Uint64(),
 		Ring:        e.ring,
 		Logger:      e.logger,
+		Quarantine:  e.quarantine,
 	})
 	services := e.front.Handle("entry /svc", toServices.Serve)
 	server.Handle(completions.Path, e.front.Handle("entry "+completions.Path, toModels.Serve))
@@ -222,12 +237,20 @@
 		go func() {
 			if e.awaitManifest(ctx) {
 				e.agents.Settle(ctx, settleLimit)
+				e.awaitQuarantine(ctx)
 				run.SetReady(true)
 			}
 		}()
 	}
 }
 
+// awaitQuarantine waits until the log was asked for what other entries saw.
+func (e *entry) awaitQuarantine(ctx context.Context) {
+	const look = 10 * time.Millisecond
+	for !e.quarantine.Known() && sleep.For(ctx, look) {
+	}
+}
+
 func (e *entry) awaitManifest(ctx context.Context) bool {
 	for {
 		changed := e.keeper.Changed()
--- a/entry/server/operators.go
+++ b/entry/server/operators.go
@@ -15,6 +15,7 @@
 	"dandelionsill.org/entry/fleet"
 	"dandelionsill.org/entry/front"
 	"dandelionsill.org/kinds"
+	"dandelionsill.org/platform"
 	"dandelionsill.org/wire/pb"
 )
 
@@ -54,7 +55,7 @@
 	status := Status{
 		Status: run.Status{
 			Name:        e.set.Process.Name,
-			Role:        "entry",
+			Role:        platform.RoleEntry,
 			Incarnation: uint64(e.start.UnixMilli()),
 			Ready:       run.IsReady(),
 			Leaving:     e.leaving(),
--- a/entry/steps/fakes_test.go
+++ b/entry/steps/fakes_test.go
@@ -20,6 +20,7 @@
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/platform"
 	"dandelionsill.org/wire/pb"
+	"dandelionsill.org/wire/refusal"
 )
 
 // agent is an in-process engine behind pb.AgentClient. Token i of a sample is
@@ -33,6 +34,7 @@
 	crowding       float64 // s added to a token's time by each stream beside it
 	length         func(seed uint64) int
 	scores         func(ctx context.Context, n int) (string, error)
+	noScore        func(body []byte, n int) *kinds.Error // refuses the n-th call
 
 	mu      sync.Mutex
 	version uint64
@@ -310,8 +312,7 @@
 }
 
 func (r refusals) Recv() (*pb.GenerateReply, error) {
-	w := kinds.ToWire(r.err)
-	return &pb.GenerateReply{Part: &pb.GenerateReply_Refusal{Refusal: &pb.Refusal{Kind: w.Kind, Message: w.Message, NotRun: w.NotRun}}}, nil
+	return &pb.GenerateReply{Part: &pb.GenerateReply_Refusal{Refusal: refusal.Encode(r.err)}}, nil
 }
 
 type heldStream struct {
@@ -371,14 +372,23 @@
 	ctx   context.Context
 	n     int
 	phase int
+	body  []byte
 }
 
-func (c *callStream) Send(*pb.CallSend) error { return nil }
-func (c *callStream) CloseSend() error        { return nil }
+func (c *callStream) Send(m *pb.CallSend) error {
+	c.body = m.GetOpen().GetBody()
+	return nil
+}
+func (c *callStream) CloseSend() error { return nil }
 func (c *callStream) Recv() (*pb.CallReply, error) {
 	c.phase++
 	switch c.phase {
 	case 1:
+		if c.a.noScore != nil {
+			if err := c.a.noScore(c.body, c.n); err != nil {
+				return &pb.CallReply{Part: &pb.CallReply_Refusal{Refusal: refusal.Encode(err)}}, nil
+			}
+		}
 		return &pb.CallReply{Part: &pb.CallReply_Head{Head: &pb.CallHead{Status: 200}}}, nil
 	case 2:
 		body, err := c.a.scores(c.ctx, c.n)
--- a/entry/steps/generate.go
+++ b/entry/steps/generate.go
@@ -15,6 +15,7 @@
 	"dandelionsill.org/base/logs"
 	"dandelionsill.org/base/trace"
 	"dandelionsill.org/decide/fresh"
+	"dandelionsill.org/decide/poison"
 	"dandelionsill.org/decide/straggle"
 	"dandelionsill.org/entry/fleet"
 	"dandelionsill.org/kinds"
@@ -197,10 +198,14 @@
 	if st.stopped != nil || !mine {
 		return
 	}
+	sm := st.samples[r.sample]
+	request := func() poison.Name { return st.request(sm) }
 	if err == nil {
+		s.survived(request)
 		s.finished(st, r, done)
 		return
 	}
+	s.noteEnd(request, st.name(sm), err)
 	s.lost(st, r, err)
 }
 
--- /dev/null
+++ b/entry/steps/poison_test.go
@@ -0,0 +1,71 @@
+package steps_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"dandelionsill.org/decide/poison"
+	"dandelionsill.org/entry/steps"
+	"dandelionsill.org/kinds"
+	"dandelionsill.org/manifest"
+	"dandelionsill.org/quarantine"
+	"dandelionsill.org/wire/pb"
+)
+
+// deadly is the seed of the sample that ends engines: the second of group g1.
+const deadly = 1001
+
+// One sample of a step ends each engine that begins it. A step has no answer but its
+// samples, so that its entry gave it to one engine after the other for as long as the
+// trainer waited, with all samples that ran there. Now three engines end under it, and
+// the trainer gets all groups but that sample's.
+func TestSampleThatEndsEnginesIsHeldBack(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.agents(4, 4, 100)
+		ended := 0
+		for _, a := range w.fleet.agents {
+			a.break_ = func(req *pb.GenerateRequest, n int) *kinds.Error {
+				if req.GetSeed() != deadly {
+					return nil
+				}
+				ended++
+				return kinds.New(kinds.SampleDiscarded, "the engine's stream broke off").WithEnded(fmt.Sprint(a.name, "/", n))
+			}
+		}
+		w.entry("a", func(c *steps.Config) { c.Quarantine = quarantine.New(zap.NewNop()) })
+		got, err := w.collect(w.client("a"), step(4, 4))
+		require.ErrorIs(t, err, context.DeadlineExceeded, "the trainer waits for what is held back")
+		require.Len(t, got, 3)
+		require.Equal(t, poison.QuarantineAt, ended)
+	})
+}
+
+// The call for one sample's score ends each server that runs it. Three end, and the
+// other samples' scores come.
+func TestScoreThatEndsServersIsStopped(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.agents(2, 4, 100)
+		judge := newAgent("judge", 4, 1)
+		judge.scores = func(context.Context, int) (string, error) { return `{"score": 1}`, nil }
+		ended := 0
+		judge.noScore = func(body []byte, n int) *kinds.Error {
+			if !bytes.Contains(body, fmt.Appendf(nil, "p1#%d.0@", deadly)) {
+				return nil
+			}
+			ended++
+			return kinds.New(kinds.BackendFailed, "no whole answer").WithEnded(fmt.Sprint("judge/", n))
+		}
+		w.fleet.scorers = append(w.fleet.scorers, judge)
+		w.terms(func(tr *manifest.Trainer) { tr.Scorer, tr.ScorerPath = "judge", "/score" })
+		w.entry("a", func(c *steps.Config) { c.Quarantine = quarantine.New(zap.NewNop()) })
+		got, err := w.collect(w.client("a"), step(4, 4))
+		require.ErrorIs(t, err, context.DeadlineExceeded, "the trainer waits for what is held back")
+		require.Len(t, got, 3)
+		require.Equal(t, poison.QuarantineAt, ended)
+	})
+}
--- a/entry/steps/run.go
+++ b/entry/steps/run.go
@@ -148,6 +148,10 @@
 			s.drop(st, a)
 			continue
 		}
+		if s.held(st, a) {
+			st.plan.Lost(a.Run, 0, heldFor, st.now())
+			continue
+		}
 		server := snap.ByName[a.Server]
 		if server == nil {
 			st.plan.Lost(a.Run, 0, failBackoff, st.now())
--- a/entry/steps/score.go
+++ b/entry/steps/score.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 
 	"dandelionsill.org/base/sleep"
+	"dandelionsill.org/decide/poison"
 	"dandelionsill.org/entry/fleet"
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/wire/pb"
@@ -47,12 +48,17 @@
 	if err != nil {
 		panic(err) // strings and numbers always encode
 	}
+	content := poison.Content{Caller: st.key.Trainer, Method: http.MethodPost, Host: st.trainer.Scorer, URI: st.trainer.ScorerPath, Body: body}
+	name := content.Name()
+	request := func() poison.Name { return name }
 	for wait := scoreBackoff; ; wait = min(2*wait, maxScoreBackoff) {
-		score, err := s.score(st, body)
+		score, err := s.score(st, name, body)
 		if err == nil {
+			s.survived(request)
 			s.scored(st, sm, score)
 			return
 		}
+		s.noteEnd(request, st.name(sm), err)
 		s.cfg.Explain.Add(st.ctx, "steps", st.name(sm), "not scored", err.Error())
 		if !sleep.For(st.ctx, wait) {
 			return
@@ -71,7 +77,10 @@
 }
 
 // score makes one call to the scorer, at its least loaded server.
-func (s *Steps) score(st *step, body []byte) (float64, error) {
+func (s *Steps) score(st *step, request poison.Name, body []byte) (float64, error) {
+	if q := s.cfg.Quarantine; q != nil && q.Verdict(request) == poison.Quarantined {
+		return 0, kinds.Hold().Refuse(kinds.Quarantined, "each server of scorer %s that ran it crashed", st.trainer.Scorer)
+	}
 	sv := s.scorer(st.trainer.Scorer)
 	if sv == nil {
 		return 0, kinds.Hold().Refuse(kinds.NoServer, "no server of scorer %s is ready", st.trainer.Scorer)
--- a/entry/steps/step.go
+++ b/entry/steps/step.go
@@ -10,6 +10,7 @@
 
 	"dandelionsill.org/decide/fresh"
 	"dandelionsill.org/decide/label"
+	"dandelionsill.org/decide/poison"
 	"dandelionsill.org/decide/straggle"
 	foldsteps "dandelionsill.org/fold/steps"
 	"dandelionsill.org/kinds"
@@ -24,7 +25,9 @@
 	partial *partial         // what a lost run had made
 	done    *pb.GenerateDone // finished
 	score   *float64
-	tries   int // losses so far
+	tries   int         // losses so far
+	request poison.Name // empty: not needed yet
+	held    bool        // it was logged that the sample is in quarantine
 }
 
 type group struct {
--- a/entry/steps/steps.go
+++ b/entry/steps/steps.go
@@ -26,6 +26,7 @@
 	"dandelionsill.org/entry/fleet"
 	foldsteps "dandelionsill.org/fold/steps"
 	"dandelionsill.org/platform"
+	"dandelionsill.org/quarantine"
 )
 
 const (
@@ -55,6 +56,8 @@
 	Explain *explain.Ring
 	Logger  *zap.Logger
 	Policy  Policy
+	// Quarantine keeps samples that crash engines from reaching any; nil: nothing does.
+	Quarantine *quarantine.Quarantine
 	// IdleTimeout: a step that its trainer has not asked about for so long is
 	// given up.
 	IdleTimeout time.Duration
--- a/gateway/forward/suspect.go
+++ b/gateway/forward/suspect.go
@@ -21,7 +21,7 @@
 func (s *sending) name() poison.Name {
 	if s.suspect.request == "" {
 		c := &s.call
-		content := poison.Content{Method: c.Method, Host: c.Host, URI: c.URI, Header: c.Header, Body: c.Body}
+		content := poison.Content{Method: c.Method, Host: c.Host, URI: c.URI, Body: c.Body, Caller: poison.CallerOf(c.Header)}
 		s.suspect.request = content.Name()
 	}
 	return s.suspect.request
--- /dev/null
+++ b/quarantine/overlog.go
@@ -0,0 +1,87 @@
+package quarantine
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/juju/errors"
+
+	"dandelionsill.org/platform"
+)
+
+// overLog keeps keyed records in a log that knows no keys. They last as long as the
+// log keeps its records.
+type overLog struct{ log platform.Log }
+
+// OverLog returns a store of keyed records over a plain log.
+func OverLog(log platform.Log) platform.Keyed { return &overLog{log} }
+
+// logRecord is what one append holds.
+type logRecord struct {
+	Records []platform.KeyedRecord `json:"records"`
+}
+
+// readMost bounds the records of one read.
+const readMost = 1000
+
+// PutAll implements platform.Keyed.
+func (o *overLog) PutAll(ctx context.Context, stream string, records []platform.KeyedRecord) error {
+	data, err := json.Marshal(logRecord{records})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	_, err = o.log.Append(ctx, stream, data)
+	return err
+}
+
+// Newest implements platform.Keyed.
+func (o *overLog) Newest(ctx context.Context, stream string) ([]platform.KeyedRecord, uint64, error) {
+	newest := map[string]platform.KeyedRecord{}
+	from := uint64(0)
+	for {
+		page, err := o.log.Read(ctx, stream, from, readMost, 0)
+		if errors.Is(err, platform.ErrTruncated) && page.First > from {
+			from = page.First
+			continue
+		}
+		if err != nil {
+			return nil, 0, errors.Trace(err)
+		}
+		for _, r := range decodeRecords(page.Records) {
+			newest[r.Key] = r
+		}
+		from = page.Next
+		if len(page.Records) == 0 || page.Next >= page.End {
+			break
+		}
+	}
+	records := make([]platform.KeyedRecord, 0, len(newest))
+	for _, r := range newest {
+		if len(r.Value) > 0 {
+			records = append(records, r)
+		}
+	}
+	return records, from, nil
+}
+
+// ReadKeyed implements platform.Keyed.
+func (o *overLog) ReadKeyed(ctx context.Context, stream string, from uint64, wait time.Duration) ([]platform.KeyedRecord, uint64, error) {
+	page, err := o.log.Read(ctx, stream, from, readMost, wait)
+	if err != nil {
+		return nil, page.Next, errors.Trace(err)
+	}
+	return decodeRecords(page.Records), page.Next, nil
+}
+
+// decodeRecords leaves out what other releases may have written.
+func decodeRecords(records []platform.Record) []platform.KeyedRecord {
+	var all []platform.KeyedRecord
+	for _, r := range records {
+		var in logRecord
+		if json.Unmarshal(r.Data, &in) == nil {
+			all = append(all, in.Records...)
+		}
+	}
+	return all
+}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -88,7 +88,12 @@
 
 func (p *process) requireVerdict(t *testing.T, request poison.Name, want poison.Verdict) {
 	t.Helper()
-	require.Eventually(t, func() bool { return p.Verdict(request) == want }, generous, time.Millisecond, "want %v", want)
+	requireVerdict(t, p.Quarantine, request, want)
+}
+
+func requireVerdict(t *testing.T, q *quarantine.Quarantine, request poison.Name, want poison.Verdict) {
+	t.Helper()
+	require.Eventually(t, func() bool { return q.Verdict(request) == want }, generous, time.Millisecond, "want %v", want)
 }
 
 // Servers end under a request at two processes, one of them too few for either to
