--- a/decide/poison/poison_test.go
+++ b/decide/poison/poison_test.go
@@ -146,6 +146,35 @@
 	})
 }
 
+// Servers end one after the other under one request, each with any others on their way
+// to it; some of these are answered in between. It is in quarantine from the third server
+// on, whoever was beside it. An answered one is clear, and so is each under which fewer
+// servers ended.
+func TestCulpritIsFoundAmongBystanders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := poison.NewLedger()
+		bystanders := []string{"a", "b", "c"}
+		ends := map[string]int{}
+		for server := range rapid.IntRange(1, 5).Draw(t, "servers") {
+			present := append(rapid.SliceOfDistinct(rapid.SampledFrom(bystanders), rapid.ID).Draw(t, "present"), "culprit")
+			for _, request := range rapid.Permutation(present).Draw(t, "order") {
+				l.Add(crash(request, server, start), start)
+				ends[request]++
+			}
+			if answered := rapid.SampledFrom(append(bystanders, "")).Draw(t, "answered"); answered != "" {
+				l.Clear(poison.Name(answered))
+				delete(ends, answered)
+			}
+			require.Equal(t, server+1 >= poison.QuarantineAt, verdict(l, "culprit", start) == poison.Quarantined)
+			for _, b := range bystanders {
+				if ends[b] < ends["culprit"] {
+					require.Equal(t, poison.Clear, verdict(l, b, start), b)
+				}
+			}
+		}
+	})
+}
+
 // A name is made of each request while anything is suspected: 600 B are the usual body.
 func BenchmarkName(b *testing.B) {
 	c := poison.Content{Method: "POST", Host: "app.example", URI: "/orders/81723", Body: make([]byte, 600)}
