quarantine: an answer counts also for a request that is no suspect

A bystander whose servers' ends are put down to another request is clear, so that its answer was not noted; two more servers that end under it later would have put it into quarantine, as if it had never been answered. TestAnswerCountsForWhoIsNoSuspect: quarantined before, suspect now. Found by reading. A process counts as knowing only once it has taken in what it read.

--- a/entry/front/suspect.go
+++ b/entry/front/suspect.go
@@ -63,9 +63,10 @@
 func (t *Tries) Judge(answered bool) {
 	g := &t.guard
 	switch {
-	case answered && g.verdict() != poison.Clear:
+	case g.quarantine == nil || g.quarantine.Empty():
+	case answered:
 		g.quarantine.Survived(g.request())
-	case !answered && g.ended:
+	case g.ended:
 		g.quarantine.GaveUp(g.request())
 	}
 }
--- a/gateway/forward/poison_test.go
+++ b/gateway/forward/poison_test.go
@@ -108,6 +108,29 @@
 	require.Empty(t, pf.Store.Records(hostedtest.TopicCrashes))
 }
 
+// A bystander is at two servers that end under another request, which the ends are put
+// down to, and is then answered. Two more servers end while they have it, for reasons of
+// their own: the answer between stands, and it is served.
+func TestAnswerCountsForWhoIsNoSuspect(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 2)
+	p := pf.NewProcess(t)
+	c := call(t, p, "bystander", "/score/bystander")
+	content := poison.Content{Caller: poison.CallerOf(c.Header), Method: c.Method, Host: c.Host, URI: c.URI, Body: c.Body}
+	bystander := content.Name()
+	q := p.Forward.Quarantine
+	for _, server := range []string{"s1", "s2", "s3"} {
+		q.Ended("culprit", server)
+	}
+	q.Ended(bystander, "s1")
+	q.Ended(bystander, "s2")
+	require.Equal(t, poison.Clear, q.Verdict(bystander))
+	_, err := p.Forward.Send(t.Context(), c)
+	require.Nil(t, err)
+	q.Ended(bystander, "s8")
+	q.Ended(bystander, "s9")
+	require.Equal(t, poison.Suspect, q.Verdict(bystander))
+}
+
 // A stream crashes each server that begins it. It may go on elsewhere, so that each
 // attempt ends as many servers as the route allows; the quarantine holds for it alike,
 // and its caller is told so instead of being sent to a fourth server.
--- a/quarantine/share.go
+++ b/quarantine/share.go
@@ -204,9 +204,11 @@
 	delay, lost := retryFirst, false
 	for ctx.Err() == nil {
 		records, next, err := q.sharing.store.Newest(ctx, platform.StreamCrashes)
-		q.known.Store(true) // a store that can't be asked must not keep a process from serving
 		if err == nil {
 			q.heard(records)
+		}
+		q.known.Store(true) // a store that can't be asked must not keep a process from serving
+		if err == nil {
 			if lost {
 				q.log.Info("Others' word in the store is read again.", zap.Int("records", len(records)))
 			}
