ctl: a request's name leads from a refusal to all servers that ended under it

dandelionctl losses counts quarantined requests apart (crashes servers), and dandelionctl trace NAME shows each end that was put down to a request, in all processes; the refusal's message holds the name.

--- a/ctl/logscan/line.go
+++ b/ctl/logscan/line.go
@@ -29,6 +29,7 @@
 // Fields are those that decide something here; Raw has them all.
 type Fields struct {
 	ID       string   `json:"id"`
+	Request  string   `json:"request"` // a request's name by its content
 	Job      string   `json:"job"`
 	ScoreID  string   `json:"score_id"`
 	Server   string   `json:"server"`
--- a/ctl/logscan/logscan_test.go
+++ b/ctl/logscan/logscan_test.go
@@ -138,7 +138,7 @@
 
 func TestCausesOfRequests(t *testing.T) {
 	for kind, want := range map[string]Cause{
-		"cancelled": CauseClientGone, "log_unavailable": CauseStarting, "not_ready": CauseStarting, "no_server": CauseNoServer,
+		"cancelled": CauseClientGone, "log_unavailable": CauseStarting, "not_ready": CauseStarting, "no_server": CauseNoServer, "quarantined": CausePoison,
 		"overloaded": CauseRefused, "deadline_exceeded": CauseSilent, "outcome_unknown": CauseUnknown, "too_large": CauseRoute,
 	} {
 		losses := NewLosses()
@@ -150,6 +150,18 @@
 	}
 }
 
+// A request's name leads to all its attempts' ends of servers, in all processes.
+func TestTraceOfARequestThatEndsServers(t *testing.T) {
+	tracer := NewTracer("0011223344556677")
+	lines := []string{
+		record(0, "forward: A server ended under a request.", `"id":"a1","request":"0011223344556677","server":"s1"`),
+		record(1, "forward: quarantine: A server's end is put down to a request.", `"from":"peer","request":"0011223344556677","server":"s1"`),
+		record(2, "forward: A server ended under a request.", `"id":"b1","request":"ffffffffffffffff","server":"s1"`),
+	}
+	scan(t, strings.Join(lines, ""), tracer.Add)
+	require.Len(t, tracer.Decisions(), 2)
+}
+
 // The path of a sample holds the lines about its score and about its job's owners.
 func TestTrace(t *testing.T) {
 	tracer := NewTracer("s1")
--- a/ctl/logscan/losses.go
+++ b/ctl/logscan/losses.go
@@ -27,6 +27,7 @@
 	CauseLong       Cause = "long text"
 	CauseRefused    Cause = "refused by servers"
 	CauseNoServer   Cause = "no server"
+	CausePoison     Cause = "crashes servers"
 	CauseStarting   Cause = "process starting"
 	CauseRoute      Cause = "refused by the configuration"
 	CauseUnknown    Cause = "not told"
@@ -358,6 +359,8 @@
 		return CauseStarting
 	case "no_server":
 		return CauseNoServer
+	case "quarantined":
+		return CausePoison
 	case "overloaded":
 		return CauseRefused
 	case "not_found", "bad_request", "too_large":
--- a/ctl/logscan/trace.go
+++ b/ctl/logscan/trace.go
@@ -45,7 +45,7 @@
 	Dropped int
 }
 
-// NewTracer returns a tracer of an id.
+// NewTracer returns a tracer of an id, or of a request's name.
 func NewTracer(id string) *Tracer { return &Tracer{id: id, jobLines: map[string][]Decision{}} }
 
 // Add takes the next line.
@@ -54,6 +54,8 @@
 	case l.ID == t.id || l.ScoreID == t.id || l.ID != "" && l.ID == t.scoreID:
 		t.learn(l)
 		t.keep(l)
+	case l.Request == t.id && t.id != "":
+		t.keep(l) // all attempts of one request, which ended servers
 	case l.Job == t.id && l.ID == "":
 		t.job = t.id
 		t.keep(l)
--- a/entry/front/suspect.go
+++ b/entry/front/suspect.go
@@ -43,11 +43,11 @@
 		return nil
 	}
 	left := t.guard.quarantine.Refused(t.guard.request())
-	const why = "each server that ran it crashed"
+	why := "each server that ran request " + string(t.guard.request()) + " crashed"
 	if t.Held.Sent() {
-		return kinds.New(kinds.BackendFailed, why).WithRetryAfter(left)
+		return kinds.New(kinds.BackendFailed, "%s", why).WithRetryAfter(left)
 	}
-	return t.Held.Refuse(kinds.Quarantined, why).WithRetryAfter(left)
+	return t.Held.Refuse(kinds.Quarantined, "%s", why).WithRetryAfter(left)
 }
 
 // noteEnd takes in that a server ended under the request, where err says so.
--- a/gateway/forward/suspect.go
+++ b/gateway/forward/suspect.go
@@ -75,5 +75,5 @@
 		return s.refuse(kinds.NoServer, "no server of the service takes work")
 	}
 	left := s.f.Quarantine.Refused(s.name())
-	return s.refuse(kinds.Quarantined, "each server that ran it crashed").WithRetryAfter(left)
+	return s.refuse(kinds.Quarantined, "each server that ran request "+string(s.name())+" crashed").WithRetryAfter(left)
 }
