--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -220,3 +220,15 @@
 		}
 	})
 }
+
+// Telling one peer of one end, the peer's part included.
+func BenchmarkTellPeer(b *testing.B) {
+	peer := httptest.NewServer(quarantine.New(zap.NewNop()))
+	defer peer.Close()
+	peers := quarantine.NewHTTPPeers(nil)
+	defer peers.Close()
+	changes := []quarantine.Change{{Crash: poison.Crash{Request: "0011223344556677", Server: "i-0011223344@1767338000000", At: time.Now()}}}
+	for b.Loop() {
+		require.NoError(b, peers.Tell(b.Context(), peer.Listener.Addr().String(), changes))
+	}
+}
