--- a/quarantine/share.go
+++ b/quarantine/share.go
@@ -38,7 +38,8 @@
 	// one on a connection that went silent hears nothing. Peers tell sooner.
 	followWait = 5 * time.Second
 	retryFirst = 100 * time.Millisecond
-	retryMost  = 2 * time.Second
+	// retryMost lets a process know within 2 s of an outage's end.
+	retryMost = time.Second
 	// readShare and writeShare of the reads that the store takes a second are what all
 	// processes together read and write here. It takes fewer writes than reads.
 	readShare  = 0.1
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -99,17 +99,23 @@
 	for i := range 3 {
 		actors.Go(func() { newClient(w, rec, seed, uint64(10+i)).calls(ctx, fmt.Sprintf("c%d", i)) })
 	}
+	uris := []string{deadly + "-a", deadly + "-b"}
+	for i, uri := range uris {
+		actors.Go(func() { newClient(w, rec, seed, uint64(20+i)).dies(ctx, uri) })
+	}
+	actors.Go(func() { w.mortal.run(ctx) })
 	in := &injector{w: w, rng: rand.New(rand.NewPCG(seed, 99)), log: note}
 	in.run(ctx)
 	actors.Wait()
 	w.heal()
 	w.settle(rec, seed)
+	w.mortal.settle(rec, seed, uris)
 	w.verify(rec)
 	w.stopAll()
 	if len(rec.breaches) > 0 {
 		t.Errorf("seed %d:\n%s\nfaults:\n%s", seed, strings.Join(rec.breaches, "\n"), strings.Join(faults, "\n"))
 	}
-	t.Logf("seed %d: %d faults, %d jobs, %d requests served, %d writes", seed, len(faults), len(rec.accepted), rec.served, len(rec.writes))
+	t.Logf("seed %d: %d faults, %d jobs, %d requests served, %d writes, servers ended under requests: %v", seed, len(faults), len(rec.accepted), rec.served, len(rec.writes), w.mortal.ended)
 }
 
 // waitServing waits until every gateway serves requests.
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -51,6 +51,7 @@
 	store   *hostedtest.Store
 	engines []*hostedtest.Server
 	plain   []*hostedtest.Server
+	mortal  *mortals
 	links   []*link
 	gates   []*proc
 	agents  []*proc
@@ -72,6 +73,7 @@
 		w.plain = append(w.plain, p)
 		w.register(p)
 	}
+	w.mortal = newMortals(w)
 	for i := range gateways {
 		w.gates = append(w.gates, w.gateway(fmt.Sprintf("g%d", i)))
 	}
@@ -100,6 +102,7 @@
 	for _, s := range append(append([]*hostedtest.Server(nil), w.engines...), w.plain...) {
 		w.store.Put(hostedtest.TopicServers, s.ID, s.Entry("ready"))
 	}
+	w.mortal.heartbeat()
 }
 
 // Ports that a process is told to listen on lie below those that the system gives
