--- a/decide/fetch/delays.go
+++ b/decide/fetch/delays.go
@@ -77,11 +77,11 @@
 )
 
 // Patience is how much longer than usual calls may take that can't be made in pieces.
-// Large records that all processes read at once (a configuration of half a MB in 75
-// processes) take longer than a read of a store that answers usually does. Cut off
-// and made anew with the same limit, such reads only add to each other's load, and
-// a configuration was in force 3.4 s late; so each one that is cut off while the
-// store answers gives the next one twice the time. Its zero value is ready. It is not
+// Large records that all processes read at once (a configuration of many routes) take
+// longer than a read of a store that answers usually does. Cut off and made anew with
+// the same limit, such reads only add to each other's load, and a configuration is in
+// force late; so each one that is cut off while the store answers gives the next one
+// twice the time. Its zero value is ready. It is not
 // safe for concurrent use.
 type Patience struct {
 	extra map[string]time.Duration // by kind of call
--- a/decide/fetch/fetch.go
+++ b/decide/fetch/fetch.go
@@ -3,10 +3,10 @@
 // after it has lost power: every process reads the same past at one moment. The
 // package has no clock and does no I/O.
 //
-// With reads of a fixed megabyte, 133 processes ask for 133 MB at once of a log that
-// gives 80 MB/s. Each read is then given up at its deadline, what it would have
-// brought is thrown away after the log has spent its bandwidth on it, and all of them
-// ask again: 7 of 133 processes had read a past of a few megabytes after 43 s.
+// With large reads they ask for more at once than the log gives before their deadlines.
+// Each read is then given up, what it would have brought is thrown away after the log
+// has spent its bandwidth on it, and all of them ask again, so that few ever read the
+// past to its end.
 package fetch
 
 import "time"
--- a/decide/loads/loads.go
+++ b/decide/loads/loads.go
@@ -24,14 +24,13 @@
 }
 
 // atOnce is the share of the engines that load at one moment. Loads slow each
-// other down when about a quarter of the engines load (2 of 8, 9 of 45).
+// other down when about a quarter of the engines load.
 const atOnce = 5
 
 // spread is how many engines serve a model, in parts of what it would get if
-// each engine served one model. Loads are what binds: with all 45 engines
-// serving all of 4 models, 22 loads a second were due where 10 can be done, and
-// samples waited up to 4.5 s for an engine with fresh weights. With 1.5 an
-// engine serves one or two models and 4 to 8 loads a second are due.
+// each engine served one model. Loads are what binds: were all engines to serve all
+// models, more loads would be due than can be done, and samples would wait for an
+// engine with fresh weights. So an engine serves one or two models.
 const spread = 1.5
 
 // Fleet is the engines of a service and the models that they share.
@@ -72,8 +71,7 @@
 // window is how many engines follow a model's versions: the spread, but no more
 // than can load each second version in time. Were more to follow, so many would
 // load at one moment that each load took longer than the next version leaves time
-// for, and hardly any engine was fresh enough: with loads of 3.0 s in place of
-// 0.9 s a quiet day of nine engines had 0.61 of its groups in time.
+// for, and hardly any engine would be fresh enough.
 func (f Fleet) window() int {
 	n, models := len(f.Engines), len(f.Models)
 	size := min(n, int(math.Ceil(spread*float64(n)/float64(models))))
--- a/decide/place/order.go
+++ b/decide/place/order.go
@@ -68,21 +68,18 @@
 	return rate
 }
 
-// Limits of Order. Their source is the replay of trainers that ask for 2.2 to 4
-// times a quiet day's groups (twoTrainers, means of five seeds): 1.00, 0.87, 0.77
-// and 0.57 of the groups owed are in time at 2.2, 2.6, 3 and 4 times; by age and
-// length alone it was 1.00, 0.63, 0.27 and 0.12.
+// Limits of Order, for trainers that ask for several times what the engines make.
 const (
 	// usable is the share of the places' time that turns into samples in time: the
 	// rest goes to loads of weights, to the tails of steps and to guesses that were
-	// too low. At 0.8 it is 0.69 at 3 times.
+	// too low.
 	usable = 0.65
 	// surely is the part of a sample's guessed length that it surely has: hints
 	// are off by a factor of two and more, and a group must not be passed over for
-	// a length that it will not reach. At 1 it is 0.98 at 2.2 and 0.73 at 3 times.
+	// a length that it will not reach.
 	surely = 0.4
 	// closing is the seconds of all places in which what a step lacks must be made
-	// to go before all else. At 1 it is 0.76 and 0.51 at 3 and 4 times.
+	// to go before all else.
 	closing = 0.5
 )
 
--- a/decide/place/place.go
+++ b/decide/place/place.go
@@ -79,17 +79,14 @@
 // slowShare is the part of the time left until results are due in which a sample has to
 // be whole at an engine that a fault has slowed down, to begin there while engines of
 // the usual pace serve it too, though they are full. Guesses of lengths are off by a
-// factor of two and more, and a group waits for the last of its samples. A quarter of 73
-// engines 3.5 times slower, six trainers that ask for 1.6 and 3 times a quiet day's groups
-// (replay, four seeds): 0.98 and 0.81 of the groups in time, 0.88 and 0.78 where any
-// free place was taken, 0.90 and 0.76 at a share of 1.
+// factor of two and more, and a group waits for the last of its samples, so that one which
+// just fits by its guess is often late.
 const slowShare = 0.25
 
 // slowWait is the seconds after which a sample takes a slow engine's place all the same,
 // so that none is left at no engine for long while places are free. Scarce engines make
-// most samples wait for some seconds; sent to slow ones after 3 s they took those from
-// short ones. The load of slowShare at 2.4 times, slowed six times, a fifth of the
-// engines crashed (replay, four seeds): 0.70 of the groups in time at 3 s, 0.75 unbounded.
+// most samples wait for some seconds; sent to slow ones sooner they take those from short
+// ones.
 const slowWait = 4.5
 
 // Limits of leaving an engine.
--- a/decide/straggle/next.go
+++ b/decide/straggle/next.go
@@ -35,7 +35,7 @@
 
 // Due tells whether the next call of Next measures, so that Observe is of use
 // before it. The interval grows with the runs: a measurement looks at each, and
-// at 1,472 of them one each 25 ms cost the owner of a step 6% of a core.
+// many of them at each tick would cost the owner of a step its processor.
 func (p *Plan) Due(now time.Duration) bool {
 	return now-p.ticked >= max(measureEvery, time.Duration(len(p.runs))*measurePerRun)
 }
--- a/gateway/jobs/api.go
+++ b/gateway/jobs/api.go
@@ -26,8 +26,8 @@
 	// runs: a read of the log takes some milliseconds where it answers at all.
 	proofMost = 200 * time.Millisecond
 	// callerRetry lies between two appends for a caller that waits. Trainers give
-	// a step up after some 5 s: one was lost 70 ms after a store that had been
-	// away for that long was back, as the next append was due 0.3 s later.
+	// a step up after some seconds: a longer pause loses steps whose time ends just
+	// after a store that was away is back.
 	callerRetry = 50 * time.Millisecond
 	// comeBack is when a caller is told to try again: a store that refuses
 	// calls does so for seconds, and another entry may reach it.
@@ -225,9 +225,8 @@
 // 350 B a second, which go on to the log, and takes about 0.1% of a core. Past the
 // engines' places items only wait, for 3 KB of memory each, and an owner that has
 // all steps of a service chooses among all of them, where two owners take places
-// from each other: on a calm day with three times the groups worth 0.54 with 600
-// items at most, 0.64 with 1,600 (three seeds each). A share of processor and link
-// is left for callers.
+// from each other, so that fewer groups are whole in time. A share of processor and
+// link is left for callers.
 func Capacity(cpuShare, linkMbps float64) int {
 	const (
 		itemsPerCore = 2000
--- a/gateway/jobs/library.go
+++ b/gateway/jobs/library.go
@@ -92,10 +92,9 @@
 // fill puts the texts into results, as many as an answer holds; at least the
 // first one, unless it is not to be had.
 //
-// The writer is asked first, for it has the texts in memory: where the log was asked
-// beside it for each text that took 50 ms, 160 gateways had 1,800 reads a second sent
-// to them and hung up, 450 MB/s of the store's 80, and nobody followed the log any
-// more. A writer that is slow is asked again only where the log does not answer.
+// The writer is asked first, for it has the texts in memory: a log that is asked
+// beside it sends each text twice, a large fleet's more than its bandwidth, and nobody
+// follows it any more. A writer that is slow is asked again only where the log does not answer.
 func (l *Library) fill(ctx context.Context, results []jobs.Result) ([]jobs.Result, error) {
 	f := &filling{library: l, results: slices.Clone(results[:fitting(results)])}
 	f.fromMemory()
--- a/gateway/jobs/outbox.go
+++ b/gateway/jobs/outbox.go
@@ -31,7 +31,7 @@
 	// lives while it owns nothing, so that a step is given to it rather than to
 	// a small one. It does so up to a third sooner, by chance: processes that started
 	// together would go on appending together, and the log takes one append after the
-	// other. Those of 60 of them held results up for 40 ms in the mean each 3 s.
+	// other, so that results would wait behind them.
 	idleBeat   = 3 * time.Second
 	retryFirst = 40 * time.Millisecond
 	retryMost  = 300 * time.Millisecond
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -22,8 +22,8 @@
 	planEvery = 40 * time.Millisecond
 	// planGap lies between two plans: what happens in it is planned for at once. Each
 	// record of the log, each change of a server's entry and each end of a stream asks
-	// for a plan; with one for each, the owner of 900 samples on 0.8 of a core took up
-	// to 0.9 s to begin a step, and read its streams in bursts.
+	// for a plan; with one for each, an owner of many samples begins its steps late and
+	// reads its streams in bursts.
 	planGap = 20 * time.Millisecond
 	// avoidSilent, avoidFull and avoidFailed are how long an item stays away
 	// from an engine that was silent, had no room, or failed it.
@@ -31,8 +31,8 @@
 	avoidFull   = 80 * time.Millisecond
 	avoidFailed = 400 * time.Millisecond
 	// shunFull and shunGone are how long all samples stay away from an engine that
-	// refused one, or has another server at its address. Each sample found out by
-	// itself before, with 1,400 refused requests in two seconds after a cut.
+	// refused one, or has another server at its address. Each sample would else find
+	// out by itself, with a refused request.
 	shunFull      = 60 * time.Millisecond
 	shunDoublings = 4
 	shunGone      = 3 * time.Second
--- a/gateway/jobs/score.go
+++ b/gateway/jobs/score.go
@@ -35,9 +35,8 @@
 			r.scored(w, hosted.Seal(reply.Header))
 			return
 		case err == nil && reply.Status == http.StatusInternalServerError:
-			// Each server that was asked counts: a call that always fails was
-			// asked for as often as the square of the route's attempts before, and
-			// its step waited for up to 3.3 s.
+			// Each server that was asked counts, or a call that always fails is made
+			// as often as the square of the route's attempts, and its step waits.
 			failures += reply.Failures
 		}
 		scoreRefusals.Add(1)
--- a/gateway/view/copies.go
+++ b/gateway/view/copies.go
@@ -14,8 +14,8 @@
 
 // Copies of what the operator and the servers write. The store may be away in
 // parts: where the partition with the configuration could not be reached and all
-// processes lost power, nobody knew a configuration for 3.3 s although the rest of
-// the store answered, and every request was refused. A process that starts then
+// processes lost power, nobody would know a configuration although the rest of the
+// store answers, and every request would be refused. A process that starts then
 // reads the copy. It is older than what it stands for by seconds at most, and is
 // not looked at any more once the feed itself was read.
 const (
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -30,9 +30,8 @@
 	// (the store's watchers can go deaf for a second) is not missed for good.
 	snapshotEvery = 4 * time.Second
 	// snapshotShare is the most of the time that is spent on reading whole lists:
-	// one that took long is renewed the later. The lists of 300 processes before
-	// 3,000 servers are 90 MB/s where each is renewed each 4 s, more than the store
-	// gives, and all that others read came late.
+	// one that took long is renewed the later. The lists of a large fleet, each renewed
+	// at its usual pace, are more than the store gives, and all reads come late.
 	snapshotShare = 0.005
 	// snapshotLatest bounds that.
 	snapshotLatest = time.Minute
