--- a/ctl/logscan/logscan_test.go
+++ b/ctl/logscan/logscan_test.go
@@ -155,7 +155,7 @@
 	tracer := NewTracer("0011223344556677")
 	lines := []string{
 		record(0, "forward: A server ended under a request.", `"id":"a1","request":"0011223344556677","server":"s1"`),
-		record(1, "forward: quarantine: A server's end is put down to a request.", `"from":"peer","request":"0011223344556677","server":"s1"`),
+		record(1, "forward: quarantine: A server's end is attributed to a request.", `"from":"peer","request":"0011223344556677","server":"s1"`),
 		record(2, "forward: A server ended under a request.", `"id":"b1","request":"ffffffffffffffff","server":"s1"`),
 	}
 	scan(t, strings.Join(lines, ""), tracer.Add)
--- a/decide/poison/poison.go
+++ b/decide/poison/poison.go
@@ -4,7 +4,7 @@
 //
 // Of the requests that a server has when it ends, all but one are bystanders. Two
 // things tell them apart: a bystander is answered by the next server, and one answer
-// clears it; and where several were at the same servers, an end is put down to the
+// clears it; and where several were at the same servers, an end is attributed to the
 // request under which most servers ended. Only what has ended QuarantineAt servers
 // without one answer is refused.
 package poison
@@ -170,7 +170,7 @@
 	return gone
 }
 
-// Servers is how many servers ended under a request, whatever they are put down to.
+// Servers is how many servers ended under a request, whatever they are attributed to.
 func (l *Ledger) Servers(request Name) int { return len(l.crashes[request]) }
 
 // Standing returns what is known against a request.
--- a/decide/poison/poison_test.go
+++ b/decide/poison/poison_test.go
@@ -50,7 +50,7 @@
 }
 
 // All servers of a small service end one after the other, and a bystander's retries
-// meet the request that ends them each time. Its ends are put down to the other as soon
+// meet the request that ends them each time. Its ends are attributed to the other as soon
 // as one server ended without it; the other's stay its own.
 func TestBystanderAtEachCrashIsNotBlamed(t *testing.T) {
 	l := poison.NewLedger()
--- a/entry/server/crashes_test.go
+++ b/entry/server/crashes_test.go
@@ -22,7 +22,7 @@
 func (l vmList) List(context.Context) ([]platform.VM, error) { return l, nil }
 
 // One entry tells another of servers that ended under a request, and later that they
-// are no longer put down to it. Agents and the entry itself are not told.
+// are no longer attributed to it. Agents and the entry itself are not told.
 func TestEntriesTellEachOtherOfEnds(t *testing.T) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/gateway/forward/suspect.go
+++ b/gateway/forward/suspect.go
@@ -62,7 +62,7 @@
 }
 
 // survived notes that a server ran the request to its end. That counts also for one
-// whose servers' ends are put down to another: more may end under it later.
+// whose servers' ends are attributed to another: more may end under it later.
 func (s *sending) survived() {
 	if !s.f.Quarantine.Empty() {
 		s.f.Quarantine.Survived(s.name())
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -142,7 +142,7 @@
 	for _, c := range changes {
 		switch {
 		case c.Gone && q.ledger.Remove(c.Crash.Request, func(known poison.Crash) bool { return known.Key() == c.Key() }):
-			q.log.Info("A server's end is no longer put down to a request.", zap.String("from", from), zap.String("request", string(c.Crash.Request)))
+			q.log.Info("A server's end is no longer attributed to a request.", zap.String("from", from), zap.String("request", string(c.Crash.Request)))
 		case !c.Gone && q.ledger.Add(c.Crash, now):
 			news = append(news, c.Crash)
 		}
@@ -158,7 +158,7 @@
 	now := q.now()
 	for _, c := range news {
 		standing := after[c.Request]
-		q.log.Info("A server's end is put down to a request.", zap.String("from", from), zap.String("request", string(c.Request)),
+		q.log.Info("A server's end is attributed to a request.", zap.String("from", from), zap.String("request", string(c.Request)),
 			zap.String("server", c.Server), zap.Duration("age", now.Sub(c.At)), zap.Int("servers_ended", standing.Ended), zap.Stringer("verdict", standing.Verdict(now)))
 	}
 	for request, standing := range after {
