--- a/soak/mortal_test.go
+++ b/soak/mortal_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -67,13 +68,22 @@
 		if !s.Crashed() {
 			continue
 		}
-		arrived := s.Arrivals()
-		m.ended[arrived[len(arrived)-1].URI]++
+		m.ended[killer(s)]++
 		m.w.store.Drop(hostedtest.TopicServers, s.ID)
 		m.servers[i] = m.start()
 	}
 }
 
+// killer is the request under which a server ended; others may have come beside it.
+func killer(s *hostedtest.Server) string {
+	for _, a := range s.Arrivals() {
+		if strings.HasPrefix(a.URI, deadly) {
+			return a.URI
+		}
+	}
+	return ""
+}
+
 // heartbeat writes the servers' entries anew, as they do.
 func (m *mortals) heartbeat() {
 	m.mu.Lock()
