quarantine: one Subject in place of four copies; entries use confsync's connections

The forwarder, the batch jobs' runner, the tries of calls and completions and the steps each had the same lazily made name, the same question whether anything is known at all, and, on the own path, the same nil check; they now hold a quarantine.Subject. The two places that made a sending are one. Entries told their peers over a map of connections of their own; they use confsync.Conns, which the exchange has, with a bound of its own. Ledger.Remove takes the key that all its callers compared by. A comment's wrapped line had kept the old words.

--- a/confsync/bench_test.go
+++ b/confsync/bench_test.go
@@ -56,7 +56,7 @@
 				for b.Loop() {
 					require.True(b, client.exchange(context.Background(), addr))
 					if !kept {
-						client.peers.close()
+						client.peers.Close()
 						client.peers = newConns()
 					}
 				}
--- a/confsync/conns.go
+++ b/confsync/conns.go
@@ -24,11 +24,13 @@
 // exchanger carries exchanges to peers.
 type exchanger interface {
 	exchange(ctx context.Context, addr string, req *pb.ExchangeRequest) (*pb.ExchangeReply, error)
-	close()
+	Close()
 }
 
-// conns keeps the connections that were used last.
-type conns struct {
+// Conns keeps the connections to peers that were used last. It is safe for concurrent
+// use.
+type Conns struct {
+	most   int
 	mu     sync.Mutex
 	byAddr map[string]*list.Element
 	used   *list.List // of *conn, last used first
@@ -40,12 +42,17 @@
 	grpc *grpc.ClientConn
 }
 
-func newConns() *conns {
-	return &conns{byAddr: map[string]*list.Element{}, used: list.New()}
+// NewConns returns no connections yet; most bounds them. It has to be above the number
+// of calls that are open at a time: the connection that was used longest ago is closed.
+func NewConns(most int) *Conns {
+	return &Conns{most: most, byAddr: map[string]*list.Element{}, used: list.New()}
 }
 
-func (c *conns) exchange(ctx context.Context, addr string, req *pb.ExchangeRequest) (*pb.ExchangeReply, error) {
-	conn, err := c.get(addr)
+// newConns returns those for exchanges.
+func newConns() *Conns { return NewConns(maxConns) }
+
+func (c *Conns) exchange(ctx context.Context, addr string, req *pb.ExchangeRequest) (*pb.ExchangeReply, error) {
+	conn, err := c.Get(addr)
 	if err != nil {
 		return nil, err
 	}
@@ -53,10 +60,10 @@
 	return reply, errors.Annotatef(err, "exchange with %s", addr)
 }
 
-// get returns the connection to addr. The one closed for it was used longest
-// ago. It carries no exchange: of the 16 no more than seven are in use at once
-// (three spread, one compares, three look for a revision at the start).
-func (c *conns) get(addr string) (*grpc.ClientConn, error) {
+// Get returns the connection to addr. The one closed for it was used longest ago. Of
+// those for exchanges no more than seven are in use at once (three spread, one
+// compares, three look for a revision at the start).
+func (c *Conns) Get(addr string) (*grpc.ClientConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -74,19 +81,20 @@
 		return nil, errors.Trace(err)
 	}
 	c.byAddr[addr] = c.used.PushFront(&conn{addr, client})
-	if c.used.Len() > maxConns {
+	if c.used.Len() > c.most {
 		c.drop(c.used.Back())
 	}
 	return client, nil
 }
 
-func (c *conns) drop(e *list.Element) {
+func (c *Conns) drop(e *list.Element) {
 	old := c.used.Remove(e).(*conn)
 	delete(c.byAddr, old.addr)
 	_ = old.grpc.Close()
 }
 
-func (c *conns) close() {
+// Close closes all connections; none can be had any more.
+func (c *Conns) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
--- a/confsync/conns_test.go
+++ b/confsync/conns_test.go
@@ -55,7 +55,7 @@
 func quietKeeper(t testing.TB) *Keeper {
 	k, err := New(Config{Name: "k", Log: newLog().client("k"), Keys: testKeys})
 	require.NoError(t, err)
-	t.Cleanup(k.peers.close)
+	t.Cleanup(k.peers.Close)
 	return k
 }
 
@@ -64,7 +64,7 @@
 func TestConnectionsAreBounded(t *testing.T) {
 	k := quietKeeper(t)
 	c := newConns()
-	defer c.close()
+	defer c.Close()
 	var addrs []string
 	for range 2 * maxConns {
 		addrs = append(addrs, serve(t, k))
@@ -76,7 +76,7 @@
 		require.LessOrEqual(t, c.used.Len(), maxConns)
 		require.Len(t, c.byAddr, c.used.Len())
 	}
-	c.close()
+	c.Close()
 	_, err := c.exchange(context.Background(), addrs[0], &pb.ExchangeRequest{})
 	require.Error(t, err)
 }
--- a/confsync/fakes_test.go
+++ b/confsync/fakes_test.go
@@ -285,7 +285,7 @@
 	return recode(w.site.t, reply), err
 }
 
-func (wire) close() {}
+func (wire) Close() {}
 
 func recode[M proto.Message](t require.TestingT, m M) M {
 	data, err := proto.Marshal(m)
--- a/confsync/keeper.go
+++ b/confsync/keeper.go
@@ -116,7 +116,7 @@
 	}
 	loops.Wait()
 	k.handOver()
-	k.peers.close()
+	k.peers.Close()
 }
 
 // handOver gives peers the announcements that may be known only here. Without
--- a/decide/poison/poison.go
+++ b/decide/poison/poison.go
@@ -146,10 +146,10 @@
 	return cleared
 }
 
-// Remove forgets one crash and tells whether it was known.
-func (l *Ledger) Remove(request Name, same func(Crash) bool) bool {
+// Remove forgets one crash by its key and tells whether it was known.
+func (l *Ledger) Remove(request Name, key string) bool {
 	list := l.crashes[request]
-	left := slices.DeleteFunc(slices.Clone(list), same)
+	left := slices.DeleteFunc(slices.Clone(list), func(known Crash) bool { return known.Key() == key })
 	if len(left) == 0 {
 		delete(l.crashes, request)
 	} else {
--- a/decide/poison/poison_test.go
+++ b/decide/poison/poison_test.go
@@ -140,7 +140,7 @@
 			}
 		}
 		for _, c := range told {
-			one.Remove(c.Request, func(known poison.Crash) bool { return known.Server == c.Server })
+			one.Remove(c.Request, c.Key())
 		}
 		require.Empty(t, one.Standings())
 	})
--- a/entry/completions/completions.go
+++ b/entry/completions/completions.go
@@ -48,7 +48,8 @@
 	Seed        uint64 // of the routing's random choices
 	Ring        *explain.Ring
 	Logger      *zap.Logger
-	// Quarantine keeps requests that crash engines from reaching any; nil: nothing does.
+	// Quarantine keeps requests that crash engines from reaching any; nil: one of this
+	// handler's own.
 	Quarantine *quarantine.Quarantine
 }
 
@@ -67,6 +68,9 @@
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
+	if cfg.Quarantine == nil {
+		cfg.Quarantine = quarantine.New(cfg.Logger)
+	}
 	return &Handler{
 		cfg:    cfg,
 		log:    logs.Part(cfg.Logger, "completions"),
--- a/entry/front/tries.go
+++ b/entry/front/tries.go
@@ -5,6 +5,7 @@
 
 	"dandelionsill.org/decide/route"
 	"dandelionsill.org/kinds"
+	"dandelionsill.org/quarantine"
 )
 
 // Tries decides whether a request may go to another server, and what its
@@ -21,7 +22,7 @@
 	unreached  bool // the last try reached no server
 	tried      map[string]bool
 	domains    map[string]bool
-	guard      guard
+	subject    *quarantine.Subject // set by Guard
 }
 
 // NewTries returns the tries of a request, none made yet.
@@ -69,8 +70,8 @@
 func (t *Tries) Again(ctx context.Context, err error, server, domain string) bool {
 	t.tried[server] = true
 	e, ok := kinds.As(err)
-	if ok {
-		t.guard.noteEnd(e)
+	if ok && e.Ended() != "" {
+		t.subject.Ended(e.Ended())
 	}
 	if !ok || ctx.Err() != nil {
 		return false
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -183,7 +183,7 @@
 	wg.Go(func() { e.agents.Run(ctx) })
 	wg.Go(func() {
 		e.quarantine.Run(ctx)
-		e.entryPeers.close()
+		e.entryPeers.conns.Close()
 	})
 	return wg.Wait
 }
--- a/entry/server/crashes.go
+++ b/entry/server/crashes.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
-	"google.golang.org/grpc"
 
-	"dandelionsill.org/base/run"
 	"dandelionsill.org/confsync"
 	"dandelionsill.org/decide/poison"
 	"dandelionsill.org/platform"
@@ -23,15 +20,17 @@
 // entryPeers tells other entries of servers that ended under requests. It implements
 // quarantine.Peers.
 type entryPeers struct {
-	self string
-	vms  *confsync.VMWatcher
-
-	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn // by address
+	self  string
+	vms   *confsync.VMWatcher
+	conns *confsync.Conns
 }
 
+// peerConns bounds the connections to other entries: several times the calls that the
+// quarantine has open at a time.
+const peerConns = 512
+
 func newEntryPeers(self string, vms *confsync.VMWatcher) *entryPeers {
-	return &entryPeers{self: self, vms: vms, conns: map[string]*grpc.ClientConn{}}
+	return &entryPeers{self: self, vms: vms, conns: confsync.NewConns(peerConns)}
 }
 
 // Addrs implements quarantine.Peers.
@@ -47,7 +46,7 @@
 
 // Tell implements quarantine.Peers.
 func (p *entryPeers) Tell(ctx context.Context, addr string, changes []quarantine.Change) error {
-	conn, err := p.conn(addr)
+	conn, err := p.conns.Get(addr)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -59,48 +58,6 @@
 	return errors.Trace(err)
 }
 
-// peerIdle is how long a connection to a peer stays open unused: ends come in bursts.
-const peerIdle = 20 * time.Second
-
-// conn returns the connection to a peer. Those to peers that have gone are closed.
-func (p *entryPeers) conn(addr string) (*grpc.ClientConn, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if conn := p.conns[addr]; conn != nil {
-		return conn, nil
-	}
-	conn, err := run.NewClient(addr, grpc.WithIdleTimeout(peerIdle))
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	p.conns[addr] = conn
-	p.dropGone()
-	return conn, nil
-}
-
-// dropGone closes the connections to addresses that no entry has any more; p.mu is held.
-func (p *entryPeers) dropGone() {
-	listed := map[string]bool{}
-	for _, addr := range p.Addrs() {
-		listed[addr] = true
-	}
-	for addr, conn := range p.conns {
-		if !listed[addr] {
-			_ = conn.Close()
-			delete(p.conns, addr)
-		}
-	}
-}
-
-func (p *entryPeers) close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, conn := range p.conns {
-		_ = conn.Close()
-	}
-	clear(p.conns)
-}
-
 // peerServer serves what other processes ask of an entry.
 type peerServer struct {
 	pb.PeerServer // the keeper's part
--- a/entry/server/crashes_test.go
+++ b/entry/server/crashes_test.go
@@ -43,7 +43,7 @@
 	go func() { defer close(polled); vms.Run(ctx) }()
 	defer func() { cancel(); <-polled }()
 	peers := newEntryPeers("self", vms)
-	defer peers.close()
+	defer peers.conns.Close()
 	require.Eventually(t, func() bool { return len(peers.Addrs()) == 1 }, 30*time.Second, time.Millisecond)
 
 	var changes []quarantine.Change
--- a/entry/steps/generate.go
+++ b/entry/steps/generate.go
@@ -15,7 +15,6 @@
 	"dandelionsill.org/base/logs"
 	"dandelionsill.org/base/trace"
 	"dandelionsill.org/decide/fresh"
-	"dandelionsill.org/decide/poison"
 	"dandelionsill.org/decide/straggle"
 	"dandelionsill.org/entry/fleet"
 	"dandelionsill.org/kinds"
@@ -199,13 +198,13 @@
 		return
 	}
 	sm := st.samples[r.sample]
-	request := func() poison.Name { return st.request(sm) }
+	subject := s.subject(st, sm)
 	if err == nil {
-		s.survived(request)
+		subject.Survived()
 		s.finished(st, r, done)
 		return
 	}
-	s.noteEnd(request, st.name(sm), err)
+	s.noteEnd(subject, st.name(sm), err)
 	s.lost(st, r, err)
 }
 
--- a/entry/steps/score.go
+++ b/entry/steps/score.go
@@ -15,6 +15,7 @@
 	"dandelionsill.org/decide/poison"
 	"dandelionsill.org/entry/fleet"
 	"dandelionsill.org/kinds"
+	"dandelionsill.org/quarantine"
 	"dandelionsill.org/wire/pb"
 	"dandelionsill.org/wire/refusal"
 )
@@ -48,17 +49,17 @@
 	if err != nil {
 		panic(err) // strings and numbers always encode
 	}
-	content := poison.Content{Caller: st.key.Trainer, Method: http.MethodPost, Host: st.trainer.Scorer, URI: st.trainer.ScorerPath, Body: body}
-	name := content.Name()
-	request := func() poison.Name { return name }
+	subject := s.cfg.Quarantine.Subject(func() poison.Content {
+		return poison.Content{Caller: st.key.Trainer, Method: http.MethodPost, Host: st.trainer.Scorer, URI: st.trainer.ScorerPath, Body: body}
+	})
 	for wait := scoreBackoff; ; wait = min(2*wait, maxScoreBackoff) {
-		score, err := s.score(st, name, body)
+		score, err := s.score(st, subject, body)
 		if err == nil {
-			s.survived(request)
+			subject.Survived()
 			s.scored(st, sm, score)
 			return
 		}
-		s.noteEnd(request, st.name(sm), err)
+		s.noteEnd(subject, st.name(sm), err)
 		s.cfg.Explain.Add(st.ctx, "steps", st.name(sm), "not scored", err.Error())
 		if !sleep.For(st.ctx, wait) {
 			return
@@ -77,8 +78,8 @@
 }
 
 // score makes one call to the scorer, at its least loaded server.
-func (s *Steps) score(st *step, request poison.Name, body []byte) (float64, error) {
-	if q := s.cfg.Quarantine; q != nil && q.Verdict(request) == poison.Quarantined {
+func (s *Steps) score(st *step, subject *quarantine.Subject, body []byte) (float64, error) {
+	if subject.Verdict() == poison.Quarantined {
 		return 0, kinds.Hold().Refuse(kinds.Quarantined, "each server of scorer %s that ran it crashed", st.trainer.Scorer)
 	}
 	sv := s.scorer(st.trainer.Scorer)
--- a/entry/steps/step.go
+++ b/entry/steps/step.go
@@ -10,11 +10,11 @@
 
 	"dandelionsill.org/decide/fresh"
 	"dandelionsill.org/decide/label"
-	"dandelionsill.org/decide/poison"
 	"dandelionsill.org/decide/straggle"
 	foldsteps "dandelionsill.org/fold/steps"
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/manifest"
+	"dandelionsill.org/quarantine"
 	"dandelionsill.org/wire/pb"
 )
 
@@ -25,9 +25,9 @@
 	partial *partial         // what a lost run had made
 	done    *pb.GenerateDone // finished
 	score   *float64
-	tries   int         // losses so far
-	request poison.Name // empty: not needed yet
-	held    bool        // it was logged that the sample is in quarantine
+	tries   int                 // losses so far
+	subject *quarantine.Subject // nil: not needed yet
+	held    bool                // it was logged that the sample is in quarantine
 }
 
 type group struct {
--- a/entry/steps/steps.go
+++ b/entry/steps/steps.go
@@ -56,7 +56,8 @@
 	Explain *explain.Ring
 	Logger  *zap.Logger
 	Policy  Policy
-	// Quarantine keeps samples that crash engines from reaching any; nil: nothing does.
+	// Quarantine keeps samples that crash engines from reaching any; nil: one of its
+	// own.
 	Quarantine *quarantine.Quarantine
 	// IdleTimeout: a step that its trainer has not asked about for so long is
 	// given up.
@@ -74,6 +75,9 @@
 	if c.Logger == nil {
 		c.Logger = zap.NewNop()
 	}
+	if c.Quarantine == nil {
+		c.Quarantine = quarantine.New(c.Logger)
+	}
 	if c.IdleTimeout == 0 {
 		c.IdleTimeout = defaultIdleTimeout
 	}
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -105,8 +105,8 @@
 func (f *Forwarder) Send(ctx context.Context, call Call) (*Reply, *kinds.Error) {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
-	s := &sending{f: f, call: call, held: kinds.Hold(), outcomes: make(chan outcome, call.Route.MaxAttempts+refusalsMost+1),
-		service: call.Route.Pick(route.Hash(call.ID)), tried: map[string]bool{}, start: time.Now()}
+	s := f.sending(call)
+	s.outcomes = make(chan outcome, call.Route.MaxAttempts+refusalsMost+1)
 	reply, err := s.run(ctx)
 	s.judge(reply)
 	return reply, err
@@ -148,7 +148,13 @@
 	refusals int
 	failures int      // internal errors that servers answered
 	last     *outcome // the newest failure that a server answered itself
-	suspect  suspect
+	subject  *quarantine.Subject
+}
+
+func (f *Forwarder) sending(call Call) *sending {
+	s := &sending{f: f, call: call, held: kinds.Hold(), service: call.Route.Pick(route.Hash(call.ID)), tried: map[string]bool{}, start: time.Now()}
+	s.subject = f.subject(&s.call)
+	return s
 }
 
 func (s *sending) run(ctx context.Context) (*Reply, *kinds.Error) {
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"dandelionsill.org/decide/members"
-	"dandelionsill.org/decide/route"
 	"dandelionsill.org/gateway/backend"
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/platform/hosted"
@@ -37,8 +36,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := &streaming{
-		sending: &sending{f: f, call: call, held: kinds.Hold(), service: call.Route.Pick(route.Hash(call.ID)), tried: map[string]bool{}, start: time.Now()},
-		w:       w, last: hosted.Resumed(call.Header),
+		sending: f.sending(call), w: w, last: hosted.Resumed(call.Header),
 	}
 	defer func() { s.judge(nil) }()
 	for {
@@ -60,7 +58,7 @@
 		switch {
 		case end == streamDone:
 			if s.status < http.StatusInternalServerError {
-				s.survived()
+				s.subject.Survived()
 			}
 			return s.status, nil
 		case end == streamRefused:
--- a/gateway/forward/suspect.go
+++ b/gateway/forward/suspect.go
@@ -7,47 +7,28 @@
 
 	"dandelionsill.org/decide/poison"
 	"dandelionsill.org/kinds"
+	"dandelionsill.org/quarantine"
 )
 
-// suspect is what one call has to do with servers that ended. All fields belong to the
-// goroutine of its sending.
-type suspect struct {
-	request poison.Name // empty: not needed yet
-	ended   bool        // a server ended under this call
-}
-
-// name returns the request's name. It is made only where something is known against
-// some request, so that nothing is hashed on an ordinary day.
-func (s *sending) name() poison.Name {
-	if s.suspect.request == "" {
-		c := &s.call
-		content := poison.Content{Method: c.Method, Host: c.Host, URI: c.URI, Body: c.Body, Caller: poison.CallerOf(c.Header)}
-		s.suspect.request = content.Name()
-	}
-	return s.suspect.request
-}
-
-func (s *sending) verdict() poison.Verdict {
-	if s.f.Quarantine.Empty() {
-		return poison.Clear
-	}
-	return s.f.Quarantine.Verdict(s.name())
+// subject is the call as the quarantine sees it.
+func (f *Forwarder) subject(c *Call) *quarantine.Subject {
+	return f.Quarantine.Subject(func() poison.Content {
+		return poison.Content{Caller: poison.CallerOf(c.Header), Method: c.Method, Host: c.Host, URI: c.URI, Body: c.Body}
+	})
 }
 
 // suspected tells whether the request may go to one server at a time only: a hedge or a
 // second try beside the first would end two servers at once.
-func (s *sending) suspected() bool { return s.verdict() != poison.Clear }
+func (s *sending) suspected() bool { return s.subject.Verdict() != poison.Clear }
 
-// quarantined tells whether the request may go to no server. It is asked before each
-// try: what ended at another process may have become known since the last.
-func (s *sending) quarantined() bool { return s.verdict() == poison.Quarantined }
+// quarantined tells whether the request may go to no server.
+func (s *sending) quarantined() bool { return s.subject.Verdict() == poison.Quarantined }
 
 // serverEnded notes that a server ended under the call.
 func (s *sending) serverEnded(c *choice) {
-	s.suspect.ended = true
-	s.f.log.Warn("A server ended under a request.", zap.String("id", s.call.ID), zap.String("request", string(s.name())),
+	s.f.log.Warn("A server ended under a request.", zap.String("id", s.call.ID), zap.String("request", string(s.subject.Name())),
 		zap.String("service", s.service), zap.String("server", c.server.ID), zap.Int("others", c.load))
-	s.f.Quarantine.Ended(s.name(), c.server.ID)
+	s.subject.Ended(c.server.ID)
 }
 
 // judge tells the quarantine how the call ended. A failure that a server answered says
@@ -55,17 +36,9 @@
 func (s *sending) judge(reply *Reply) {
 	switch {
 	case reply != nil && reply.Status < http.StatusInternalServerError:
-		s.survived()
-	case reply == nil && s.suspect.ended:
-		s.f.Quarantine.GaveUp(s.name())
-	}
-}
-
-// survived notes that a server ran the request to its end. That counts also for one
-// whose servers' ends are attributed to another: more may end under it later.
-func (s *sending) survived() {
-	if !s.f.Quarantine.Empty() {
-		s.f.Quarantine.Survived(s.name())
+		s.subject.Survived()
+	case reply == nil:
+		s.subject.GaveUp()
 	}
 }
 
@@ -74,6 +47,5 @@
 	if !s.quarantined() {
 		return s.refuse(kinds.NoServer, "no server of the service takes work")
 	}
-	left := s.f.Quarantine.Refused(s.name())
-	return s.refuse(kinds.Quarantined, "each server that ran request "+string(s.name())+" crashed").WithRetryAfter(left)
+	return s.refuse(kinds.Quarantined, "each server that ran request "+string(s.subject.Name())+" crashed").WithRetryAfter(s.subject.Refused())
 }
--- a/gateway/jobs/placing.go
+++ b/gateway/jobs/placing.go
@@ -78,14 +78,15 @@
 // the quarantine or its job ends: it has not failed in a way that its trainer may be
 // told of, and the next engine would crash as well, with all others' samples there.
 func (r *Runner) quarantined(w *work) bool {
-	if r.quarantine.Empty() || r.quarantine.Verdict(w.request()) != poison.Quarantined {
+	subject := r.subject(w)
+	if subject.Verdict() != poison.Quarantined {
 		return false
 	}
 	if !w.held {
 		w.held = true
 		samplesHeld.Add(1)
 		r.zlog.Warn("Sample is held back: each engine that ran it crashed.", zap.String("id", w.item.ID), zap.String("job", w.job.ID),
-			zap.String("request", string(w.request())), zap.Duration("for", r.quarantine.Refused(w.request())), zap.Int("events", len(w.events)))
+			zap.String("request", string(subject.Name())), zap.Duration("for", subject.Refused()), zap.Int("events", len(w.events)))
 	}
 	return true
 }
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -13,10 +13,10 @@
 
 	"dandelionsill.org/base/trace"
 	"dandelionsill.org/decide/members"
-	"dandelionsill.org/decide/poison"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/backend"
 	"dandelionsill.org/platform/hosted"
+	"dandelionsill.org/quarantine"
 )
 
 // ending is why a stream ended.
@@ -56,7 +56,7 @@
 		w.sinceText, w.beforeText = now, len(w.events)
 	}
 	streamsStarted.Add(1)
-	s := &stream{r: r, w: w, number: w.stream, server: server.ID, name: server.Name, addr: server.Addr, behind: len(w.events), only: w.only(), request: w.request()}
+	s := &stream{r: r, w: w, number: w.stream, server: server.ID, name: server.Name, addr: server.Addr, behind: len(w.events), only: w.only(), subject: r.subject(w)}
 	r.note(w, true)
 	service := w.service
 	r.tasks.Go(func() {
@@ -68,10 +68,10 @@
 		switch {
 		case end == broken && r.forward.EndedUnder(ctx, service, server):
 			r.zlog.Warn("A server ended under a sample.", zap.String("id", w.item.ID), zap.String("job", w.job.ID),
-				zap.String("request", string(s.request)), zap.String("server", server.ID))
-			r.quarantine.Ended(s.request, server.ID)
+				zap.String("request", string(s.subject.Name())), zap.String("server", server.ID))
+			s.subject.Ended(server.ID)
 		case end == complete:
-			r.quarantine.Survived(s.request)
+			s.subject.Survived()
 		}
 		r.streamEnded(parent, s, end, status, err)
 	})
@@ -79,16 +79,15 @@
 
 // stream is one run of an item at an engine.
 type stream struct {
-	r      *Runner
-	w      *work
-	number uint64
-	server string // its start, as engines are told apart
-	name   string // as the server calls itself
-	addr   string
-	behind int // events that were known before
-	only   uint64
-	// request names what the item asks for, in whatever job.
-	request poison.Name
+	r       *Runner
+	w       *work
+	number  uint64
+	server  string // its start, as engines are told apart
+	name    string // as the server calls itself
+	addr    string
+	behind  int // events that were known before
+	only    uint64
+	subject *quarantine.Subject
 }
 
 // message is the item as the engine gets it.
--- a/gateway/jobs/work.go
+++ b/gateway/jobs/work.go
@@ -10,6 +10,7 @@
 	"dandelionsill.org/decide/table"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/platform/hosted"
+	"dandelionsill.org/quarantine"
 )
 
 // phase is what the owner is doing with an item.
@@ -65,18 +66,20 @@
 	setbacks   int
 	avoid      map[string]time.Time
 
-	name poison.Name // empty: not needed yet
-	held bool        // it was logged that the item is in quarantine
+	subject *quarantine.Subject // nil: not needed yet
+	held    bool                // it was logged that the item is in quarantine
 }
 
-// request names what the item asks for. A trainer hands in again the groups that it did
-// not wait for, and they are the same requests in the later job.
-func (w *work) request() poison.Name {
-	if w.name == "" {
-		content := poison.Content{Method: http.MethodPost, Host: w.item.Host, URI: w.item.Path, Body: w.item.Body}
-		w.name = content.Name()
+// subject is an item as the quarantine sees it; r.mu is held. A trainer hands in again
+// the groups that it did not wait for, and they are the same requests in the later job.
+func (r *Runner) subject(w *work) *quarantine.Subject {
+	if w.subject == nil {
+		item := &w.item
+		w.subject = r.quarantine.Subject(func() poison.Content {
+			return poison.Content{Method: http.MethodPost, Host: item.Host, URI: item.Path, Body: item.Body}
+		})
 	}
-	return w.name
+	return w.subject
 }
 
 // newWork takes an item on with what was made of it before; that is appended
--- a/quarantine/change.go
+++ b/quarantine/change.go
@@ -11,8 +11,8 @@
 	"dandelionsill.org/platform"
 )
 
-// Change is one server's end under a request, or the word that it is no longer put
-// down to it.
+// Change is one server's end under a request, or the word that it is no longer
+// attributed to it.
 type Change struct {
 	Crash poison.Crash
 	Gone  bool
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -141,7 +141,7 @@
 	var news []poison.Crash
 	for _, c := range changes {
 		switch {
-		case c.Gone && q.ledger.Remove(c.Crash.Request, func(known poison.Crash) bool { return known.Key() == c.Key() }):
+		case c.Gone && q.ledger.Remove(c.Crash.Request, c.Key()):
 			q.log.Info("A server's end is no longer attributed to a request.", zap.String("from", from), zap.String("request", string(c.Crash.Request)))
 		case !c.Gone && q.ledger.Add(c.Crash, now):
 			news = append(news, c.Crash)
