gateway: callers are known by their organisation's key

Cause: the routing table had no organisations at all. The gateway names the organisation to servers in place of whatever the caller sent, takes the key out of requests and of items, and refuses missing, doubled and unknown keys at once: 401 where its configuration is surely the newest, 503 where it may not be. Batch jobs carry their organisation in the log; for callers of another one they do not exist.

Ambiguous configurations (a key that two organisations share, an empty key, a name that can't stand in a header) leave out just that part, with a log line.

--- a/decide/table/table.go
+++ b/decide/table/table.go
@@ -47,6 +47,7 @@
 	Timeout     time.Duration // longest time that a caller is kept waiting
 	Objective   time.Duration // latency within which an answer is worth most
 	Priority    int           // 0 is the most urgent
+	Public      bool          // callers need no key
 
 	Resumable     bool          // a broken stream may go on at another server
 	SingleVersion bool          // a sample is made by one weight version only
@@ -103,6 +104,10 @@
 	Routes   []*Route
 	Services map[string]Service
 	Limits   Limits
+	// Organisations tells whose callers' keys are; nil: callers need none.
+	Organisations *Directory
+	// LeftOut tells which parts of the configuration can't be used, and why.
+	LeftOut []string
 
 	byHost map[string][]*Route // longest prefix first
 }
--- a/fold/jobs/record.go
+++ b/fold/jobs/record.go
@@ -50,6 +50,8 @@
 	SubmittedMS int64 `json:"at"`
 	// DueMS is how long after that results are due, in milliseconds; 0: not told.
 	DueMS int64 `json:"du,omitempty"`
+	// Organisation is whose job it is; empty: anybody's.
+	Organisation string `json:"og,omitempty"`
 }
 
 // Accept is a batch job, or the part of one that fits into a record. The parts
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -63,6 +63,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Organisation is whose request it is; empty: nobody's.
+	Organisation string
 	// Deadline is when the answer is of no more use.
 	Deadline time.Time
 }
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -221,6 +221,7 @@
 	hosted.SetAttemptID(header, call.ID)
 	hosted.SetExpectedServer(header, server.Name)
 	hosted.SetDeadline(header, time.Until(call.Deadline))
+	hosted.SetOrganisation(header, call.Organisation)
 	return f.Pool.Do(ctx, server.Addr, &backend.Request{
 		Method: call.Method, URI: call.URI, Host: call.Host, Header: header, Body: call.Body, ID: call.ID,
 	})
--- /dev/null
+++ b/gateway/front/caller.go
@@ -0,0 +1,66 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"dandelionsill.org/base/metrics"
+	"dandelionsill.org/decide/table"
+	"dandelionsill.org/gateway/view"
+	"dandelionsill.org/kinds"
+	"dandelionsill.org/platform/hosted"
+)
+
+var unauthenticated = metrics.Counter("front_unauthenticated_total")
+
+// identify returns the organisation whose key the request carries; empty: the
+// configuration has no organisations, or the route is public and no known key was sent.
+func (f *Front) identify(snap *view.Snapshot, r *http.Request, public bool) (string, *kinds.Error) {
+	directory := snap.Table.Organisations
+	if directory == nil {
+		return "", nil
+	}
+	key, single := hosted.Key(r.Header)
+	hash := table.HashKey(key)
+	if single {
+		if o := directory.Find(hash); o != nil {
+			return o.Name, nil
+		}
+	}
+	if public {
+		return "", nil
+	}
+	return "", f.refuseKey(snap, hash, single)
+}
+
+// refuseKey is the answer to a caller whose key is not known here. The operator may have
+// added the key a moment ago: a process whose configuration may not be the newest tells
+// the caller to come back, for nobody repeats a request that was refused for its key.
+func (f *Front) refuseKey(snap *view.Snapshot, hash table.KeyHash, single bool) *kinds.Error {
+	held := kinds.Hold()
+	age := f.View.Age().Round(time.Millisecond)
+	switch {
+	case !f.View.Sure():
+		return held.Refuse(kinds.NotReady, "key %v is not in version %d, which was the newest %v ago", hash, snap.Table.Version, age)
+	case !single:
+		unauthenticated.Add(1)
+		return held.Refuse(kinds.Unauthenticated, "the request carries no key, or several")
+	default:
+		unauthenticated.Add(1)
+		return held.Refuse(kinds.Unauthenticated, "key %v is in no organisation of version %d, which was the newest %v ago", hash, snap.Table.Version, age)
+	}
+}
+
+// permit lets the callers of the job's organisation through. To all others the job does
+// not exist.
+func (f *Front) permit(ctx context.Context, snap *view.Snapshot, r *http.Request, job string) *kinds.Error {
+	organisation, refused := f.identify(snap, r, false)
+	if refused != nil && !f.Jobs.Public(job) {
+		return refused
+	}
+	if snap.Table.Organisations == nil {
+		return nil
+	}
+	return f.Jobs.Permit(ctx, job, organisation)
+}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -108,6 +108,9 @@
 		return 0, held.Refuse(kinds.BadRequest, "%v", err)
 	}
 	if call.Kind != hosted.CallNone {
+		if refused := f.permit(r.Context(), snap, r, call.Job); refused != nil {
+			return 0, refused
+		}
 		return f.jobCall(w, r, call)
 	}
 	route := snap.Table.Match(r.Host, r.URL.Path)
@@ -117,15 +120,19 @@
 	if route == nil {
 		return 0, held.Refuse(kinds.NotFound, "no route in version %d", snap.Table.Version)
 	}
+	organisation, refused := f.identify(snap, r, route.Public)
+	if refused != nil {
+		return 0, refused
+	}
 	body, failed := readBody(r, snap.Table.Limits.BodyBytes)
 	if failed != nil {
 		return 0, failed
 	}
 	deadline := begin.Add(timeLeft(r, route))
 	if route.Kind == table.Batch {
-		return f.submit(w, r, route, body, begin)
+		return f.submit(w, r, route, organisation, body, begin)
 	}
-	return f.proxy(w, r, route, body, deadline)
+	return f.proxy(w, r, route, organisation, body, deadline)
 }
 
 // callerWaits is how long the caller will wait by its own word.
@@ -159,10 +166,10 @@
 	return body, nil
 }
 
-func (f *Front) proxy(w http.ResponseWriter, r *http.Request, route *table.Route, body []byte, deadline time.Time) (int, *kinds.Error) {
+func (f *Front) proxy(w http.ResponseWriter, r *http.Request, route *table.Route, organisation string, body []byte, deadline time.Time) (int, *kinds.Error) {
 	call := forward.Call{
 		Route: route, ID: hosted.AttemptID(r.Header), Method: r.Method, URI: r.RequestURI, Host: r.Host,
-		Header: forward.EndToEnd(r.Header), Body: body, Deadline: deadline,
+		Header: forward.EndToEnd(r.Header), Body: body, Deadline: deadline, Organisation: organisation,
 	}
 	if route.Kind == table.Stream {
 		return f.Forward.Stream(r.Context(), call, w)
@@ -179,7 +186,7 @@
 }
 
 // submit accepts a batch job.
-func (f *Front) submit(w http.ResponseWriter, r *http.Request, route *table.Route, body []byte, begin time.Time) (int, *kinds.Error) {
+func (f *Front) submit(w http.ResponseWriter, r *http.Request, route *table.Route, organisation string, body []byte, begin time.Time) (int, *kinds.Error) {
 	if r.Method != http.MethodPost {
 		return 0, kinds.Hold().Refuse(kinds.NotFound, "batch jobs are posted")
 	}
@@ -187,7 +194,7 @@
 	if err != nil {
 		return 0, kinds.Hold().Refuse(kinds.BadRequest, "%v", err)
 	}
-	head.DueMS = route.Due.Milliseconds()
+	head.DueMS, head.Organisation = route.Due.Milliseconds(), organisation
 	left := callerWaits(r)
 	ctx, cancel := context.WithDeadline(r.Context(), begin.Add(time.Duration(submitShare*float64(left))))
 	defer cancel()
--- a/gateway/jobs/api.go
+++ b/gateway/jobs/api.go
@@ -74,7 +74,7 @@
 // ctx ends, and says "not run" only if the job does not stand in the log.
 func (s *Service) Submit(ctx context.Context, head jobs.Head, items []jobs.Item) *kinds.Error {
 	if s.has(head.ID) {
-		return nil
+		return s.sameJob(&head)
 	}
 	if s.book.Missed() {
 		// It may stand already: accepted a second time here, this process would
@@ -82,12 +82,51 @@
 		return mayStand("records of batch jobs were missed").WithRetryAfter(comeBack)
 	}
 	failed := s.submit(ctx, head, items)
+	if failed == nil && s.has(head.ID) {
+		return s.sameJob(&head)
+	}
 	if failed == nil || !failed.NotRun() || s.absent(ctx, head.ID) {
 		return failed
 	}
 	return mayStand("another entry may have accepted the batch job")
 }
 
+// sameJob tells whether a job that stands is the one that is handed in; one of another
+// organisation only has its id.
+func (s *Service) sameJob(head *jobs.Head) *kinds.Error {
+	if s.owned(head.ID, head.Organisation) {
+		return nil
+	}
+	return kinds.Hold().Refuse(kinds.KeyReused, "the id of batch job %q is taken", head.ID)
+}
+
+// owned tells whether a job stands that belongs to an organisation, or to nobody.
+func (s *Service) owned(job, organisation string) bool {
+	s.book.mu.Lock()
+	defer s.book.mu.Unlock()
+	j := s.book.state.Jobs[job]
+	return j != nil && (j.Organisation == "" || j.Organisation == organisation)
+}
+
+// Public tells whether a job is known that belongs to nobody.
+func (s *Service) Public(job string) bool { return s.owned(job, "") }
+
+// Permit tells whether callers of an organisation may know of a job; it waits until this
+// process is sure. kinds.NotFound: for them there is none.
+func (s *Service) Permit(ctx context.Context, job, organisation string) *kinds.Error {
+	if err := s.known(ctx, job); err != nil {
+		return err
+	}
+	if s.owned(job, organisation) {
+		return nil
+	}
+	return noJob(job)
+}
+
+func noJob(job string) *kinds.Error {
+	return kinds.Hold().Refuse(kinds.NotFound, "no batch job %q", job)
+}
+
 // mayStand is the answer to a submission of a job that may have been accepted
 // before: it does not say "not run".
 func mayStand(why string) *kinds.Error {
@@ -302,7 +341,7 @@
 	if s.book.Missed() {
 		return notFollowing()
 	}
-	return kinds.Hold().Refuse(kinds.NotFound, "no batch job %q", job)
+	return noJob(job)
 }
 
 // Results returns a job's number of items and its results from a position on.
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -97,6 +97,7 @@
 	for name, value := range item.Header {
 		header.Set(name, value)
 	}
+	hosted.SetOrganisation(header, s.w.job.Organisation)
 	hosted.SetAttemptID(header, item.ID)
 	hosted.SetExpectedServer(header, s.name)
 	if s.behind > 0 {
--- a/gateway/jobs/work.go
+++ b/gateway/jobs/work.go
@@ -76,7 +76,7 @@
 	if w.subject == nil {
 		item := &w.item
 		w.subject = r.quarantine.Subject(func() poison.Content {
-			return poison.Content{Method: http.MethodPost, Host: item.Host, URI: item.Path, Body: item.Body}
+			return poison.Content{Caller: w.job.Organisation, Method: http.MethodPost, Host: item.Host, URI: item.Path, Body: item.Body}
 		})
 	}
 	return w.subject
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -115,9 +115,12 @@
 // Sure tells whether the configuration is as new as it has to be to refuse a request
 // for a route that it lacks. A process that falls behind an overloaded store, or is
 // cut off from it, would refuse callers of routes that were added meanwhile for good.
-func (v *View) Sure() bool {
-	asOf := v.operatorAsOf.Load()
-	return asOf > 0 && v.now().Sub(v.started)-time.Duration(asOf) <= sureFor
+func (v *View) Sure() bool { return v.operatorAsOf.Load() > 0 && v.Age() <= sureFor }
+
+// Age is how long ago the configuration was surely the newest; where it never was, the
+// age of the view.
+func (v *View) Age() time.Duration {
+	return v.now().Sub(v.started) - time.Duration(v.operatorAsOf.Load())
 }
 
 // heard notes that all is applied that a feed told in a read that was sent at a time.
@@ -311,7 +314,8 @@
 		next.Table, next.TableAt = c.Table, v.now()
 		appliedTables.Add(1)
 		v.log.Info("Configuration in force.", zap.Uint64("version", c.Table.Version), zap.Uint64("offset", c.Offset),
-			zap.Int("routes", len(c.Table.Routes)))
+			zap.Int("routes", len(c.Table.Routes)), zap.Bool("keys", c.Table.Organisations != nil))
+		v.tellLeftOut(c.Table)
 	case c.Version != nil && c.Version.Version > next.Versions[c.Version.Model]:
 		versions := make(map[string]uint64, len(next.Versions)+1)
 		for model, version := range next.Versions {
@@ -324,6 +328,19 @@
 	}
 }
 
+// leftOutMost bounds the lines about one configuration.
+const leftOutMost = 20
+
+// tellLeftOut logs which parts of a configuration can't be used.
+func (v *View) tellLeftOut(t *table.Table) {
+	for _, why := range t.LeftOut[:min(len(t.LeftOut), leftOutMost)] {
+		v.log.Warn("A part of the configuration is left out.", zap.Uint64("version", t.Version), zap.String("why", why))
+	}
+	if more := len(t.LeftOut) - leftOutMost; more > 0 {
+		v.log.Warn("More parts of the configuration are left out.", zap.Uint64("version", t.Version), zap.Int("more", more))
+	}
+}
+
 // publishServers makes the set visible; mu is held.
 func (v *View) publishServers() {
 	next := *v.current.Load()
