duties: usage of organisations is reported once a window, by one process at a time

Who reports is decided by the store: the lease is a keyed record that is written only where the stream ends at the writer's last read (compare-and-set), so that the order of claims is the store's and a claim that is carried out late is void once the holder has renewed.

--- /dev/null
+++ b/decide/lease/lease.go
@@ -0,0 +1,171 @@
+// Package lease decides who has a duty that one process may have at a time, and when
+// the holder may act. It is pure: the caller reads and writes the lease's record in a
+// store that takes a write only if nothing was written since the writer's last read.
+//
+// A holder renews its record and acts for Valid after it has sent its last renewal that
+// stands. Others take the lease over once a record has stood for TakeOver since they
+// first read it, which is later than it was sent. With Valid below TakeOver no two
+// holders act at a time, whatever their clocks show, as long as these run alike.
+package lease
+
+import (
+	"time"
+)
+
+// Holder is one start of a process.
+type Holder struct {
+	Node string `json:"n"`
+	Life string `json:"l"` // changes at each start of the process
+}
+
+// Record is a lease as it stands in the store.
+type Record struct {
+	Holder
+	// Token is the fencing token: it grows with each holder.
+	Token uint64 `json:"t"`
+	// Beat tells apart what one holder wrote.
+	Beat uint64 `json:"b"`
+	// Prior is the VM of the holder before.
+	Prior string `json:"p,omitempty"`
+	// Released: the holder acts no more.
+	Released bool `json:"r,omitempty"`
+	// Done is how far the duty has come, in the duty's own count.
+	Done uint64 `json:"d,omitempty"`
+}
+
+// Timing holds the times of a lease.
+type Timing struct {
+	// Valid is how long a holder may act after it sent a renewal.
+	Valid time.Duration
+	// TakeOver is how long a record must have stood for others to take over. A holder
+	// that comes back lets as much time pass as well: two that take turns faster than
+	// the platform's bound would look to it like two holders at once.
+	TakeOver time.Duration
+}
+
+// unfitWaits is how many times TakeOver a process that gave the lease up lets others go
+// first.
+const unfitWaits = 3
+
+// writesKept bounds the own writes whose time is kept: one that gets no answer may
+// stand seconds later.
+const writesKept = 16
+
+// State is what one process knows of a lease. Times are those of a steady clock that
+// goes on while the VM is suspended. It is not safe for concurrent use.
+type State struct {
+	self   Holder
+	timing Timing
+
+	read   bool
+	exists bool
+	record Record
+	// since is when the record was first read, or reads succeeded again.
+	since time.Duration
+	// renewed is when our newest write that stands was sent.
+	renewed time.Duration
+	writes  map[uint64]time.Duration // when own writes were sent, by beat
+	beat    uint64
+	// resigned: this process gave the lease up, though the record may not tell so yet.
+	resigned bool
+}
+
+// New returns the state of a process that has read nothing.
+func New(self Holder, timing Timing) *State {
+	return &State{self: self, timing: timing, writes: map[uint64]time.Duration{}}
+}
+
+// Saw takes the record that a read showed, or that a write of our own has become; nil:
+// there is none.
+func (s *State) Saw(r *Record, now time.Duration) {
+	changed := !s.read || s.exists != (r != nil) || r != nil && *r != s.record
+	s.read = true
+	if !changed {
+		return
+	}
+	s.since = now
+	s.exists = r != nil
+	if r == nil {
+		return
+	}
+	s.record = *r
+	if sent, ours := s.writes[r.Beat]; ours && r.Holder == s.self {
+		s.renewed = sent
+	}
+}
+
+// Gap notes that reads have failed until now: the holder may have had no way to renew
+// the lease either.
+func (s *State) Gap(now time.Duration) { s.since = now }
+
+// Record returns the record as last seen; false: none was.
+func (s *State) Record() (Record, bool) { return s.record, s.exists }
+
+// Holds tells whether this process has the lease, as far as it knows.
+func (s *State) Holds() bool {
+	return s.exists && s.record.Holder == s.self && !s.record.Released && !s.resigned
+}
+
+// MayAct tells whether this process may act for a time to come.
+func (s *State) MayAct(now, need time.Duration) bool {
+	return s.Holds() && now+need <= s.renewed+s.timing.Valid
+}
+
+// MayClaim tells whether this process may take the lease. turn is how long it lets
+// others go first.
+func (s *State) MayClaim(now, turn time.Duration) bool {
+	if !s.read || s.Holds() {
+		return false
+	}
+	return now-s.since >= s.wait()+turn
+}
+
+// wait is how long the record has to stand.
+func (s *State) wait() time.Duration {
+	switch {
+	case !s.exists:
+		return 0
+	case !s.record.Released, s.record.Prior == s.self.Node:
+		return s.timing.TakeOver
+	case s.record.Node == s.self.Node:
+		return unfitWaits * s.timing.TakeOver
+	default:
+		return 0
+	}
+}
+
+// Claim returns the record that takes the lease, to be written at an offset of the store.
+// Offsets only grow, and no two records have one.
+func (s *State) Claim(offset uint64, now time.Duration) Record {
+	s.resigned = false
+	r := Record{Holder: s.self, Token: offset + 1}
+	if s.exists {
+		r.Prior, r.Done = s.record.Node, s.record.Done
+		r.Token = max(r.Token, s.record.Token+1)
+	}
+	return s.writing(r, now)
+}
+
+// Renew returns the record that renews the lease.
+func (s *State) Renew(done uint64, now time.Duration) Record {
+	r := s.record
+	r.Done = max(r.Done, done)
+	return s.writing(r, now)
+}
+
+// Release returns the record that gives the lease up. From then on this process may not
+// act, whatever becomes of the write.
+func (s *State) Release(done uint64, now time.Duration) Record {
+	r := s.Renew(done, now)
+	r.Released = true
+	s.resigned = true
+	return r
+}
+
+func (s *State) writing(r Record, now time.Duration) Record {
+	s.beat++
+	r.Beat = s.beat
+	s.writes[r.Beat] = now
+	delete(s.writes, s.beat-writesKept)
+	return r
+}
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -21,6 +21,7 @@
 	"dandelionsill.org/decide/route"
 	"dandelionsill.org/decide/table"
 	"dandelionsill.org/gateway/backend"
+	"dandelionsill.org/gateway/usage"
 	"dandelionsill.org/gateway/view"
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/platform/hosted"
@@ -85,6 +86,8 @@
 	Pool *backend.Pool
 	// Quarantine keeps requests that crash servers from reaching any.
 	Quarantine *quarantine.Quarantine
+	// Usage counts the requests of organisations that began to run; nil: nobody does.
+	Usage *usage.Counter
 
 	domain string
 	log    *zap.Logger
@@ -108,6 +111,7 @@
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
 	s := f.sending(call)
+	defer s.usage.Done()
 	s.outcomes = make(chan outcome, call.Route.MaxAttempts+refusalsMost+1)
 	reply, err := s.run(ctx)
 	s.judge(reply)
@@ -131,9 +135,16 @@
 	err    error
 	notRun bool
 	ended  bool // the server's process ended under the request
+	gone   bool // the request was over before
 	took   time.Duration
 }
 
+// began tells whether the server began to run the request, as far as can be known: one
+// whose connection broke had it.
+func (o *outcome) began() bool {
+	return !o.notRun && !o.gone && (o.err == nil || !errors.Is(o.err, backend.ErrNotSent))
+}
+
 // sending is one call on its way. All fields belong to the goroutine of run.
 type sending struct {
 	f        *Forwarder
@@ -151,11 +162,12 @@
 	failures int      // internal errors that servers answered
 	last     *outcome // the newest failure that a server answered itself
 	subject  *quarantine.Subject
+	usage    *usage.Request
 }
 
 func (f *Forwarder) sending(call Call) *sending {
 	s := &sending{f: f, call: call, held: kinds.Hold(), service: call.Route.Pick(route.Hash(call.ID)), tried: map[string]bool{}, start: time.Now()}
-	s.subject = f.subject(&s.call)
+	s.subject, s.usage = f.subject(&s.call), f.Usage.Start(call.Organisation)
 	return s
 }
 
@@ -203,6 +215,9 @@
 		s.refusals++
 	}
 	s.f.logTry(&s.call, s.service, &o)
+	if o.began() {
+		s.usage.Began(o.took)
+	}
 	if o.ended {
 		s.serverEnded(&o.choice)
 	}
@@ -265,6 +280,9 @@
 
 func (s *sending) outOfTime(ctx context.Context) *kinds.Error {
 	if ctx.Err() == context.Canceled {
+		if s.running > 0 {
+			s.usage.Began(time.Since(s.start))
+		}
 		return kinds.New(kinds.Cancelled, "the caller has gone")
 	}
 	if s.mayRun == 0 {
@@ -329,9 +347,9 @@
 	o.reply, o.err = f.exchange(ctx, call, server)
 	o.took = time.Since(begin)
 	o.notRun = errors.Is(o.err, backend.ErrNotSent) || o.err == nil && hosted.NotExecuted(o.reply.Status, o.reply.Header)
-	gone := ctx.Err() != nil
-	o.ended = !gone && errors.Is(o.err, backend.ErrBroken) && f.EndedUnder(ctx, service, server)
-	f.fleet.ended(service, server.ID, o.took, !gone && (o.err != nil || o.reply.Status >= http.StatusInternalServerError))
+	o.gone = ctx.Err() != nil
+	o.ended = !o.gone && errors.Is(o.err, backend.ErrBroken) && f.EndedUnder(ctx, service, server)
+	f.fleet.ended(service, server.ID, o.took, !o.gone && (o.err != nil || o.reply.Status >= http.StatusInternalServerError))
 	return o
 }
 
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -39,6 +39,7 @@
 		sending: f.sending(call), w: w, last: hosted.Resumed(call.Header),
 	}
 	defer func() { s.judge(nil) }()
+	defer s.usage.Done()
 	for {
 		if s.quarantined() {
 			return s.giveUp(s.noServer())
@@ -129,6 +130,7 @@
 		return streamRefused, nil
 	}
 	defer answer.Close()
+	s.usage.Began(0) // the head comes with the first event
 	return s.forward(answer, watch)
 }
 
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -18,6 +18,7 @@
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/base/run"
 	"dandelionsill.org/base/trace"
+	"dandelionsill.org/decide/lease"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/backend"
 	"dandelionsill.org/gateway/forward"
@@ -65,6 +66,7 @@
 	writer := jobs.Writer{Node: set.Process.Name, Life: life()}
 	capacity := gatewayjobs.Capacity(set.VM.CPUShare, set.VM.LinkMbps)
 	peers := withPeers(store, set.Process.Name, set.Listen.Peers, log)
+	processes := func() int { return len(peers.Addrs()) + 1 }
 	v := view.New(store, logs.Part(log, "view"))
 	v.Copies = true
 	v.Pace = func() time.Duration { return feedPace(peers, set.Store.ReadsPerS) }
@@ -79,20 +81,25 @@
 	}
 	ready := &readiness{view: v, book: book, quarantine: forwarder.Quarantine}
 	book.Texts.SetPeers(peers.Addr)
-	book.SetPace(func() time.Duration { return gatewayjobs.Pace(len(peers.Addrs())+1, set.Store.ReadsPerS) })
+	book.SetPace(func() time.Duration { return gatewayjobs.Pace(processes(), set.Store.ReadsPerS) })
+	usage := newReporting(&set, lease.Holder(writer), store, processes, log)
+	if usage != nil {
+		forwarder.Usage = usage.counter
+	}
 	var loops sync.WaitGroup
+	usage.run(ctx, loops.Go)
 	loops.Go(func() { peers.Run(ctx) })
 	loops.Go(func() { v.Run(ctx) })
-	loops.Go(func() { v.RunCopies(ctx, func() int { return len(peers.Addrs()) + 1 }) })
+	loops.Go(func() { v.RunCopies(ctx, processes) })
 	loops.Go(func() { forwarder.Quarantine.Run(ctx) })
 	loops.Go(func() { book.Run(ctx) })
 	loops.Go(func() { runner.Run(ctx) })
 	log.Info("Starting.", zap.String("name", writer.Node), zap.String("life", writer.Life), zap.String("callers", set.Listen.Callers), zap.String("store", set.Store.Address))
 	return &run.Process{
 		Servers:      gatewayServers(set, handler, peerCalls(book.Texts, forwarder.Quarantine, store), ready),
-		Ready:        func(is bool) { ready.up.Store(is); leave(is, handler, runner) },
+		Ready:        func(is bool) { ready.up.Store(is); leave(is, handler, runner, usage) },
 		StopDelay:    time.Duration(serveOn * float64(set.Process.Grace)),
-		Drain:        func(ctx context.Context) error { return drain(ctx, handler, runner, log) },
+		Drain:        func(ctx context.Context) error { return drain(ctx, handler, runner, usage, log) },
 		DrainTimeout: time.Duration(drainShare * float64(set.Process.Grace)),
 		Close:        func() { loops.Wait(); endTraces(flush, log); out.Close() },
 		Reload: func(next any, changed []string) []string {
@@ -122,21 +129,23 @@
 	}
 }
 
-// leave gives this process's jobs up as soon as it is told to stop.
-func leave(ready bool, handler *front.Front, runner *gatewayjobs.Runner) {
+// leave gives this process's jobs and duties up as soon as it is told to stop.
+func leave(ready bool, handler *front.Front, runner *gatewayjobs.Runner, usage *reporting) {
 	if ready {
 		return
 	}
+	usage.leave()
 	handler.Leave()
 	runner.Leave()
 }
 
 // drain waits until no caller's request is in flight and others may go on with
 // this process's jobs.
-func drain(ctx context.Context, handler *front.Front, runner *gatewayjobs.Runner, log *zap.Logger) error {
+func drain(ctx context.Context, handler *front.Front, runner *gatewayjobs.Runner, usage *reporting, log *zap.Logger) error {
 	if !runner.Left(ctx) {
 		log.Warn("Batch jobs could not be given up.")
 	}
+	defer usage.left(context.WithoutCancel(ctx))
 	return handler.Drain(ctx)
 }
 
--- a/gateway/server/settings.go
+++ b/gateway/server/settings.go
@@ -53,8 +53,21 @@
 	Common
 	Listen Listen
 	VM     VM
+	Duties Duties
 }
 
+// Duties says what one process of all has to do at a time.
+type Duties struct {
+	Platform string `ini:"duties.platform" kind:"ip:port" help:"IP:port of the platform's interface for what one process at a time may call; empty: nothing is called"`
+	// UsageWindow of zero: no usage is reported.
+	UsageWindow time.Duration `ini:"duties.usage_window" default:"0s" min:"0s" max:"24h" help:"length of a window of reported usage; 0: none is reported"`
+	UsageLate   time.Duration `ini:"duties.usage_late" default:"10s" min:"1s" max:"24h" help:"time after a window's end when its report is due"`
+	Lease       time.Duration `ini:"duties.lease" default:"3s" min:"1s" max:"1h" help:"least time between the calls of two holders of a duty that take turns"`
+}
+
+// reportsUsage tells whether usage is reported.
+func (d *Duties) reportsUsage() bool { return d.Platform != "" && d.UsageWindow > 0 }
+
 // VM says what the process may use of its VM.
 type VM struct {
 	CPUShare float64 `ini:"vm.cpu_share" default:"1" min:"0.01" max:"1024" help:"cores that this process may use"`
@@ -78,6 +91,9 @@
 			return errors.Annotate(err, l.name)
 		}
 	}
+	if g.Duties.Platform != "" {
+		return errors.Annotate(settings.IPPort(g.Duties.Platform), "duties.platform")
+	}
 	return nil
 }
 
--- /dev/null
+++ b/gateway/usage/counter.go
@@ -0,0 +1,195 @@
+// Package usage counts the requests of organisations that began to run and reports them
+// to the platform, each window of time once.
+package usage
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"dandelionsill.org/base/metrics"
+	"dandelionsill.org/base/sleep"
+	"dandelionsill.org/decide/usage"
+	"dandelionsill.org/platform"
+)
+
+// Times of counting.
+const (
+	// lookEvery is how often it is looked whether there is something to tell.
+	lookEvery = 100 * time.Millisecond
+	// settle is how long after a window's end its last requests are awaited that began
+	// in it.
+	settle = 300 * time.Millisecond
+	// settleMost bounds that, for requests that take long.
+	settleMost = 2500 * time.Millisecond
+	// windowsKept is how many windows a process keeps its counts of: one that can't
+	// reach the store tells them once it is back.
+	windowsKept = 12
+	putMost     = 2 * time.Second
+	// wordsPerS bounds the words of all processes together.
+	wordsPerS = 100
+)
+
+var (
+	countedRequests = metrics.Counter("usage_requests_total")
+	wordsFailed     = metrics.Counter("usage_words_failed_total")
+)
+
+// Counter counts the requests of this process. It is safe for concurrent use.
+type Counter struct {
+	store  platform.Keyed
+	key    string
+	length time.Duration
+	now    func() time.Time
+	// processes is how many there are.
+	processes func() int
+	log       *zap.Logger
+
+	mu      sync.Mutex
+	windows map[usage.Window]usage.Counts
+	running map[usage.Window]int // requests on their way, by the window of their start
+	dirty   bool
+	told    usage.Window // complete, as last told
+	left    bool
+}
+
+// NewCounter returns a counter of windows of a length. key names this start of the
+// process in the store, now is the time of day.
+func NewCounter(store platform.Keyed, key string, length time.Duration, now func() time.Time, processes func() int, log *zap.Logger) *Counter {
+	return &Counter{
+		store: store, key: key, length: length, now: now, processes: processes, log: log,
+		windows: map[usage.Window]usage.Counts{}, running: map[usage.Window]int{}, told: usage.At(now(), length),
+	}
+}
+
+// Request is a request on its way; nil: it is not counted. It belongs to one goroutine.
+type Request struct {
+	c            *Counter
+	organisation string
+	window       usage.Window // of its start
+	counted      bool
+}
+
+// Start notes a request of an organisation; nil where it is not counted. Call Done at
+// its end.
+func (c *Counter) Start(organisation string) *Request {
+	if c == nil || organisation == "" {
+		return nil
+	}
+	w := usage.At(c.now(), c.length)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running[w]++
+	return &Request{c: c, organisation: organisation, window: w}
+}
+
+// Began notes that a server began to run the request some time ago. Only the first one
+// counts: the caller asked once.
+func (r *Request) Began(ago time.Duration) {
+	if r == nil || r.counted {
+		return
+	}
+	r.counted = true
+	countedRequests.Add(1)
+	c := r.c
+	w := usage.At(c.now().Add(-ago), c.length)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts := c.windows[w]
+	if counts == nil {
+		counts = usage.Counts{}
+		c.windows[w] = counts
+	}
+	counts[r.organisation]++
+	c.dirty = true
+}
+
+// Done notes the request's end.
+func (r *Request) Done() {
+	if r == nil {
+		return
+	}
+	c := r.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running[r.window]--
+	if c.running[r.window] <= 0 {
+		delete(c.running, r.window)
+	}
+}
+
+// Run tells what was counted until ctx ends.
+func (c *Counter) Run(ctx context.Context) {
+	for sleep.For(ctx, max(lookEvery, time.Duration(c.processes())*time.Second/wordsPerS)) {
+		c.tell(ctx)
+	}
+}
+
+// Leave tells the last of it; it is called once no request is on its way.
+func (c *Counter) Leave(ctx context.Context) {
+	c.mu.Lock()
+	c.left, c.dirty = true, true
+	c.mu.Unlock()
+	c.tell(ctx)
+}
+
+// tell writes this process's word where there is something new in it.
+func (c *Counter) tell(ctx context.Context) {
+	word, due := c.word()
+	if !due {
+		return
+	}
+	value, err := json.Marshal(word)
+	if err != nil {
+		c.log.Error("Counts can't be encoded.", zap.Error(err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, putMost)
+	defer cancel()
+	err = c.store.PutAll(ctx, platform.StreamUsage, []platform.KeyedRecord{{Key: c.key, Value: value}})
+	if err == nil {
+		return
+	}
+	wordsFailed.Add(1)
+	c.log.Warn("Counts were not told.", zap.Uint64("complete", uint64(word.Complete)), zap.Bool("may_stand", errors.Is(err, platform.ErrAppendUnknown)), zap.Error(err))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dirty = true
+}
+
+// word returns what this process has to say, and whether that is new.
+func (c *Counter) word() (usage.Word, bool) {
+	now := c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	complete := c.complete(now)
+	if !c.dirty && complete <= c.told {
+		return usage.Word{}, false
+	}
+	c.dirty, c.told = false, max(c.told, complete)
+	word := usage.Word{Complete: c.told, Left: c.left, Windows: make(map[usage.Window]usage.Counts, len(c.windows))}
+	for w, counts := range c.windows {
+		if w+windowsKept < usage.At(now, c.length) {
+			delete(c.windows, w)
+			continue
+		}
+		word.Windows[w] = maps.Clone(counts)
+	}
+	return word, true
+}
+
+// complete is the newest window whose requests are all counted; mu is held.
+func (c *Counter) complete(now time.Time) usage.Window {
+	last := usage.At(now.Add(-settle), c.length) - 1
+	for w := range c.running {
+		if w <= last && now.Sub(w.End(c.length)) < settleMost {
+			last = w - 1
+		}
+	}
+	return last
+}
