duties: windows behind an outage wait for all counts; a late word replaces none

A window that ended in an outage of the store was summed up as the store came back, before any process could tell what it had counted: its report said that nobody had asked. And a word whose answer was lost, carried out seconds later, replaced the newer word under its key, so that counted requests were gone. Now a window whose report is overdue waits for as long as all processes need behind an outage, all are awaited that had counted up to the last report, each word without an answer moves its writer to another key, and of one process the larger counts stand. The first holder begins with the first window in which anything was counted.

The forwarder's count of a request is tested for tries that were refused, failed, silent or broken, and for callers that left.

--- /dev/null
+++ b/decide/usage/usage_test.go
@@ -0,0 +1,87 @@
+package usage
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const length = 5 * time.Second
+
+var patience = Patience{Least: time.Second, Most: 6 * time.Second, Return: time.Second}
+
+func TestWindowsFollowTheTimeOfDay(t *testing.T) {
+	at := time.Unix(1_000_000_003, 0)
+	w := At(at, length)
+	require.Equal(t, Window(200_000_000), w)
+	require.Equal(t, time.Unix(1_000_000_005, 0), w.End(length))
+	require.Equal(t, w+1, At(w.End(length), length), "its end is the next one's start")
+}
+
+// Guards against a report before all that count have told, and against one that is late
+// for a process that will tell no more.
+func TestAWindowWaitsForThoseThatCountLately(t *testing.T) {
+	complete, behind := Word{Complete: 10}, Word{Complete: 8}
+	gone, left := Word{Complete: 7}, Word{Complete: 9, Left: true}
+	at := func(ended time.Duration) Age { return Age{Ended: ended, Followed: time.Hour} }
+	require.True(t, Whole(10, 9, []Word{complete, gone, left}, at(2*time.Second), patience))
+	require.False(t, Whole(10, 9, []Word{complete}, at(patience.Least/2), patience))
+	require.False(t, Whole(10, 9, []Word{complete, behind}, at(2*time.Second), patience))
+	require.True(t, Whole(10, 9, []Word{complete, behind}, at(patience.Most), patience))
+}
+
+// Guards against a window that is summed up as the store comes back from an outage of
+// some windows, before anybody could tell what it had counted.
+func TestAWindowWaitsForAllBehindAnOutage(t *testing.T) {
+	words := []Word{{Complete: 6}, {Complete: 7}}
+	returned := Age{Ended: time.Hour, Followed: patience.Return / 2}
+	require.False(t, Whole(10, 7, words, returned, patience))
+	require.True(t, Whole(10, 7, []Word{{Complete: 10}, {Complete: 12}}, returned, patience))
+	returned.Followed = patience.Return
+	require.True(t, Whole(10, 7, words, returned, patience))
+}
+
+func TestSumOfAllWords(t *testing.T) {
+	words := []Word{
+		{Windows: map[Window]Counts{10: {"a": 2, "b": 1}, 11: {"a": 5}}},
+		{Left: true, Windows: map[Window]Counts{10: {"a": 1}}},
+		{},
+	}
+	require.Equal(t, Counts{"a": 3, "b": 1}, Sum(10, words))
+	require.Equal(t, Counts{}, Sum(12, words), "a window without requests is reported, too")
+	require.False(t, words[0].Silent(11))
+	require.True(t, words[1].Silent(11))
+}
+
+// Guards against counts that are lost to an older word of the same process, which the
+// store carried out late.
+func TestWordsOfAProcessAreMerged(t *testing.T) {
+	older := Word{Process: "a", Complete: 9, Windows: map[Window]Counts{10: {"shop": 1}}}
+	newer := Word{Process: "a", Complete: 10, Windows: map[Window]Counts{10: {"shop": 2, "town": 1}}}
+	other := Word{Process: "b", Complete: 10, Windows: map[Window]Counts{10: {"shop": 5}}}
+	for _, words := range [][]Word{{older, newer, other}, {newer, other, older}} {
+		merged := Merge(words)
+		require.Len(t, merged, 2)
+		require.Equal(t, Counts{"shop": 7, "town": 1}, Sum(10, merged))
+		require.True(t, Whole(10, 9, merged, Age{Ended: 2 * time.Second}, patience))
+	}
+}
+
+func TestWordsSurviveTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		word := Word{
+			Complete: Window(rapid.Uint64().Draw(t, "complete")), Left: rapid.Bool().Draw(t, "left"),
+			Windows: map[Window]Counts{Window(rapid.Uint64().Draw(t, "window")): {rapid.String().Draw(t, "organisation"): rapid.Uint64().Draw(t, "n")}},
+		}
+		data, err := json.Marshal(word)
+		require.NoError(t, err)
+		var read Word
+		require.NoError(t, json.Unmarshal(data, &read))
+		again, err := json.Marshal(read)
+		require.NoError(t, err)
+		require.Equal(t, string(data), string(again))
+	})
+}
--- a/gateway/duties/keeper.go
+++ b/gateway/duties/keeper.go
@@ -56,9 +56,10 @@
 
 	mu    sync.Mutex
 	state *lease.State
-	held  bool   // as last logged
-	done  uint64 // how far this process has come with the duty
-	quit  string // why this process gives the lease up; empty: it does not
+	held  bool          // as last logged
+	done  uint64        // how far this process has come with the duty
+	quit  string        // why this process gives the lease up; empty: it does not
+	since time.Duration // when reads began to succeed after the last outage
 
 	// The fields from here on belong to the goroutine of Run.
 	loaded  bool
@@ -92,6 +93,13 @@
 	return k.quit == "" && r.Token == term.Token && k.state.MayAct(k.cfg.Now(), need)
 }
 
+// Followed is how long the store has been readable since the last outage.
+func (k *Keeper) Followed() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.cfg.Now() - k.since
+}
+
 // Finished tells how far the duty has come; a later holder goes on from there.
 func (k *Keeper) Finished(done uint64) {
 	k.mu.Lock()
@@ -224,6 +232,7 @@
 	now := k.cfg.Now()
 	if k.failing {
 		k.failing = false
+		k.since = now
 		k.state.Gap(now)
 		k.log.Info("The leases can be read again.")
 	}
--- /dev/null
+++ b/gateway/forward/usage_test.go
@@ -0,0 +1,94 @@
+package forward_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	decide "dandelionsill.org/decide/usage"
+	"dandelionsill.org/gateway/gatewaytest"
+	"dandelionsill.org/gateway/usage"
+	"dandelionsill.org/platform"
+	"dandelionsill.org/platform/hosted/hostedtest"
+)
+
+// counted returns what the process counts of an organisation's requests.
+func counted(t *testing.T, p *gatewaytest.Process, counter *usage.Counter, organisation string) uint64 {
+	counter.Leave(t.Context())
+	records, _, err := p.Store.Newest(t.Context(), platform.StreamUsage)
+	require.NoError(t, err)
+	require.Len(t, records, 1)
+	var word decide.Word
+	require.NoError(t, json.Unmarshal(records[0].Value, &word))
+	var n uint64
+	for _, counts := range word.Windows {
+		n += counts[organisation]
+	}
+	return n
+}
+
+// Guards against requests that count twice because they were tried again, or count
+// although no server began them, or don't although one did.
+func TestARequestCountsOnceWhereItBegan(t *testing.T) {
+	const window = 5 * time.Second
+	tests := []struct {
+		name   string
+		faults []hostedtest.ServerFaults
+		path   string
+		want   uint64
+	}{
+		{"answered", []hostedtest.ServerFaults{{}}, "/score/x", 1},
+		{"refused by one server", []hostedtest.ServerFaults{{Refuse: true}, {}}, "/score/x", 1},
+		{"refused by all", []hostedtest.ServerFaults{{Refuse: true}}, "/score/x", 0},
+		{"failed at two servers", []hostedtest.ServerFaults{{Status: 500}, {Status: 500}}, "/score/x", 1},
+		{"silent at one server, answered by the next", []hostedtest.ServerFaults{{Silent: true}, {}}, "/score/x", 1},
+		{"an answer without a signature", []hostedtest.ServerFaults{{NoSeal: true}}, "/write/x", 1},
+		{"a stream", []hostedtest.ServerFaults{{}}, "/chat/x", 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			pf := gatewaytest.NewPlatform(t, 1, len(test.faults))
+			p := pf.NewProcess(t)
+			for i, f := range test.faults {
+				pf.Plain[i].Fail(f)
+			}
+			counter := usage.NewCounter(p.Store, "p", window, time.Now, func() int { return 1 }, zap.NewNop())
+			p.Forward.Usage = counter
+			c := call(t, p, "r", test.path)
+			c.Organisation, c.Deadline = "shop", time.Now().Add(400*time.Millisecond)
+			if test.path == "/chat/x" {
+				_, err := p.Forward.Stream(t.Context(), c, httptest.NewRecorder())
+				require.Nil(t, err)
+			} else {
+				_, _ = p.Forward.Send(t.Context(), c) // some of them fail
+			}
+			require.Equal(t, test.want, counted(t, p, counter, "shop"))
+		})
+	}
+}
+
+// Guards against requests whose callers leave before the answer and that are not counted.
+func TestARequestCountsWhoseCallerLeft(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 1)
+	p := pf.NewProcess(t)
+	pf.Plain[0].Fail(hostedtest.ServerFaults{Silent: true})
+	counter := usage.NewCounter(p.Store, "p", 5*time.Second, time.Now, func() int { return 1 }, zap.NewNop())
+	p.Forward.Usage = counter
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		for pf.Plain[0].Open() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		leave()
+	}()
+	c := call(t, p, "r", "/score/x")
+	c.Organisation = "shop"
+	_, err := p.Forward.Send(ctx, c)
+	require.NotNil(t, err)
+	require.EqualValues(t, 1, counted(t, p, counter, "shop"))
+}
--- a/gateway/server/duties.go
+++ b/gateway/server/duties.go
@@ -65,13 +65,14 @@
 		Look:   func() time.Duration { return max(lookLeast, time.Duration(processes())*time.Second/looksPerS) },
 		Turn:   turn(self, set.VM.CPUShare),
 	})
+	counter := usage.NewCounter(store, self.Node+"/"+self.Life, set.Duties.UsageWindow, clock.Now, processes, log)
 	return &reporting{
-		counter: usage.NewCounter(store, self.Node+"/"+self.Life, set.Duties.UsageWindow, clock.Now, processes, log),
+		counter: counter,
 		keeper:  keeper,
 		reporter: &usage.Reporter{
 			Keeper: keeper, Store: store, Platform: hosted.NewDutyClient(set.Duties.Platform), Node: self.Node, Length: set.Duties.UsageWindow,
 			Patience: decide.Patience{Least: share(set.Duties.UsageLate, patienceLeastShare), Most: share(set.Duties.UsageLate, patienceMostShare)},
-			Now:      clock.Now, Log: log,
+			Return:   counter.Return, Now: clock.Now, Log: log,
 		},
 	}
 }
--- a/gateway/usage/counter.go
+++ b/gateway/usage/counter.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"strconv"
 	"sync"
 	"time"
 
@@ -31,6 +32,10 @@
 	// reach the store tells them once it is back.
 	windowsKept = 12
 	putMost     = 2 * time.Second
+	// retryMost is the longest pause before a word is told again that was not taken.
+	retryMost = 800 * time.Millisecond
+	// returnLeast covers that, and the time in which the store is found to be back.
+	returnLeast = 1200 * time.Millisecond
 	// wordsPerS bounds the words of all processes together.
 	wordsPerS = 100
 )
@@ -42,10 +47,10 @@
 
 // Counter counts the requests of this process. It is safe for concurrent use.
 type Counter struct {
-	store  platform.Keyed
-	key    string
-	length time.Duration
-	now    func() time.Time
+	store   platform.Keyed
+	process string
+	length  time.Duration
+	now     func() time.Time
 	// processes is how many there are.
 	processes func() int
 	log       *zap.Logger
@@ -56,13 +61,17 @@
 	dirty   bool
 	told    usage.Window // complete, as last told
 	left    bool
+	failing bool // the store did not take the last word
+	// unknown counts the words whose answer was lost. The store may carry them out later,
+	// so that the next ones get another key: they would be lost to an older one.
+	unknown int
 }
 
-// NewCounter returns a counter of windows of a length. key names this start of the
-// process in the store, now is the time of day.
-func NewCounter(store platform.Keyed, key string, length time.Duration, now func() time.Time, processes func() int, log *zap.Logger) *Counter {
+// NewCounter returns a counter of windows of a length. process names this start of the
+// process, now is the time of day.
+func NewCounter(store platform.Keyed, process string, length time.Duration, now func() time.Time, processes func() int, log *zap.Logger) *Counter {
 	return &Counter{
-		store: store, key: key, length: length, now: now, processes: processes, log: log,
+		store: store, process: process, length: length, now: now, processes: processes, log: log,
 		windows: map[usage.Window]usage.Counts{}, running: map[usage.Window]int{}, told: usage.At(now(), length),
 	}
 }
@@ -125,11 +134,23 @@
 
 // Run tells what was counted until ctx ends.
 func (c *Counter) Run(ctx context.Context) {
-	for sleep.For(ctx, max(lookEvery, time.Duration(c.processes())*time.Second/wordsPerS)) {
-		c.tell(ctx)
+	for wait := time.Duration(0); sleep.For(ctx, max(wait, c.pace())); {
+		if c.tell(ctx) {
+			wait = 0
+			continue
+		}
+		wait = sleep.Jitter(retryMost / 2)
 	}
 }
 
+func (c *Counter) pace() time.Duration {
+	return max(lookEvery, time.Duration(c.processes())*time.Second/wordsPerS)
+}
+
+// Return is how long after an outage of the store all processes need to say what they
+// have counted.
+func (c *Counter) Return() time.Duration { return returnLeast + 2*c.pace() }
+
 // Leave tells the last of it; it is called once no request is on its way.
 func (c *Counter) Leave(ctx context.Context) {
 	c.mu.Lock()
@@ -138,28 +159,43 @@
 	c.tell(ctx)
 }
 
-// tell writes this process's word where there is something new in it.
-func (c *Counter) tell(ctx context.Context) {
+// tell writes this process's word where there is something new in it; false: the store
+// has not taken it.
+func (c *Counter) tell(ctx context.Context) bool {
 	word, due := c.word()
 	if !due {
-		return
+		return true
 	}
 	value, err := json.Marshal(word)
 	if err != nil {
 		c.log.Error("Counts can't be encoded.", zap.Error(err))
-		return
+		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, putMost)
 	defer cancel()
-	err = c.store.PutAll(ctx, platform.StreamUsage, []platform.KeyedRecord{{Key: c.key, Value: value}})
+	err = c.store.PutAll(ctx, platform.StreamUsage, []platform.KeyedRecord{{Key: c.key(), Value: value}})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if errors.Is(err, platform.ErrAppendUnknown) {
+		c.unknown++
+	}
 	if err == nil {
-		return
+		c.failing = false
+		return true
 	}
 	wordsFailed.Add(1)
-	c.log.Warn("Counts were not told.", zap.Uint64("complete", uint64(word.Complete)), zap.Bool("may_stand", errors.Is(err, platform.ErrAppendUnknown)), zap.Error(err))
+	c.dirty = true
+	if !c.failing {
+		c.log.Warn("Counts are not taken by the store.", zap.Uint64("complete", uint64(word.Complete)), zap.Bool("may_stand", errors.Is(err, platform.ErrAppendUnknown)), zap.Error(err))
+	}
+	c.failing = true
+	return false
+}
+
+func (c *Counter) key() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.dirty = true
+	return c.process + "#" + strconv.Itoa(c.unknown)
 }
 
 // word returns what this process has to say, and whether that is new.
@@ -172,7 +208,7 @@
 		return usage.Word{}, false
 	}
 	c.dirty, c.told = false, max(c.told, complete)
-	word := usage.Word{Complete: c.told, Left: c.left, Windows: make(map[usage.Window]usage.Counts, len(c.windows))}
+	word := usage.Word{Process: c.process, Complete: c.told, Left: c.left, Windows: make(map[usage.Window]usage.Counts, len(c.windows))}
 	for w, counts := range c.windows {
 		if w+windowsKept < usage.At(now, c.length) {
 			delete(c.windows, w)
--- a/gateway/usage/reporter.go
+++ b/gateway/usage/reporter.go
@@ -48,10 +48,13 @@
 	Store    platform.Register
 	Platform platform.UsageReports
 	Node     string
-	Length   time.Duration // of a window
-	Patience usage.Patience
-	Now      func() time.Time
-	Log      *zap.Logger
+	Length   time.Duration  // of a window
+	Patience usage.Patience // but for Return
+	// Return is how long after an outage of the store all processes need to say what
+	// they have counted.
+	Return func() time.Duration
+	Now    func() time.Time
+	Log    *zap.Logger
 
 	term    duties.Term
 	loaded  bool
@@ -84,25 +87,35 @@
 			r.loaded = true
 		}
 		if term.Token != r.term.Token {
-			r.begin(term)
+			if err := r.begin(ctx, term); err != nil {
+				r.Log.Warn("Counts can't be read.", zap.Error(err))
+				continue
+			}
 		}
 		r.step(ctx)
 	}
 }
 
-// begin goes on where earlier holders have come to.
-func (r *Reporter) begin(term duties.Term) {
-	r.term, r.failing, r.done = term, time.Time{}, usage.Window(term.Done)
+// begin goes on where earlier holders have come to; the first one begins with the first
+// window in which a request was counted.
+func (r *Reporter) begin(ctx context.Context, term duties.Term) error {
 	now := usage.At(r.Now(), r.Length)
-	if r.done == 0 {
-		r.done = now - 1 // nobody has counted before
+	done := usage.Window(term.Done)
+	if done == 0 {
+		words, err := r.words(ctx, now)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		done = usage.First(words, now) - 1
 	}
-	if oldest := now - windowsKept; r.done < oldest {
-		reportsMissed.Add(int64(oldest - r.done))
-		r.Log.Error("Windows can't be reported any more.", zap.Uint64("from", uint64(r.done)+1), zap.Uint64("to", uint64(oldest)))
-		r.done = oldest
+	if oldest := now - windowsKept; done < oldest {
+		reportsMissed.Add(int64(oldest - done))
+		r.Log.Error("Windows can't be reported any more.", zap.Uint64("from", uint64(done)+1), zap.Uint64("to", uint64(oldest)))
+		done = oldest
 	}
-	r.Keeper.Finished(uint64(r.done))
+	r.term, r.failing, r.done = term, time.Time{}, done
+	r.Keeper.Finished(uint64(done))
+	return nil
 }
 
 // load reads what was put down before.
@@ -149,7 +162,10 @@
 		r.Log.Warn("Counts can't be read.", zap.Uint64("window", uint64(w)), zap.Error(err))
 		return nil, false
 	}
-	if !usage.Whole(w, words, ended, r.Patience) {
+	age := usage.Age{Ended: ended, Followed: r.Keeper.Followed()}
+	patience := r.Patience
+	patience.Return = r.Return()
+	if !usage.Whole(w, r.done, words, age, patience) {
 		return nil, false
 	}
 	counts := usage.Sum(w, words)
@@ -195,7 +211,7 @@
 			r.Log.Info("Old counts were not dropped.", zap.Int("processes", len(stale)), zap.Error(err))
 		}
 	}
-	return words, nil
+	return usage.Merge(words), nil
 }
 
 // send reports a window; false: it has to be sent again, or by another.
