gather: the reads of a trainer are timed by when its steps usually end

A trainer looks at what it has, and reads again, no sooner than 0.5 s after it began its last read.

Each process now learns from the log how long the steps of a model take until their trainer has enough (the middle one of the last five), and answers the read before the last so that the last one is about 0.75 s old then.

--- a/decide/gather/gather.go
+++ b/decide/gather/gather.go
@@ -21,8 +21,13 @@
 	textsTake = 200 * time.Millisecond
 )
 
-// Read is a waiting read for which there are results.
+// pause is what a trainer leaves between the beginnings of two reads.
+const pause = 500 * time.Millisecond
+
+// Read is a waiting read.
 type Read struct {
+	// Empty: there is no result for it yet.
+	Empty bool
 	// Waited is how long it has waited.
 	Waited time.Duration
 	// Most is how long its caller lets it wait; 0: not at all.
@@ -31,21 +36,40 @@
 	Enough bool
 	// Due is how long from now results are due, below 0: were due; 0: nobody said.
 	Due time.Duration
+	// Expected is how long from now its caller will likely have all that it waits for;
+	// 0 or below: nobody knows.
+	Expected time.Duration
 }
 
-// Hold returns how long the read waits for more results; 0: it is answered now. It
-// waits for as long as its caller lets it, a second at most: the longer reads last, the
-// fewer of them are young when the last result is listed, and one that is older than
-// its caller's pause costs nothing. On the calm day of a deployment with six trainers steps ended 0.27 s in
-// the mean after their last result, 0.35 s for the three longest kinds, where reads
-// were answered after half a second; two of these never came to their last step.
+// Hold returns how long the read goes on waiting; 0: it is answered now. It waits for as
+// long as its caller lets it, a second at most: the longer reads last, the fewer of them
+// are young when the last result is listed, and one that is older than its caller's pause
+// costs nothing. Where it is known when that will likely be, the read before is answered
+// sooner, so that the last one is of an age to bear an error either way.
 func Hold(r Read) time.Duration {
-	if r.Enough {
+	if r.Enough && !r.Empty {
 		return 0
 	}
-	hold := min(holdMost, r.Most) - r.Waited
-	if timely := r.Due + timelyBehindDue; r.Due != 0 && timely > 0 {
-		hold = min(hold, timely-textsTake)
+	most := min(holdMost, r.Most)
+	hold := max(0, most-r.Waited)
+	if r.Empty {
+		hold = max(0, r.Most-r.Waited)
+		if r.Enough {
+			return hold
+		}
+	} else if timely := r.Due + timelyBehindDue; r.Due != 0 && timely > 0 {
+		hold = max(0, min(hold, timely-textsTake))
+	}
+	return aligned(r, hold, most)
+}
+
+// aligned shortens a hold so that the caller's next read is about as old as it may get
+// without a pause, and not the oldest, when it has all.
+func aligned(r Read, hold, most time.Duration) time.Duration {
+	const aim = 0.75 // of the longest read
+	if r.Expected <= hold || r.Expected > hold+most {
+		return hold
 	}
-	return max(0, hold)
+	next := r.Expected - time.Duration(aim*float64(most)) // when the next read should begin
+	return min(hold, max(next, pause-r.Waited, 0))
 }
--- a/decide/gather/gather_test.go
+++ b/decide/gather/gather_test.go
@@ -70,17 +70,79 @@
 // pause is what a trainer leaves between the beginnings of two reads.
 const pause = 500 * ms
 
+func TestHoldBeforeTheExpectedEnd(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		read gather.Read
+		want time.Duration
+	}{
+		{"all is expected in this read", gather.Read{Most: time.Second, Expected: 700 * ms}, 1000 * ms},
+		{"all is expected at the beginning of the next read", gather.Read{Most: time.Second, Expected: 1400 * ms}, 650 * ms},
+		{"the next read can't begin before the pause", gather.Read{Most: time.Second, Expected: 1050 * ms}, 500 * ms},
+		{"the next read will be old enough", gather.Read{Most: time.Second, Expected: 1900 * ms}, 1000 * ms},
+		{"the end is far off", gather.Read{Most: time.Second, Expected: 5 * time.Second}, 1000 * ms},
+		{"it should have been all by now", gather.Read{Waited: 300 * ms, Most: time.Second, Expected: -100 * ms}, 700 * ms},
+		{"results are due, too", gather.Read{Most: time.Second, Expected: 1400 * ms, Due: 300 * ms}, 650 * ms},
+		{"results are due sooner", gather.Read{Most: time.Second, Expected: 1400 * ms, Due: 50 * ms}, 450 * ms},
+		{"there is no result yet", gather.Read{Empty: true, Waited: 100 * ms, Most: time.Second, Expected: 1400 * ms}, 650 * ms},
+		{"there is no result yet, and none is expected soon", gather.Read{Empty: true, Most: time.Minute, Expected: 5 * time.Second}, time.Minute},
+		{"it reads behind all that its caller waits for", gather.Read{Empty: true, Most: time.Second, Enough: true}, 1000 * ms},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			require.Equal(t, c.want, gather.Hold(c.read))
+		})
+	}
+}
+
+// The load is the end of a step that takes about as long as those before, off by a fifth
+// of a second either way. Guards against a trainer that sits out its pause, for its read
+// was young when the last sample was listed.
+func TestAnExpectedEndFindsAnOldRead(t *testing.T) {
+	const steps = 200
+	var held, aligned time.Duration
+	for i := range steps {
+		last := 7360*ms + time.Duration(i)*10*ms
+		expected := last + time.Duration(i*37%41-20)*10*ms
+		listed := []time.Duration{130 * ms, 180 * ms, 700 * ms, 1900 * ms, last - 70*ms, last}
+		held += trains(listed, gather.Hold) - last
+		aligned += trainsUntil(expected, listed, gather.Hold) - last
+	}
+	t.Logf("mean lag: held %v, aligned with the expected end %v", held/steps, aligned/steps)
+	require.Less(t, aligned, held/4)
+}
+
+func TestUsualTimeOfSteps(t *testing.T) {
+	var s *gather.Steps
+	require.Zero(t, s.Usual())
+	s = &gather.Steps{}
+	for _, d := range []time.Duration{9, 3, 4, 3, 4, 20} {
+		s.Took(d)
+	}
+	require.Equal(t, time.Duration(4), s.Usual(), "the middle one of the newest five")
+}
+
 // trains plays a trainer's reads and returns when it begins to train: when it looks at
 // what it has and has all results.
 func trains(listed []time.Duration, hold func(gather.Read) time.Duration) time.Duration {
+	return trainsUntil(0, listed, hold)
+}
+
+// trainsUntil plays reads while the last result is expected at a time; 0: at none.
+func trainsUntil(expected time.Duration, listed []time.Duration, hold func(gather.Read) time.Duration) time.Duration {
 	const most = time.Second
 	last := listed[len(listed)-1]
 	have := 0
 	for now := time.Duration(0); ; {
 		began := now
 		answered := began + most
+		if expected > 0 {
+			answered = began + hold(gather.Read{Empty: true, Most: most, Expected: expected - began})
+		}
 		if first := max(began, listed[have]); first <= answered {
 			read := gather.Read{Waited: first - began, Most: most, Enough: first >= last}
+			if expected > 0 {
+				read.Expected = expected - first
+			}
 			answered = first + hold(read)
 			if last > first {
 				answered = min(answered, last)
--- a/gateway/jobs/api.go
+++ b/gateway/jobs/api.go
@@ -357,20 +357,15 @@
 	for {
 		changed := s.book.Changed.Next()
 		total, results, over, read := s.results(job, after)
-		read.Waited, read.Most = time.Since(began), wait
-		if hold := gather.Hold(read); len(results) > 0 && hold > 0 {
-			timeout.Reset(hold)
-		} else if len(results) > 0 {
-			filled, err := s.book.Texts.fill(ctx, results)
-			if err != nil {
-				s.zlog.Warn("A text can't be read.", zap.String("job", job), zap.Int("after", after), zap.Error(err))
-				return 0, nil, kinds.Hold().Refuse(kinds.LogUnavailable, "the texts can't be read now").WithRetryAfter(comeBack)
-			}
-			return total, filled, nil
+		read.Waited, read.Most, read.Empty = time.Since(began), wait, len(results) == 0
+		hold := gather.Hold(read)
+		if over && read.Empty {
+			hold = 0
 		}
-		if over || read.Waited >= wait {
-			return total, nil, s.unsure()
+		if hold <= 0 {
+			return s.answer(ctx, job, after, total, results)
 		}
+		timeout.Reset(hold)
 		select {
 		case <-changed:
 		case <-timeout.C:
@@ -380,6 +375,19 @@
 	}
 }
 
+// answer returns results with their texts.
+func (s *Service) answer(ctx context.Context, job string, after, total int, results []jobs.Result) (int, []jobs.Result, *kinds.Error) {
+	if len(results) == 0 {
+		return total, nil, s.unsure()
+	}
+	filled, err := s.book.Texts.fill(ctx, results)
+	if err != nil {
+		s.zlog.Warn("A text can't be read.", zap.String("job", job), zap.Int("after", after), zap.Error(err))
+		return 0, nil, kinds.Hold().Refuse(kinds.LogUnavailable, "the texts can't be read now").WithRetryAfter(comeBack)
+	}
+	return total, filled, nil
+}
+
 // unsure is the answer in place of "no result yet" from a process that does not
 // follow the log now: others may have given results that it has not read.
 func (s *Service) unsure() *kinds.Error {
@@ -405,6 +413,7 @@
 	}
 	read.Enough = j.Ended || j.Enough()
 	read.Due = time.Until(time.UnixMilli(j.SubmittedMS + j.DueMS))
+	read.Expected = s.book.expected(j, time.Now())
 	return j.Total, results, !j.Open(), read
 }
 
--- a/gateway/jobs/book.go
+++ b/gateway/jobs/book.go
@@ -14,6 +14,7 @@
 
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/base/sleep"
+	"dandelionsill.org/decide/gather"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/signal"
 	"dandelionsill.org/platform"
@@ -71,7 +72,11 @@
 	// arrived is when jobs were accepted, by this process's own clock; those that
 	// were accepted before it followed the log are not in it.
 	arrived map[string]time.Time
-	next    uint64
+	// steps tells how long the steps of each model take, and enough which jobs were seen
+	// to have all that their trainers wait for.
+	steps  map[string]*gather.Steps
+	enough map[string]bool
+	next   uint64
 	// asOf is when the read that last reached the log's end was sent: all that
 	// was acknowledged before it is folded.
 	asOf time.Time
@@ -90,6 +95,7 @@
 	return &Book{
 		Texts: newLibrary(reader, zlog), pace: func() time.Duration { return 0 }, log: reader, zlog: zlog, state: jobs.New(),
 		heard: map[jobs.Writer]time.Time{}, engineAt: map[jobs.EngineKey]time.Time{}, arrived: map[string]time.Time{},
+		steps: map[string]*gather.Steps{}, enough: map[string]bool{},
 	}
 }
 
@@ -187,6 +193,36 @@
 	defer b.mu.Unlock()
 	b.state.Forget(time.Now().Add(-keepFinished).UnixMilli())
 	maps.DeleteFunc(b.arrived, func(id string, _ time.Time) bool { return b.state.Jobs[id] == nil })
+	maps.DeleteFunc(b.enough, func(id string, _ bool) bool { return b.state.Jobs[id] == nil })
+}
+
+// noteSteps learns how long the jobs took that have got results; mu is held.
+func (b *Book) noteSteps(results []jobs.Result, now time.Time) {
+	for i := range results {
+		j := b.state.Jobs[results[i].Job]
+		if j == nil || j.Ended || b.enough[j.ID] || !j.Enough() {
+			continue
+		}
+		b.enough[j.ID] = true
+		at, seen := b.arrived[j.ID]
+		if !seen {
+			continue
+		}
+		if b.steps[j.Model] == nil {
+			b.steps[j.Model] = &gather.Steps{}
+		}
+		b.steps[j.Model].Took(now.Sub(at))
+	}
+}
+
+// expected is how long from now a job's trainer will likely have all that it waits for;
+// 0: that is not known. mu is held.
+func (b *Book) expected(j *jobs.Job, now time.Time) time.Duration {
+	usual := b.steps[j.Model].Usual()
+	if usual == 0 {
+		return 0
+	}
+	return usual - b.age(j, now)
 }
 
 // age is how long ago a job was handed in. The time of day of the process that took
@@ -241,6 +277,7 @@
 	for _, id := range change.Accepted {
 		b.arrived[id] = now
 	}
+	b.noteSteps(r.Results, now)
 	b.tell(rec.Offset, change)
 }
 
