loads: an engine follows two models in place of one and a half

As a version is named half of a model's engines load it, and the other half serves the step that begins. With one and a half shares that was three quarters of a model's share: of 120 samples 48 began at once, the others up to 2 s later, and a long one among them that its trainer had called short made the step late.

Three shares are the same as two where loads bind. Loads stay under those that are free of charge.

--- a/decide/loads/loads.go
+++ b/decide/loads/loads.go
@@ -7,7 +7,6 @@
 package loads
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -27,11 +26,12 @@
 // other down when about a quarter of the engines load.
 const atOnce = 5
 
-// spread is how many engines serve a model, in parts of what it would get if
-// each engine served one model. Loads are what binds: were all engines to serve all
-// models, more loads would be due than can be done, and samples would wait for an
-// engine with fresh weights. So an engine serves one or two models.
-const spread = 1.5
+// spread is how many engines serve a model, in parts of what it would get if each
+// engine served one model: an engine serves two. Each version is then loaded by as many
+// as a model's share of the engines. With fewer the samples of a step, which comes as a
+// whole, wait for each other's places, and a long one that was taken for a short one
+// begins too late; with more, loads are due that can't be done.
+const spread = 2
 
 // Fleet is the engines of a service and the models that they share.
 type Fleet struct {
@@ -74,7 +74,7 @@
 // for, and hardly any engine would be fresh enough.
 func (f Fleet) window() int {
 	n, models := len(f.Engines), len(f.Models)
-	size := min(n, int(math.Ceil(spread*float64(n)/float64(models))))
+	size := max(1, min(n, spread*n/models))
 	if f.Took <= 0 || f.Every <= 0 {
 		return size
 	}
--- a/decide/place/goodput_test.go
+++ b/decide/place/goodput_test.go
@@ -56,6 +56,17 @@
 	require.Greater(t, float64(at[3].inTime), 2*float64(before.inTime), "by age and length alone: %d", before.inTime/seeds)
 }
 
+// Guards against long samples that begin behind short ones: the longest samples of two
+// of four trainers nearly fill the time in which their steps are due.
+func TestStepsAreInTimeWhereTheLongestSampleFillsIt(t *testing.T) {
+	for _, x := range []float64{1, 2} {
+		o := runs(2, func(seed uint64) load { return fourTrainers(x, seed) })
+		t.Logf("groups x %.1f: owed %d, in time %d, late %d", x, o.owed, o.inTime, o.late)
+		require.False(t, o.idle, "a place stood free beside a sample that might have used it")
+		require.GreaterOrEqual(t, float64(o.inTime), 0.97*float64(o.owed))
+	}
+}
+
 // Engines take 2.4 s for a load in place of 0.9 s. Did as many follow each model as
 // ever, their loads would slow each other down until none is fresh enough, and a
 // day's groups that nine engines make with ease come late. Fewer follow, and the
--- a/decide/place/replay_loads_test.go
+++ b/decide/place/replay_loads_test.go
@@ -78,6 +78,23 @@
 	return l
 }
 
+// fourTrainers ask for x times the groups of a quiet day of 44 engines. Two have samples
+// of which the longest take seven seconds of the 7.5 in which their step is due; half of
+// the engines' places stand free in the mean, and all are wanted when a step comes.
+func fourTrainers(x float64, seed uint64) load {
+	l := load{
+		engines: 44, slots: 6, pace: 0.0475, loading: 0.9, loadsAtOnce: 9, every: 4, due: 7.5, patience: 12, length: 34, hintError: 0.5, seed: seed,
+	}
+	for _, t := range []trainer{
+		{groups: 14, train: 1, events: 8.45, spread: 0.9, most: 60}, {groups: 15, train: 1, events: 20.5, spread: 0.84, most: 148},
+		{groups: 15, train: 1, events: 21.3, spread: 0.9, most: 153}, {groups: 16, train: 0.5, events: 10, spread: 0.84, most: 72},
+	} {
+		t.groups, t.size, t.share = int(math.Round(float64(t.groups)*x)), 8, 0.9
+		l.trainers = append(l.trainers, t)
+	}
+	return l
+}
+
 // slowedFleet is six trainers that ask for about what the engines can make, a fourth of
 // which a fault then slows down by a factor. Their paces are learnt from what streams
 // show.
