soak: keys of organisations and a duty of one process at a time, judged from outside

All callers are one organisation's now, with keys that each configuration changes; an intruder comes with a key that nobody was given and another organisation's name. No server may be told a key or a wrong name, a key that was taken away is refused by all gateways and an added one served. The gateways report usage to a stand-in that judges tokens, turns and reports, through links of their own.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -83,13 +83,22 @@
 	}}
 }
 
-// ask sends a request to a gateway; status 0: no answer.
+// ask sends a request of the organisation to a gateway; status 0: no answer.
 func (c *client) ask(ctx context.Context, gate *proc, method, path, id string, body []byte) (int, http.Header, []byte) {
+	status, header, data := c.askAs(ctx, gate, method, path, id, body, http.Header{hostedtest.HeaderKey: {c.w.key()}})
+	if status == http.StatusUnauthorized {
+		c.rec.breach("request %s was refused at %s for a key that all configurations hold", id, gate.name)
+	}
+	return status, header, data
+}
+
+// askAs sends a request with headers of the caller's own.
+func (c *client) askAs(ctx context.Context, gate *proc, method, path, id string, body []byte, header http.Header) (int, http.Header, []byte) {
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+gate.listen+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, nil
 	}
-	r.Host = "app.example"
+	r.Host, r.Header = "app.example", header
 	r.Header.Set(hostedtest.HeaderAttempt, id)
 	r.Header.Set(hostedtest.HeaderDeadline, "3000")
 	resp, err := c.http.Do(r)
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -55,7 +55,10 @@
 	case 3:
 		in.log("freeze %s for %v", p.name, lasts)
 		p.signal(syscall.SIGSTOP, false)
-		in.after(lasts, func() { p.signal(syscall.SIGCONT, false) })
+		in.after(lasts, func() {
+			in.w.duties.Excuse(p.name, thawSlack)
+			p.signal(syscall.SIGCONT, false)
+		})
 	case 4:
 		in.log("hang up %s", p.name)
 		p.hangUp()
@@ -79,13 +82,15 @@
 		s.Fail(f)
 		in.after(lasts, func() { s.Fail(hostedtest.ServerFaults{}) })
 	default:
-		in.w.config++
-		in.log("configuration %d", in.w.config)
-		in.w.store.Put(hostedtest.TopicOperator, "config", hostedtest.Config(in.w.config))
+		in.log("configuration %d", in.w.configure())
 		in.w.heartbeat()
 	}
 }
 
+// thawSlack is how long after a freeze the platform holds a call against nobody: it may
+// have been decided on before.
+const thawSlack = 300 * time.Millisecond
+
 func (in *injector) after(d time.Duration, mend func()) {
 	in.all.Go(func() {
 		time.Sleep(d) // the fault itself
--- a/soak/mortal_test.go
+++ b/soak/mortal_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -18,7 +19,8 @@
 
 	mu      sync.Mutex
 	servers []*hostedtest.Server
-	ended   map[string]int // servers, by the request under which they ended
+	past    []*hostedtest.Server // all that were ever started
+	ended   map[string]int       // servers, by the request under which they ended
 	started int
 }
 
@@ -47,9 +49,17 @@
 	s.Fail(hostedtest.ServerFaults{CrashOn: deadly})
 	m.w.t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
 	m.w.store.Put(hostedtest.TopicServers, s.ID, s.Entry("ready"))
+	m.past = append(m.past, s)
 	return s
 }
 
+// everyone returns all servers that were ever started.
+func (m *mortals) everyone() []*hostedtest.Server {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.past)
+}
+
 // run replaces the servers that have ended until ctx ends.
 func (m *mortals) run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -103,6 +103,7 @@
 	for i, uri := range uris {
 		actors.Go(func() { newClient(w, rec, seed, uint64(20+i)).dies(ctx, uri) })
 	}
+	actors.Go(func() { newClient(w, rec, seed, 30).intrudes(ctx) })
 	actors.Go(func() { w.mortal.run(ctx) })
 	in := &injector{w: w, rng: rand.New(rand.NewPCG(seed, 99)), log: note}
 	in.run(ctx)
@@ -110,6 +111,8 @@
 	w.heal()
 	w.settle(rec, seed)
 	w.mortal.settle(rec, seed, uris)
+	w.settleKeys(rec, seed)
+	w.settleUsage(rec)
 	w.verify(rec)
 	w.stopAll()
 	if len(rec.breaches) > 0 {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -55,13 +55,15 @@
 	links   []*link
 	gates   []*proc
 	agents  []*proc
-	config  int
+	duties  *hostedtest.Duties
+	config  atomic.Int64 // version in force
 }
 
 func newWorld(t *testing.T, dir string) *world {
-	w := &world{t: t, dir: dir, store: hostedtest.NewStore(), config: 1}
+	w := &world{t: t, dir: dir, store: hostedtest.NewStore(), duties: hostedtest.NewDuties(leaseTurns)}
 	t.Cleanup(func() { w.store.CloseClientConnections(); w.store.Close() })
-	w.store.Put(hostedtest.TopicOperator, "config", hostedtest.Config(1))
+	t.Cleanup(func() { w.duties.CloseClientConnections(); w.duties.Close() })
+	w.configure()
 	for i := range engines {
 		e := hostedtest.NewEngine(fmt.Sprintf("e%d", i), "engines", models)
 		e.Pace, e.Events = 8*time.Millisecond, 60
@@ -144,7 +146,7 @@
 
 func (w *world) gateway(name string) *proc {
 	callers := freeAddr(w.t)
-	p := w.process("dandelion-gateway", name, fmt.Sprintf("parts = 3\n[listen]\ncallers = %s\nready = %s\npeers = %s\n", callers, freeAddr(w.t), freeAddr(w.t)))
+	p := w.process("dandelion-gateway", name, fmt.Sprintf("parts = 3\n[listen]\ncallers = %s\nready = %s\npeers = %s\n", callers, freeAddr(w.t), freeAddr(w.t))+w.dutySettings(name))
 	p.listen = callers
 	return p
 }
