--- a/decide/lease/lease.go
+++ b/decide/lease/lease.go
@@ -23,8 +23,8 @@
 	Holder
 	// Token is the fencing token: it grows with each holder.
 	Token uint64 `json:"t"`
-	// Beat tells apart what one holder wrote.
-	Beat uint64 `json:"b"`
+	// Seq tells apart what one holder wrote.
+	Seq uint64 `json:"b"`
 	// Prior is the VM of the holder before.
 	Prior string `json:"p,omitempty"`
 	// Released: the holder acts no more.
@@ -64,8 +64,8 @@
 	since time.Duration
 	// renewed is when our newest write that stands was sent.
 	renewed time.Duration
-	writes  map[uint64]time.Duration // when own writes were sent, by beat
-	beat    uint64
+	writes  map[uint64]time.Duration // when own writes were sent, by seq
+	seq     uint64
 	// resigned: this process gave the lease up, though the record may not tell so yet.
 	resigned bool
 }
@@ -75,9 +75,9 @@
 	return &State{self: self, timing: timing, writes: map[uint64]time.Duration{}}
 }
 
-// Saw takes the record that a read showed, or that a write of our own has become; nil:
+// Observe takes the record that a read showed, or that a write of our own has become; nil:
 // there is none.
-func (s *State) Saw(r *Record, now time.Duration) {
+func (s *State) Observe(r *Record, now time.Duration) {
 	changed := !s.read || s.exists != (r != nil) || r != nil && *r != s.record
 	s.read = true
 	if !changed {
@@ -89,7 +89,7 @@
 		return
 	}
 	s.record = *r
-	if sent, ours := s.writes[r.Beat]; ours && r.Holder == s.self {
+	if sent, ours := s.writes[r.Seq]; ours && r.Holder == s.self {
 		s.renewed = sent
 	}
 }
@@ -163,9 +163,9 @@
 }
 
 func (s *State) writing(r Record, now time.Duration) Record {
-	s.beat++
-	r.Beat = s.beat
-	s.writes[r.Beat] = now
-	delete(s.writes, s.beat-writesKept)
+	s.seq++
+	r.Seq = s.seq
+	s.writes[r.Seq] = now
+	delete(s.writes, s.seq-writesKept)
 	return r
 }
--- a/decide/lease/lease_test.go
+++ b/decide/lease/lease_test.go
@@ -22,15 +22,15 @@
 func TestOthersTakeOverWhatStandsStill(t *testing.T) {
 	a, b := New(Holder{"a", "1"}, sound), New(Holder{"b", "1"}, sound)
 	require.False(t, a.MayClaim(0, 0), "nothing was read")
-	a.Saw(nil, 0)
-	b.Saw(nil, 0)
+	a.Observe(nil, 0)
+	b.Observe(nil, 0)
 	require.False(t, a.MayClaim(tick, 2*tick), "others go first")
 	require.True(t, a.MayClaim(2*tick, 2*tick))
 	claim := a.Claim(7, 2*tick)
 	require.EqualValues(t, 8, claim.Token)
 	require.False(t, a.MayAct(2*tick, 0), "the claim does not stand yet")
-	a.Saw(&claim, 3*tick)
-	b.Saw(&claim, 3*tick)
+	a.Observe(&claim, 3*tick)
+	b.Observe(&claim, 3*tick)
 	require.True(t, a.MayAct(3*tick, tick))
 	require.True(t, a.MayAct(2*tick+sound.Valid, 0), "counted from when the claim was sent")
 	require.False(t, a.MayAct(2*tick+sound.Valid, tick))
@@ -39,9 +39,9 @@
 	b.Gap(20 * tick)
 	require.False(t, b.MayClaim(20*tick+tick, 0), "the holder could not renew either")
 	renewed := a.Renew(5, 21*tick)
-	a.Saw(&renewed, 21*tick)
+	a.Observe(&renewed, 21*tick)
 	require.True(t, a.MayAct(22*tick, 0))
-	b.Saw(&renewed, 22*tick)
+	b.Observe(&renewed, 22*tick)
 	took := b.Claim(11, 40*tick)
 	require.Equal(t, "a", took.Prior)
 	require.EqualValues(t, 5, took.Done)
@@ -50,21 +50,21 @@
 
 func TestAReleasedLeaseIsTakenAtOnce(t *testing.T) {
 	a, b, c := New(Holder{"a", "1"}, sound), New(Holder{"b", "1"}, sound), New(Holder{"a", "2"}, sound)
-	a.Saw(nil, 0)
+	a.Observe(nil, 0)
 	claim := a.Claim(0, 0)
-	a.Saw(&claim, 0)
+	a.Observe(&claim, 0)
 	released := a.Release(3, tick)
 	require.False(t, a.MayAct(tick, 0), "whatever becomes of the write")
 	for _, s := range []*State{a, b, c} {
-		s.Saw(&released, 2*tick)
+		s.Observe(&released, 2*tick)
 	}
 	require.True(t, b.MayClaim(2*tick, 0))
 	require.False(t, a.MayClaim(2*tick+sound.TakeOver, 0), "it could not do the duty")
 	require.False(t, c.MayClaim(2*tick, 0))
 	second := b.Claim(5, 3*tick)
-	b.Saw(&second, 3*tick)
+	b.Observe(&second, 3*tick)
 	released = b.Release(3, 4*tick)
-	a.Saw(&released, 4*tick)
+	a.Observe(&released, 4*tick)
 	require.False(t, a.MayClaim(4*tick+tick, 0), "two that take turns at once look like two holders")
 	require.True(t, a.MayClaim(4*tick+sound.TakeOver, 0))
 }
@@ -126,11 +126,11 @@
 func (w *world) read(p *proc) {
 	p.next = len(w.records)
 	if p.next == 0 {
-		p.state.Saw(nil, w.now)
+		p.state.Observe(nil, w.now)
 		return
 	}
 	newest := w.records[p.next-1]
-	p.state.Saw(&newest, w.now)
+	p.state.Observe(&newest, w.now)
 }
 
 // write is how a due write goes: taken, taken without an answer, carried out late, or lost.
@@ -150,7 +150,7 @@
 	case "answered":
 		if w.put(r, p.next) {
 			p.next++
-			p.state.Saw(&r, w.now)
+			p.state.Observe(&r, w.now)
 		}
 	case "unanswered":
 		w.put(r, p.next)
@@ -270,11 +270,11 @@
 				if p.state.Holds() {
 					r := p.state.Renew(0, w.now)
 					require.True(t, w.put(r, p.next))
-					p.state.Saw(&r, w.now)
+					p.state.Observe(&r, w.now)
 				} else if p.state.MayClaim(w.now, 0) {
 					r := p.state.Claim(uint64(p.next), w.now)
 					require.True(t, w.put(r, p.next))
-					p.state.Saw(&r, w.now)
+					p.state.Observe(&r, w.now)
 				}
 			}
 		}
--- a/decide/usage/usage.go
+++ b/decide/usage/usage.go
@@ -21,8 +21,8 @@
 // Counts are requests by organisation.
 type Counts map[string]uint64
 
-// Word is what one process says of the requests that it has counted, all of its life.
-type Word struct {
+// Tally is what one process has counted in all of its life.
+type Tally struct {
 	// Process names one start of a process.
 	Process string `json:"p"`
 	// Complete is the newest window of which it has counted all requests.
@@ -32,15 +32,15 @@
 	Windows map[Window]Counts `json:"w,omitempty"`
 }
 
-// Patience says how long a window waits for the words of processes, after its end.
+// Patience says how long a window waits for the tallies of processes, after its end.
 type Patience struct {
 	// Least is waited for processes that nobody knows of yet.
 	Least time.Duration
 	// Most is waited for processes that have gone silent: a report that waits longer is
 	// late.
 	Most time.Duration
-	// Return is how long after an outage of the store it takes all processes to say what
-	// they counted meanwhile.
+	// Return is how long after an outage of the store it takes all processes to publish
+	// what they counted meanwhile.
 	Return time.Duration
 }
 
@@ -50,67 +50,67 @@
 	Followed time.Duration // the last outage of the store
 }
 
-// Whole tells whether the counts of a window can be summed up. done is the window that
+// Ready tells whether the counts of a window can be summed up. done is the window that
 // was summed up last.
-func Whole(w, done Window, words []Word, age Age, p Patience) bool {
+func Ready(w, done Window, tallies []Tally, age Age, p Patience) bool {
 	if age.Ended < p.Least {
 		return false
 	}
 	if age.Ended >= p.Most && age.Followed >= p.Return {
 		return true
 	}
-	for i := range words {
-		if words[i].awaited(w, done) {
+	for i := range tallies {
+		if tallies[i].awaited(w, done) {
 			return false
 		}
 	}
 	return true
 }
 
-// awaited tells whether a process has more to say of a window: one that was heard of by
+// awaited tells whether a process has more to publish of a window: one that was heard of by
 // the time that the last one was summed up.
-func (word *Word) awaited(w, done Window) bool {
-	return !word.Left && word.Complete < w && word.Complete+1 >= done
+func (tally *Tally) awaited(w, done Window) bool {
+	return !tally.Left && tally.Complete < w && tally.Complete+1 >= done
 }
 
-// Merge brings the words of each process together. Counts only grow, so that of two
-// words the larger numbers are the newer ones, in whichever order the words came.
-func Merge(words []Word) []Word {
-	byProcess := map[string]*Word{}
-	for i := range words {
-		word := &words[i]
-		merged := byProcess[word.Process]
+// Merge brings the tallies of each process together. Counts only grow, so that of two
+// tallies the larger numbers are the newer ones, in whichever order the tallies came.
+func Merge(tallies []Tally) []Tally {
+	byProcess := map[string]*Tally{}
+	for i := range tallies {
+		tally := &tallies[i]
+		merged := byProcess[tally.Process]
 		if merged == nil {
-			merged = &Word{Process: word.Process, Windows: map[Window]Counts{}}
-			byProcess[word.Process] = merged
+			merged = &Tally{Process: tally.Process, Windows: map[Window]Counts{}}
+			byProcess[tally.Process] = merged
 		}
-		merged.Complete = max(merged.Complete, word.Complete)
-		merged.Left = merged.Left || word.Left
-		for w, counts := range word.Windows {
+		merged.Complete = max(merged.Complete, tally.Complete)
+		merged.Left = merged.Left || tally.Left
+		for w, counts := range tally.Windows {
 			merged.take(w, counts)
 		}
 	}
-	out := make([]Word, 0, len(byProcess))
-	for _, word := range byProcess {
-		out = append(out, *word)
+	out := make([]Tally, 0, len(byProcess))
+	for _, tally := range byProcess {
+		out = append(out, *tally)
 	}
 	return out
 }
 
-func (word *Word) take(w Window, counts Counts) {
-	if word.Windows[w] == nil {
-		word.Windows[w] = Counts{}
+func (tally *Tally) take(w Window, counts Counts) {
+	if tally.Windows[w] == nil {
+		tally.Windows[w] = Counts{}
 	}
 	for organisation, n := range counts {
-		word.Windows[w][organisation] = max(word.Windows[w][organisation], n)
+		tally.Windows[w][organisation] = max(tally.Windows[w][organisation], n)
 	}
 }
 
 // Sum adds up the counts of a window.
-func Sum(w Window, words []Word) Counts {
+func Sum(w Window, tallies []Tally) Counts {
 	total := Counts{}
-	for i := range words {
-		for organisation, n := range words[i].Windows[w] {
+	for i := range tallies {
+		for organisation, n := range tallies[i].Windows[w] {
 			total[organisation] += n
 		}
 	}
@@ -118,22 +118,22 @@
 }
 
 // First returns the first window in which a request was counted, at most w.
-func First(words []Word, w Window) Window {
-	for i := range words {
-		for counted := range words[i].Windows {
+func First(tallies []Tally, w Window) Window {
+	for i := range tallies {
+		for counted := range tallies[i].Windows {
 			w = min(w, counted)
 		}
 	}
 	return w
 }
 
-// Silent tells whether a process has said nothing of the windows from w on, so that its
-// word is of no more use.
-func (word *Word) Silent(w Window) bool {
-	for counted := range word.Windows {
+// Stale tells whether a process has published nothing of the windows from w on, so that
+// its tally is of no more use.
+func (tally *Tally) Stale(w Window) bool {
+	for counted := range tally.Windows {
 		if counted >= w {
 			return false
 		}
 	}
-	return word.Complete < w
+	return tally.Complete < w
 }
--- a/decide/usage/usage_test.go
+++ b/decide/usage/usage_test.go
@@ -24,61 +24,61 @@
 // Guards against a report before all that count have told, and against one that is late
 // for a process that will tell no more.
 func TestAWindowWaitsForThoseThatCountLately(t *testing.T) {
-	complete, behind := Word{Complete: 10}, Word{Complete: 8}
-	gone, left := Word{Complete: 7}, Word{Complete: 9, Left: true}
+	complete, behind := Tally{Complete: 10}, Tally{Complete: 8}
+	gone, left := Tally{Complete: 7}, Tally{Complete: 9, Left: true}
 	at := func(ended time.Duration) Age { return Age{Ended: ended, Followed: time.Hour} }
-	require.True(t, Whole(10, 9, []Word{complete, gone, left}, at(2*time.Second), patience))
-	require.False(t, Whole(10, 9, []Word{complete}, at(patience.Least/2), patience))
-	require.False(t, Whole(10, 9, []Word{complete, behind}, at(2*time.Second), patience))
-	require.True(t, Whole(10, 9, []Word{complete, behind}, at(patience.Most), patience))
+	require.True(t, Ready(10, 9, []Tally{complete, gone, left}, at(2*time.Second), patience))
+	require.False(t, Ready(10, 9, []Tally{complete}, at(patience.Least/2), patience))
+	require.False(t, Ready(10, 9, []Tally{complete, behind}, at(2*time.Second), patience))
+	require.True(t, Ready(10, 9, []Tally{complete, behind}, at(patience.Most), patience))
 }
 
 // Guards against a window that is summed up as the store comes back from an outage of
 // some windows, before anybody could tell what it had counted.
 func TestAWindowWaitsForAllBehindAnOutage(t *testing.T) {
-	words := []Word{{Complete: 6}, {Complete: 7}}
+	tallies := []Tally{{Complete: 6}, {Complete: 7}}
 	returned := Age{Ended: time.Hour, Followed: patience.Return / 2}
-	require.False(t, Whole(10, 7, words, returned, patience))
-	require.True(t, Whole(10, 7, []Word{{Complete: 10}, {Complete: 12}}, returned, patience))
+	require.False(t, Ready(10, 7, tallies, returned, patience))
+	require.True(t, Ready(10, 7, []Tally{{Complete: 10}, {Complete: 12}}, returned, patience))
 	returned.Followed = patience.Return
-	require.True(t, Whole(10, 7, words, returned, patience))
+	require.True(t, Ready(10, 7, tallies, returned, patience))
 }
 
-func TestSumOfAllWords(t *testing.T) {
-	words := []Word{
+func TestSumOfAllTallies(t *testing.T) {
+	tallies := []Tally{
 		{Windows: map[Window]Counts{10: {"a": 2, "b": 1}, 11: {"a": 5}}},
 		{Left: true, Windows: map[Window]Counts{10: {"a": 1}}},
 		{},
 	}
-	require.Equal(t, Counts{"a": 3, "b": 1}, Sum(10, words))
-	require.Equal(t, Counts{}, Sum(12, words), "a window without requests is reported, too")
-	require.False(t, words[0].Silent(11))
-	require.True(t, words[1].Silent(11))
+	require.Equal(t, Counts{"a": 3, "b": 1}, Sum(10, tallies))
+	require.Equal(t, Counts{}, Sum(12, tallies), "a window without requests is reported, too")
+	require.False(t, tallies[0].Stale(11))
+	require.True(t, tallies[1].Stale(11))
 }
 
-// Guards against counts that are lost to an older word of the same process, which the
+// Guards against counts that are lost to an older tally of the same process, which the
 // store carried out late.
-func TestWordsOfAProcessAreMerged(t *testing.T) {
-	older := Word{Process: "a", Complete: 9, Windows: map[Window]Counts{10: {"shop": 1}}}
-	newer := Word{Process: "a", Complete: 10, Windows: map[Window]Counts{10: {"shop": 2, "town": 1}}}
-	other := Word{Process: "b", Complete: 10, Windows: map[Window]Counts{10: {"shop": 5}}}
-	for _, words := range [][]Word{{older, newer, other}, {newer, other, older}} {
-		merged := Merge(words)
+func TestTalliesOfAProcessAreMerged(t *testing.T) {
+	older := Tally{Process: "a", Complete: 9, Windows: map[Window]Counts{10: {"shop": 1}}}
+	newer := Tally{Process: "a", Complete: 10, Windows: map[Window]Counts{10: {"shop": 2, "town": 1}}}
+	other := Tally{Process: "b", Complete: 10, Windows: map[Window]Counts{10: {"shop": 5}}}
+	for _, tallies := range [][]Tally{{older, newer, other}, {newer, other, older}} {
+		merged := Merge(tallies)
 		require.Len(t, merged, 2)
 		require.Equal(t, Counts{"shop": 7, "town": 1}, Sum(10, merged))
-		require.True(t, Whole(10, 9, merged, Age{Ended: 2 * time.Second}, patience))
+		require.True(t, Ready(10, 9, merged, Age{Ended: 2 * time.Second}, patience))
 	}
 }
 
-func TestWordsSurviveTheStore(t *testing.T) {
+func TestTalliesSurviveTheStore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		word := Word{
+		tally := Tally{
 			Complete: Window(rapid.Uint64().Draw(t, "complete")), Left: rapid.Bool().Draw(t, "left"),
 			Windows: map[Window]Counts{Window(rapid.Uint64().Draw(t, "window")): {rapid.String().Draw(t, "organisation"): rapid.Uint64().Draw(t, "n")}},
 		}
-		data, err := json.Marshal(word)
+		data, err := json.Marshal(tally)
 		require.NoError(t, err)
-		var read Word
+		var read Tally
 		require.NoError(t, json.Unmarshal(data, &read))
 		again, err := json.Marshal(read)
 		require.NoError(t, err)
--- a/gateway/duties/keeper.go
+++ b/gateway/duties/keeper.go
@@ -196,7 +196,7 @@
 	k.next, k.current = next, true // a holder that is the only writer need not read
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.state.Saw(&r, k.cfg.Now())
+	k.state.Observe(&r, k.cfg.Now())
 }
 
 // read brings the state up to the stream's end.
@@ -205,7 +205,7 @@
 		records, next, err := k.cfg.Store.ReadKeyed(ctx, platform.StreamDuties, k.next, 0)
 		if err == nil {
 			k.next = next
-			k.saw(records)
+			k.observe(records)
 			return nil
 		}
 		if !errors.Is(err, platform.ErrTruncated) {
@@ -217,16 +217,16 @@
 		return errors.Trace(err)
 	}
 	k.loaded, k.next = true, next
-	if !k.saw(records) {
+	if !k.observe(records) {
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		k.state.Saw(nil, k.cfg.Now())
+		k.state.Observe(nil, k.cfg.Now())
 	}
 	return nil
 }
 
-// saw takes the records of this lease; it tells whether there was one.
-func (k *Keeper) saw(records []platform.KeyedRecord) bool {
+// observe takes the records of this lease; it tells whether there was one.
+func (k *Keeper) observe(records []platform.KeyedRecord) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.cfg.Now()
@@ -247,7 +247,7 @@
 			continue
 		}
 		found = true
-		k.state.Saw(&r, now)
+		k.state.Observe(&r, now)
 	}
 	return found
 }
--- a/gateway/forward/usage_test.go
+++ b/gateway/forward/usage_test.go
@@ -23,10 +23,10 @@
 	records, _, err := p.Store.Newest(t.Context(), platform.StreamUsage)
 	require.NoError(t, err)
 	require.Len(t, records, 1)
-	var word decide.Word
-	require.NoError(t, json.Unmarshal(records[0].Value, &word))
+	var tally decide.Tally
+	require.NoError(t, json.Unmarshal(records[0].Value, &tally))
 	var n uint64
-	for _, counts := range word.Windows {
+	for _, counts := range tally.Windows {
 		n += counts[organisation]
 	}
 	return n
--- a/gateway/usage/counter.go
+++ b/gateway/usage/counter.go
@@ -21,7 +21,7 @@
 
 // Times of counting.
 const (
-	// lookEvery is how often it is looked whether there is something to tell.
+	// lookEvery is how often it is looked whether the tally has changed.
 	lookEvery = 100 * time.Millisecond
 	// settle is how long after a window's end its last requests are awaited that began
 	// in it.
@@ -29,20 +29,20 @@
 	// settleMost bounds that, for requests that take long.
 	settleMost = 2500 * time.Millisecond
 	// windowsKept is how many windows a process keeps its counts of: one that can't
-	// reach the store tells them once it is back.
+	// reach the store publishes them once it is back.
 	windowsKept = 12
 	putMost     = 2 * time.Second
-	// retryMost is the longest pause before a word is told again that was not taken.
+	// retryMost is the longest pause before a tally is published again that was not taken.
 	retryMost = 800 * time.Millisecond
 	// returnLeast covers that, and the time in which the store is found to be back.
 	returnLeast = 1200 * time.Millisecond
-	// wordsPerS bounds the words of all processes together.
-	wordsPerS = 100
+	// talliesPerS bounds the tallies of all processes together.
+	talliesPerS = 100
 )
 
 var (
 	countedRequests = metrics.Counter("usage_requests_total")
-	wordsFailed     = metrics.Counter("usage_words_failed_total")
+	talliesFailed   = metrics.Counter("usage_tallies_failed_total")
 )
 
 // Counter counts the requests of this process. It is safe for concurrent use.
@@ -55,14 +55,14 @@
 	processes func() int
 	log       *zap.Logger
 
-	mu      sync.Mutex
-	windows map[usage.Window]usage.Counts
-	running map[usage.Window]int // requests on their way, by the window of their start
-	dirty   bool
-	told    usage.Window // complete, as last told
-	left    bool
-	failing bool // the store did not take the last word
-	// unknown counts the words whose answer was lost. The store may carry them out later,
+	mu        sync.Mutex
+	windows   map[usage.Window]usage.Counts
+	running   map[usage.Window]int // requests on their way, by the window of their start
+	dirty     bool
+	published usage.Window // complete, as last published
+	left      bool
+	failing   bool // the store did not take the last tally
+	// unknown counts the tallies whose answer was lost. The store may carry them out later,
 	// so that the next ones get another key: they would be lost to an older one.
 	unknown int
 }
@@ -72,7 +72,7 @@
 func NewCounter(store platform.Keyed, process string, length time.Duration, now func() time.Time, processes func() int, log *zap.Logger) *Counter {
 	return &Counter{
 		store: store, process: process, length: length, now: now, processes: processes, log: log,
-		windows: map[usage.Window]usage.Counts{}, running: map[usage.Window]int{}, told: usage.At(now(), length),
+		windows: map[usage.Window]usage.Counts{}, running: map[usage.Window]int{}, published: usage.At(now(), length),
 	}
 }
 
@@ -132,10 +132,10 @@
 	}
 }
 
-// Run tells what was counted until ctx ends.
+// Run publishes what was counted until ctx ends.
 func (c *Counter) Run(ctx context.Context) {
 	for wait := time.Duration(0); sleep.For(ctx, max(wait, c.pace())); {
-		if c.tell(ctx) {
+		if c.publish(ctx) {
 			wait = 0
 			continue
 		}
@@ -144,29 +144,29 @@
 }
 
 func (c *Counter) pace() time.Duration {
-	return max(lookEvery, time.Duration(c.processes())*time.Second/wordsPerS)
+	return max(lookEvery, time.Duration(c.processes())*time.Second/talliesPerS)
 }
 
-// Return is how long after an outage of the store all processes need to say what they
-// have counted.
+// Return is how long after an outage of the store all processes need to publish what
+// they have counted.
 func (c *Counter) Return() time.Duration { return returnLeast + 2*c.pace() }
 
-// Leave tells the last of it; it is called once no request is on its way.
+// Leave publishes the last of it; it is called once no request is on its way.
 func (c *Counter) Leave(ctx context.Context) {
 	c.mu.Lock()
 	c.left, c.dirty = true, true
 	c.mu.Unlock()
-	c.tell(ctx)
+	c.publish(ctx)
 }
 
-// tell writes this process's word where there is something new in it; false: the store
+// publish writes this process's tally where there is something new in it; false: the store
 // has not taken it.
-func (c *Counter) tell(ctx context.Context) bool {
-	word, due := c.word()
+func (c *Counter) publish(ctx context.Context) bool {
+	tally, due := c.tally()
 	if !due {
 		return true
 	}
-	value, err := json.Marshal(word)
+	value, err := json.Marshal(tally)
 	if err != nil {
 		c.log.Error("Counts can't be encoded.", zap.Error(err))
 		return true
@@ -183,10 +183,10 @@
 		c.failing = false
 		return true
 	}
-	wordsFailed.Add(1)
+	talliesFailed.Add(1)
 	c.dirty = true
 	if !c.failing {
-		c.log.Warn("Counts are not taken by the store.", zap.Uint64("complete", uint64(word.Complete)), zap.Bool("may_stand", errors.Is(err, platform.ErrAppendUnknown)), zap.Error(err))
+		c.log.Warn("Counts are not taken by the store.", zap.Uint64("complete", uint64(tally.Complete)), zap.Bool("may_stand", errors.Is(err, platform.ErrAppendUnknown)), zap.Error(err))
 	}
 	c.failing = true
 	return false
@@ -198,25 +198,25 @@
 	return c.process + "#" + strconv.Itoa(c.unknown)
 }
 
-// word returns what this process has to say, and whether that is new.
-func (c *Counter) word() (usage.Word, bool) {
+// tally returns what this process has counted, and whether that has changed.
+func (c *Counter) tally() (usage.Tally, bool) {
 	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	complete := c.complete(now)
-	if !c.dirty && complete <= c.told {
-		return usage.Word{}, false
+	if !c.dirty && complete <= c.published {
+		return usage.Tally{}, false
 	}
-	c.dirty, c.told = false, max(c.told, complete)
-	word := usage.Word{Process: c.process, Complete: c.told, Left: c.left, Windows: make(map[usage.Window]usage.Counts, len(c.windows))}
+	c.dirty, c.published = false, max(c.published, complete)
+	tally := usage.Tally{Process: c.process, Complete: c.published, Left: c.left, Windows: make(map[usage.Window]usage.Counts, len(c.windows))}
 	for w, counts := range c.windows {
 		if w+windowsKept < usage.At(now, c.length) {
 			delete(c.windows, w)
 			continue
 		}
-		word.Windows[w] = maps.Clone(counts)
+		tally.Windows[w] = maps.Clone(counts)
 	}
-	return word, true
+	return tally, true
 }
 
 // complete is the newest window whose requests are all counted; mu is held.
--- a/gateway/usage/reporter.go
+++ b/gateway/usage/reporter.go
@@ -30,7 +30,7 @@
 	// reportSlots bounds the windows whose reports are kept in the store.
 	reportSlots = 32
 	// staleWindows is how many windows back a process must have counted last for its
-	// word to be dropped from the store.
+	// tally to be dropped from the store.
 	staleWindows = 24
 )
 
@@ -41,7 +41,7 @@
 )
 
 // Reporter reports the usage of all processes while this one has the duty. What is
-// reported of a window is first put down in the store, where the first report counts, so
+// reported of a window is first recorded in the store, where the first record counts, so
 // that whoever sends it, and how often, sends the same.
 type Reporter struct {
 	Keeper   *duties.Keeper
@@ -50,7 +50,7 @@
 	Node     string
 	Length   time.Duration  // of a window
 	Patience usage.Patience // but for Return
-	// Return is how long after an outage of the store all processes need to say what
+	// Return is how long after an outage of the store all processes need to publish what
 	// they have counted.
 	Return func() time.Duration
 	Now    func() time.Time
@@ -59,13 +59,13 @@
 	term    duties.Term
 	loaded  bool
 	done    usage.Window
-	reports map[usage.Window]usage.Counts // as put down
+	reports map[usage.Window]usage.Counts // as recorded
 	next    uint64                        // where their stream ends, as read
 	failing time.Time
-	dropped usage.Window // when words were last dropped
+	dropped usage.Window // when tallies were last dropped
 }
 
-// report is what is put down of a window.
+// report is what is recorded of a window.
 type report struct {
 	Window usage.Window `json:"w"`
 	Counts usage.Counts `json:"c"`
@@ -102,11 +102,11 @@
 	now := usage.At(r.Now(), r.Length)
 	done := usage.Window(term.Done)
 	if done == 0 {
-		words, err := r.words(ctx, now)
+		tallies, err := r.tallies(ctx, now)
 		if err != nil {
 			return errors.Trace(err)
 		}
-		done = usage.First(words, now) - 1
+		done = usage.First(tallies, now) - 1
 	}
 	if oldest := now - windowsKept; done < oldest {
 		reportsMissed.Add(int64(oldest - done))
@@ -118,7 +118,7 @@
 	return nil
 }
 
-// load reads what was put down before.
+// load reads what was recorded before.
 func (r *Reporter) load(ctx context.Context) error {
 	records, next, err := r.Store.Newest(ctx, platform.StreamReports)
 	if err != nil {
@@ -141,7 +141,7 @@
 	for w := r.done + 1; w < usage.At(r.Now(), r.Length); w++ {
 		counts, ok := r.reports[w]
 		if !ok {
-			counts, ok = r.putDown(ctx, w)
+			counts, ok = r.record(ctx, w)
 		}
 		if !ok || !r.send(ctx, w, counts) {
 			return
@@ -151,13 +151,13 @@
 	}
 }
 
-// putDown sums a window up and puts its report down; false: that is not possible yet.
-func (r *Reporter) putDown(ctx context.Context, w usage.Window) (usage.Counts, bool) {
+// record sums a window up and puts its report down; false: that is not possible yet.
+func (r *Reporter) record(ctx context.Context, w usage.Window) (usage.Counts, bool) {
 	ended := r.Now().Sub(w.End(r.Length))
 	if ended < r.Patience.Least {
 		return nil, false
 	}
-	words, err := r.words(ctx, w)
+	tallies, err := r.tallies(ctx, w)
 	if err != nil {
 		r.Log.Warn("Counts can't be read.", zap.Uint64("window", uint64(w)), zap.Error(err))
 		return nil, false
@@ -165,10 +165,10 @@
 	age := usage.Age{Ended: ended, Followed: r.Keeper.Followed()}
 	patience := r.Patience
 	patience.Return = r.Return()
-	if !usage.Whole(w, r.done, words, age, patience) {
+	if !usage.Ready(w, r.done, tallies, age, patience) {
 		return nil, false
 	}
-	counts := usage.Sum(w, words)
+	counts := usage.Sum(w, tallies)
 	value, err := json.Marshal(report{w, counts})
 	if err != nil {
 		r.Log.Error("A report can't be encoded.", zap.Error(err))
@@ -177,7 +177,7 @@
 	key := strconv.FormatUint(uint64(w%reportSlots), 10)
 	next, err := r.Store.PutAt(ctx, platform.StreamReports, []platform.KeyedRecord{{Key: key, Value: value}}, r.next)
 	if err != nil {
-		r.Log.Info("A report was not put down; looking whether one stands.", zap.Uint64("window", uint64(w)), zap.Error(err))
+		r.Log.Info("A report was not recorded; reading what stands.", zap.Uint64("window", uint64(w)), zap.Error(err))
 		r.loaded = false
 		return nil, false
 	}
@@ -185,25 +185,25 @@
 	return counts, true
 }
 
-// words reads what all processes have counted, and drops what is of no more use.
-func (r *Reporter) words(ctx context.Context, w usage.Window) ([]usage.Word, error) {
+// tallies reads what all processes have counted, and drops what is of no more use.
+func (r *Reporter) tallies(ctx context.Context, w usage.Window) ([]usage.Tally, error) {
 	records, _, err := r.Store.Newest(ctx, platform.StreamUsage)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	words := make([]usage.Word, 0, len(records))
+	tallies := make([]usage.Tally, 0, len(records))
 	var stale []platform.KeyedRecord
 	for _, rec := range records {
-		var word usage.Word
-		if err := json.Unmarshal(rec.Value, &word); err != nil {
+		var tally usage.Tally
+		if err := json.Unmarshal(rec.Value, &tally); err != nil {
 			r.Log.Warn("Counts can't be read and are left out.", zap.String("key", rec.Key), zap.Error(err))
 			continue
 		}
-		if word.Silent(w - staleWindows) {
+		if tally.Stale(w - staleWindows) {
 			stale = append(stale, platform.KeyedRecord{Key: rec.Key})
 			continue
 		}
-		words = append(words, word)
+		tallies = append(tallies, tally)
 	}
 	if len(stale) > 0 && r.dropped < w {
 		r.dropped = w
@@ -211,7 +211,7 @@
 			r.Log.Info("Old counts were not dropped.", zap.Int("processes", len(stale)), zap.Error(err))
 		}
 	}
-	return usage.Merge(words), nil
+	return usage.Merge(tallies), nil
 }
 
 // send reports a window; false: it has to be sent again, or by another.
