--- a/ctl/logs.go
+++ b/ctl/logs.go
@@ -21,7 +21,7 @@
 func (t *tool) traceCommand() *ffcli.Command {
 	set := t.flagSet("trace")
 	asJSON := set.Bool("json", false, "print JSON")
-	return t.command(set, "ID LOGS…", "show each decision on a request, batch job or sample, out of log files, folders or - for standard input", 1, pathsMost,
+	return t.command(set, "ID LOGS…", "show each decision on a request, batch job, sample or duty, out of log files, folders or - for standard input", 1, pathsMost,
 		func(_ context.Context, args []string) error {
 			tracer := logscan.NewTracer(args[0])
 			stats, err := t.scan(args[1:], tracer.Add)
--- a/ctl/logscan/line.go
+++ b/ctl/logscan/line.go
@@ -31,6 +31,7 @@
 	ID       string   `json:"id"`
 	Request  string   `json:"request"` // a request's name by its content
 	Job      string   `json:"job"`
+	Duty     string   `json:"duty"` // of one process at a time
 	ScoreID  string   `json:"score_id"`
 	Server   string   `json:"server"`
 	Model    string   `json:"model"`
--- a/ctl/logscan/logscan_test.go
+++ b/ctl/logscan/logscan_test.go
@@ -222,3 +222,17 @@
 		scan(b, text, losses.Add)
 	}
 }
+
+// A customer was billed twice: who reported, since when, and who had reported before.
+func TestTraceOfADuty(t *testing.T) {
+	tracer := NewTracer("usage")
+	scan(t, record(0, "usage: duties: This process has a duty.", `"duty":"usage","token":7`)+
+		record(5, "usage: Usage reported.", `"duty":"usage","window":3,"token":7,"requests":2`)+
+		record(6, "usage: Usage reported.", `"duty":"other","window":3`)+
+		record(9, "usage: duties: This process no longer has a duty.", `"duty":"usage","token":7`), tracer.Add)
+	var messages []string
+	for _, d := range tracer.Decisions() {
+		messages = append(messages, d.Message)
+	}
+	require.Equal(t, []string{"This process has a duty.", "Usage reported.", "This process no longer has a duty."}, messages)
+}
--- a/ctl/logscan/trace.go
+++ b/ctl/logscan/trace.go
@@ -45,7 +45,7 @@
 	Dropped int
 }
 
-// NewTracer returns a tracer of an id, or of a request's name.
+// NewTracer returns a tracer of an id, of a request's name, or of a duty.
 func NewTracer(id string) *Tracer { return &Tracer{id: id, jobLines: map[string][]Decision{}} }
 
 // Add takes the next line.
@@ -54,8 +54,8 @@
 	case l.ID == t.id || l.ScoreID == t.id || l.ID != "" && l.ID == t.scoreID:
 		t.learn(l)
 		t.keep(l)
-	case l.Request == t.id && t.id != "":
-		t.keep(l) // all attempts of one request, which ended servers
+	case t.id != "" && (l.Request == t.id || l.Duty == t.id):
+		t.keep(l) // all attempts of one request, which ended servers; all holders of a duty
 	case l.Job == t.id && l.ID == "":
 		t.job = t.id
 		t.keep(l)
