usage: the first holder reports from its start; behind an outage of writes, too, counts are awaited

Cause: the first holder began with the first window in which anything had been counted, and looked for that after its claim. Where the store went away in between, it looked as the store came back, found nothing that any process could have published yet, and began with the window of then. And a store that answers reads and takes no writes was no outage: a window was summed up before a tally could be written. Seen the same each time with a store that is away in the one part and then the other (the new test, which failed so on the code before).

The first claim now holds the window before its process's start; how long the store has answered counts failed writes as well; and a window of which nobody has published anything waits for as long as all need behind an outage.

Ruled out: a tally that is lost to an older one (all tallies stood in the store).

--- a/decide/usage/usage.go
+++ b/decide/usage/usage.go
@@ -56,15 +56,15 @@
 	if age.Ended < p.Least {
 		return false
 	}
-	if age.Ended >= p.Most && age.Followed >= p.Return {
-		return true
-	}
+	told, awaited := false, false
 	for i := range tallies {
-		if tallies[i].awaited(w, done) {
-			return false
-		}
+		told = told || tallies[i].Complete >= w
+		awaited = awaited || tallies[i].awaited(w, done)
 	}
-	return true
+	if awaited {
+		return age.Ended >= p.Most && age.Followed >= p.Return
+	}
+	return told || age.Followed >= p.Return
 }
 
 // awaited tells whether a process has more to publish of a window: one that was heard of by
@@ -117,16 +117,6 @@
 	return total
 }
 
-// First returns the first window in which a request was counted, at most w.
-func First(tallies []Tally, w Window) Window {
-	for i := range tallies {
-		for counted := range tallies[i].Windows {
-			w = min(w, counted)
-		}
-	}
-	return w
-}
-
 // Stale tells whether a process has published nothing of the windows from w on, so that
 // its tally is of no more use.
 func (tally *Tally) Stale(w Window) bool {
--- a/decide/usage/usage_test.go
+++ b/decide/usage/usage_test.go
@@ -40,6 +40,7 @@
 	returned := Age{Ended: time.Hour, Followed: patience.Return / 2}
 	require.False(t, Ready(10, 7, tallies, returned, patience))
 	require.True(t, Ready(10, 7, []Tally{{Complete: 10}, {Complete: 12}}, returned, patience))
+	require.False(t, Ready(10, 7, nil, returned, patience), "nobody could publish yet")
 	returned.Followed = patience.Return
 	require.True(t, Ready(10, 7, tallies, returned, patience))
 }
--- a/gateway/duties/keeper.go
+++ b/gateway/duties/keeper.go
@@ -36,6 +36,8 @@
 	Renew time.Duration
 	// Look returns the pause between two looks of a process that is not the holder.
 	Look func() time.Duration
+	// First is how far the duty has come where nobody has had it before.
+	First uint64
 	// Turn is how long this process lets others go first.
 	Turn time.Duration
 	// Now is a steady clock that goes on while the VM is suspended.
@@ -59,7 +61,7 @@
 	held  bool          // as last logged
 	done  uint64        // how far this process has come with the duty
 	quit  string        // why this process gives the lease up; empty: it does not
-	since time.Duration // when reads began to succeed after the last outage
+	since time.Duration // when the store last gave no answer
 
 	// The fields from here on belong to the goroutine of Run.
 	loaded  bool
@@ -93,7 +95,7 @@
 	return k.quit == "" && r.Token == term.Token && k.state.MayAct(k.cfg.Now(), need)
 }
 
-// Followed is how long the store has been readable since the last outage.
+// Followed is how long the store has answered since the last time it did not.
 func (k *Keeper) Followed() time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -169,7 +171,11 @@
 		return k.state.Renew(k.done, now), true
 	case k.state.MayClaim(now, k.cfg.Turn) && k.quit != leaving:
 		k.quit = ""
-		return k.state.Claim(k.next, now), true
+		r := k.state.Claim(k.next, now)
+		if _, exists := k.state.Record(); !exists {
+			r.Done = k.cfg.First
+		}
+		return r, true
 	default:
 		return lease.Record{}, false
 	}
@@ -190,6 +196,7 @@
 		return
 	case err != nil:
 		writesFailed.Add(1)
+		k.failed()
 		k.log.Warn("A lease was not written.", zap.Uint64("token", r.Token), zap.Bool("may_stand", errors.Is(err, platform.ErrAppendUnknown)), zap.Error(err))
 		return
 	}
@@ -252,7 +259,15 @@
 	return found
 }
 
+// failed notes that the store did not answer.
+func (k *Keeper) failed() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.since = k.cfg.Now()
+}
+
 func (k *Keeper) readFailed(err error) {
+	k.failed()
 	if !k.failing {
 		k.log.Warn("The leases can't be read.", zap.Error(err))
 	}
--- a/gateway/usage/reporter.go
+++ b/gateway/usage/reporter.go
@@ -40,6 +40,12 @@
 	reportsMissed = metrics.Counter("usage_reports_missed_total")
 )
 
+// First is how far the duty has come for the first process that ever has it, and that
+// started at a time: windows from that one on are reported.
+func First(started time.Time, length time.Duration) uint64 {
+	return uint64(usage.At(started, length) - 1)
+}
+
 // Reporter reports the usage of all processes while this one has the duty. What is
 // reported of a window is first recorded in the store, where the first record counts, so
 // that whoever sends it, and how often, sends the same.
@@ -87,35 +93,22 @@
 			r.loaded = true
 		}
 		if term.Token != r.term.Token {
-			if err := r.begin(ctx, term); err != nil {
-				r.Log.Warn("Counts can't be read.", zap.Error(err))
-				continue
-			}
+			r.begin(term)
 		}
 		r.step(ctx)
 	}
 }
 
-// begin goes on where earlier holders have come to; the first one begins with the first
-// window in which a request was counted.
-func (r *Reporter) begin(ctx context.Context, term duties.Term) error {
-	now := usage.At(r.Now(), r.Length)
+// begin goes on where earlier holders have come to.
+func (r *Reporter) begin(term duties.Term) {
 	done := usage.Window(term.Done)
-	if done == 0 {
-		tallies, err := r.tallies(ctx, now)
-		if err != nil {
-			return errors.Trace(err)
-		}
-		done = usage.First(tallies, now) - 1
-	}
-	if oldest := now - windowsKept; done < oldest {
+	if oldest := usage.At(r.Now(), r.Length) - windowsKept; done < oldest {
 		reportsMissed.Add(int64(oldest - done))
 		r.Log.Error("Windows can't be reported any more.", zap.Uint64("from", uint64(done)+1), zap.Uint64("to", uint64(oldest)))
 		done = oldest
 	}
 	r.term, r.failing, r.done = term, time.Time{}, done
 	r.Keeper.Finished(uint64(done))
-	return nil
 }
 
 // load reads what was recorded before.
--- a/gateway/usage/usage_test.go
+++ b/gateway/usage/usage_test.go
@@ -58,7 +58,7 @@
 	two := func() int { return 2 }
 	p := &process{counter: usage.NewCounter(store, self.Node+"/"+self.Life, window, time.Now, two, zap.NewNop())}
 	p.keeper = duties.New(duties.Config{
-		Duty: usage.Duty, Self: self, Store: store, Now: boottime.Now, Logger: zap.NewNop(), Renew: 100 * time.Millisecond,
+		Duty: usage.Duty, First: usage.First(time.Now(), window), Self: self, Store: store, Now: boottime.Now, Logger: zap.NewNop(), Renew: 100 * time.Millisecond,
 		Timing: lease.Timing{Valid: 1200 * time.Millisecond, TakeOver: 1500 * time.Millisecond},
 		Look:   func() time.Duration { return 50 * time.Millisecond },
 	})
@@ -170,6 +170,26 @@
 	s.reported("shop", 2)
 }
 
+// Guards against windows that the first holder never reports: the store goes away between
+// its claim and its look at what was counted.
+func TestTheFirstHolderReportsFromItsStart(t *testing.T) {
+	s := newSite(t)
+	const reports = "keyed.usage-reports"
+	s.store.Fail(hostedtest.StoreFaults{Away: []string{reports}})
+	a := s.start("a")
+	s.holder(a)
+	s.store.Fail(hostedtest.StoreFaults{Away: []string{reports}, ReadOnly: true})
+	a.request("shop")
+	later := time.Now().Add(2 * window)
+	require.Eventually(t, func() bool { return time.Now().After(later) }, gatewaytest.Wait, time.Millisecond)
+	s.store.Fail(hostedtest.StoreFaults{ReadOnly: true})
+	looks := s.store.Calls(hostedtest.PathNewest)
+	require.Eventually(t, func() bool { return s.store.Calls(hostedtest.PathNewest) > looks+4 }, gatewaytest.Wait, time.Millisecond)
+	s.store.Fail(hostedtest.StoreFaults{})
+	s.reported("shop", 1)
+	s.whole()
+}
+
 // Guards against a lease that is lost with the answers of the store, and against reports
 // that stop for good after an outage.
 func TestADutyOutlivesTheStoresFaults(t *testing.T) {
