entry/calls: a stream that ends at its deadline is no longer answered not_ready

Callers saw not_ready (not_run true, to be repeated) in place of deadline_too_short in about 1 of 400 runs of TestExpiredDeadlines on an overloaded machine.

Cause: the agent gets a copy of the deadline with the call. Its timer may fire just before the entry's own context ends; the stream then ends while the context is still alive, which was taken for a lost server. Ruled out: a lost agent (the reports go on), a refusal (there is none).

Now an attempt whose deadline is at most 20 ms away counts as ended by it. Nothing is lost by that: no further attempt succeeds in 20 ms. Before: the new test fails with not_ready; after: it passes.

--- a/entry/calls/attempt.go
+++ b/entry/calls/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/grpc"
 
@@ -11,6 +12,10 @@
 	"dandelionsill.org/wire/refusal"
 )
 
+// deadlineSkew is how much earlier than an attempt's own context the agent's copy of the deadline may
+// end the stream: the copy has timers of its own. No attempt succeeds in what is left then.
+const deadlineSkew = 20 * time.Millisecond
+
 // target is a server that an attempt is sent to.
 type target struct {
 	name   string
@@ -192,13 +197,20 @@
 		return kinds.New(kinds.BackendFailed, "%s gave no whole answer", a.server.name).WithCause(cause)
 	case a.request.Held.Sent():
 		return kinds.New(kinds.OutcomeUnknown, "the request was sent to %s and its answer was lost", a.server.name).WithCause(cause)
-	case a.ctx.Err() != nil:
+	case a.isDeadlineReached():
 		return a.request.Held.Refuse(kinds.DeadlineTooShort, "the deadline passed before %s was told to go", a.server.name).WithCause(cause)
 	default:
 		return a.request.Held.Refuse(kinds.NotReady, "%s was lost before the request was sent", a.server.name).WithCause(cause)
 	}
 }
 
+// isDeadlineReached reports whether the attempt's context has ended, or its deadline is so close
+// that the agent's copy of it may have passed.
+func (a *attempt) isDeadlineReached() bool {
+	deadline, ok := a.ctx.Deadline()
+	return a.ctx.Err() != nil || ok && time.Until(deadline) <= deadlineSkew
+}
+
 // unreachableError returns the error for an attempt whose stream could not be opened.
 // grpc opens a stream only on a ready connection, and the request is sent after that, so
 // this attempt did not run. If the call has an idempotency key, this proves little: an
--- a/entry/calls/calls_test.go
+++ b/entry/calls/calls_test.go
@@ -437,6 +437,20 @@
 	}
 }
 
+// Guards against "not ready", which invites a repetition, for a deadline whose copy in the agent
+// ends the stream just before the entry's own context ends.
+func TestStreamThatEndsAtItsDeadlineIsNotNotReady(t *testing.T) {
+	for remaining, want := range map[time.Duration]kinds.NotRunKind{time.Hour: kinds.NotReady, deadlineSkew: kinds.DeadlineTooShort} {
+		ctx, cancel := context.WithTimeout(t.Context(), remaining)
+		c := &call{Attempts: front.NewAttempts(&front.Request{Held: kinds.Hold()}, false, 1)}
+		e, ok := kinds.As((&attempt{request: c, ctx: ctx}).noReplyError(io.EOF))
+		cancel()
+		require.True(t, ok)
+		require.True(t, e.NotRun())
+		require.Equal(t, string(want), e.Kind())
+	}
+}
+
 // The deadline passes between two attempts of a keyed call, of which the first got no
 // reply.
 func TestOutcomeIsUnknownWhenTheDeadlinePassesBetweenKeyedAttempts(t *testing.T) {
