--- a/gateway/server/agent.go
+++ b/gateway/server/agent.go
@@ -10,6 +10,7 @@
 
 	"dandelionsill.org/base/logs"
 	"dandelionsill.org/base/run"
+	decide "dandelionsill.org/decide/fanout"
 	"dandelionsill.org/gateway/orders"
 	"dandelionsill.org/gateway/view"
 	"dandelionsill.org/platform/hosted"
@@ -21,7 +22,7 @@
 	saveMemory()
 	log, out := newLogger("orders", cfg.Process.LogLevel)
 	store := hosted.NewStore(cfg.Store.Address)
-	peers := newPeers(store, cfg.Process.Name, "", log)
+	peers := newPeers(store, decide.Member{VM: cfg.Process.Name, FailureDomain: cfg.Process.FailureDomain}, log)
 	v := view.New(store, logs.Part(log, "view"))
 	v.MinReadInterval = func() time.Duration { return feedReadInterval(peers, cfg.Store.ReadsPerS) }
 	agent := orders.New(orders.Config{
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -18,6 +18,7 @@
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/base/run"
 	"dandelionsill.org/base/trace"
+	decide "dandelionsill.org/decide/fanout"
 	"dandelionsill.org/decide/lease"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/backend"
@@ -66,7 +67,8 @@
 	store := hosted.NewStore(cfg.Store.Address)
 	writer := jobs.Writer{VM: cfg.Process.Name, Incarnation: newIncarnation()}
 	capacity := gatewayjobs.Capacity(cfg.VM.CPUShare, cfg.VM.LinkMbps)
-	peers := newPeers(store, cfg.Process.Name, cfg.Listen.Peers, log)
+	self := decide.Member{VM: cfg.Process.Name, Addr: cfg.Listen.Peers, FailureDomain: cfg.Process.FailureDomain, Small: cfg.VM.CPUShare < smallVMCores}
+	peers := newPeers(store, self, log)
 	processCount := func() int { return len(peers.Addrs()) + 1 }
 	v := view.New(store, logs.Part(log, "view"))
 	v.UseCopies = true
@@ -182,11 +184,11 @@
 	return servers
 }
 
-// newPeers enables calls of the store to be relayed by other gateways. self is the address at
-// which this process relays their calls; empty: it does not relay.
-func newPeers(store *hosted.Store, vm, self string, log *zap.Logger) *hosted.Peers {
+// newPeers enables calls of the store to be relayed by other gateways. self is this process; it
+// relays their calls if it has an address.
+func newPeers(store *hosted.Store, self decide.Member, log *zap.Logger) *hosted.Peers {
 	log = logs.Part(log, "store")
-	peers := hosted.NewPeers(store, vm, self, log)
+	peers := hosted.NewPeers(store, self, log)
 	store.SetPeers(peers.Addrs, func(unavailable error) {
 		if unavailable != nil {
 			log.Warn("The store is unavailable; calls are relayed by peers.", zap.Int("peers", len(peers.Addrs())), zap.String("why", unavailable.Error()))
