gateway/fanout: processes of a large fleet read the common streams from each other

Cause: 983 processes each follow the entries of 430 servers, one each 2 s of some 370 B (78 MB/s), and read their whole list each 4 s (some 50 MB/s), of a store that gives 80 MB/s. The quantity that grows faster than the fleet: processes x servers.

Now, above 100 gateways, three roots of each failure domain read the jobs' stream and both feeds from the store; the others read from a parent, which keeps 4 MB of each stream and answers long polls, with the age of what it states. Offsets are the store's, so that a process changes its parent, or reads from the store, at any record. What must hold: - fresh: a page's age counts for 404, for 'nothing yet' and for outages, as a direct read's does; a parent that has not reached the log's end within 0.8 s is not read from. Clocks count suspended time. - never back: tables and versions are only replaced by newer ones; a list from a gateway that has read less than the reader is refused. - dead and frozen parents lose their place within half a second; a stale one keeps it, and others are asked. If all are stale, the log is away: then the number of roots doubles each 3 s. Up to 100 gateways all read from the store, as before.

--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -140,7 +140,7 @@
 // Before the first configuration is read, all requests are refused as not run.
 func TestNoConfigurationIsNotRun(t *testing.T) {
 	store := hosted.NewStore("127.0.0.1:1")
-	f := &front.Front{View: view.New(store, zap.NewNop()), Log: zap.NewNop(), Latency: metrics.NewHistogram("front_test_latency")}
+	f := &front.Front{View: view.New(hosted.NewFeeds(store, store), zap.NewNop()), Log: zap.NewNop(), Latency: metrics.NewHistogram("front_test_latency")}
 	w := httptest.NewRecorder()
 	f.ServeHTTP(w, httptest.NewRequest("GET", "/score/x", nil))
 	require.Equal(t, 503, w.Code)
--- a/gateway/gatewaytest/gatewaytest.go
+++ b/gateway/gatewaytest/gatewaytest.go
@@ -143,7 +143,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var loops sync.WaitGroup
 	store := hosted.NewStore(p.Store.Addr())
-	v := view.New(store, zap.NewNop())
+	v := view.New(hosted.NewFeeds(store, store), zap.NewNop())
 	pool := backend.NewPool(hosted.AttemptID)
 	proc := &Process{Store: store, View: v, Pool: pool, Forward: forward.New(v, pool, "zone-a", zap.NewNop())}
 	proc.Go = func(f func(context.Context)) { loops.Go(func() { f(ctx) }) }
--- a/gateway/jobs/index.go
+++ b/gateway/jobs/index.go
@@ -131,7 +131,7 @@
 				x.zlog.Info("The log is back.", zap.Uint64("offset", x.nextOffset))
 			}
 			failing = false
-			x.foldPage(page, sent)
+			x.foldPage(page, sent.Add(-page.Age))
 			if page.Next >= page.End {
 				sleep.For(ctx, x.readInterval()-time.Since(sent))
 			}
@@ -235,7 +235,8 @@
 	return max(0, now.Sub(time.UnixMilli(j.SubmittedMS)))
 }
 
-// foldPage applies a page whose read was sent at the given time.
+// foldPage applies a page that contains all records that were acknowledged before the given time,
+// if it reaches the log's end.
 func (x *Index) foldPage(page platform.Page, sent time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -251,7 +252,9 @@
 		if x.asOf.IsZero() {
 			x.zlog.Info("Read the log to its end.", zap.Uint64("offset", page.Next), zap.Int("jobs", len(x.state.Jobs)), zap.Int("open", x.state.CountOpen()))
 		}
-		x.asOf = sent
+		if sent.After(x.asOf) {
+			x.asOf = sent
+		}
 	}
 	if len(page.Records) > 0 {
 		x.Changed.Notify()
--- a/gateway/server/agent.go
+++ b/gateway/server/agent.go
@@ -3,16 +3,13 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/go-kratos/kratos/v2/transport"
 	"go.uber.org/zap"
 
-	"dandelionsill.org/base/logs"
 	"dandelionsill.org/base/run"
 	decide "dandelionsill.org/decide/fanout"
 	"dandelionsill.org/gateway/orders"
-	"dandelionsill.org/gateway/view"
 	"dandelionsill.org/platform/hosted"
 )
 
@@ -22,9 +19,9 @@
 	saveMemory()
 	log, out := newLogger("orders", cfg.Process.LogLevel)
 	store := hosted.NewStore(cfg.Store.Address)
-	peers := newPeers(store, decide.Member{VM: cfg.Process.Name, FailureDomain: cfg.Process.FailureDomain}, log)
-	v := view.New(store, logs.Part(log, "view"))
-	v.MinReadInterval = func() time.Duration { return feedReadInterval(peers, cfg.Store.ReadsPerS) }
+	self := decide.Member{VM: cfg.Process.Name, FailureDomain: cfg.Process.FailureDomain}
+	peers := newPeers(store, self, log)
+	v := newFollowedStore(store, peers, self, cfg.Store.ReadsPerS, log).newView(log)
 	agent := orders.New(orders.Config{
 		VM: cfg.Process.Name, Incarnation: newIncarnation(), Addr: cfg.Engine.Address, View: v,
 		Engine: hosted.NewEngineClient(cfg.Engine.Address), Log: store, Logger: log,
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -22,6 +22,7 @@
 	"dandelionsill.org/decide/lease"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/backend"
+	"dandelionsill.org/gateway/fanout"
 	"dandelionsill.org/gateway/forward"
 	"dandelionsill.org/gateway/front"
 	gatewayjobs "dandelionsill.org/gateway/jobs"
@@ -70,13 +71,13 @@
 	self := decide.Member{VM: cfg.Process.Name, Addr: cfg.Listen.Peers, FailureDomain: cfg.Process.FailureDomain, Small: cfg.VM.CPUShare < smallVMCores}
 	peers := newPeers(store, self, log)
 	processCount := func() int { return len(peers.Addrs()) + 1 }
-	v := view.New(store, logs.Part(log, "view"))
+	followed := newFollowedStore(store, peers, self, cfg.Store.ReadsPerS, log)
+	v := followed.newView(log)
 	v.UseCopies = true
-	v.MinReadInterval = func() time.Duration { return feedReadInterval(peers, cfg.Store.ReadsPerS) }
 	pool := backend.NewPool(hosted.AttemptID)
 	forwarder := forward.New(v, pool, cfg.Process.FailureDomain, logs.Part(log, "forward"))
 	forwarder.Quarantine.EnableSharing(store, quarantine.NewHTTPPeers(peers.Addrs), cfg.Store.ReadsPerS)
-	index := gatewayjobs.NewIndex(store, logs.Part(log, "jobs"))
+	index := gatewayjobs.NewIndex(followed, logs.Part(log, "jobs"))
 	runner := gatewayjobs.NewRunner(index, store, forwarder, writer, cfg.Store.Parts, capacity, logs.Part(log, "runner"))
 	handler := &front.Front{
 		View: v, Forward: forwarder, Log: logs.Part(log, "front"), Latency: metrics.NewHistogram("front_latency"),
@@ -84,7 +85,7 @@
 	}
 	ready := &readiness{view: v, index: index, quarantine: forwarder.Quarantine}
 	index.Texts.SetPeers(peers.Addr)
-	index.SetReadInterval(func() time.Duration { return gatewayjobs.ReadInterval(processCount(), cfg.Store.ReadsPerS) })
+	index.SetReadInterval(func() time.Duration { return followed.readInterval(1) })
 	usage := newReporting(&cfg, lease.Holder(writer), store, processCount, log)
 	if usage != nil {
 		forwarder.Usage = usage.counter
@@ -99,7 +100,7 @@
 	loops.Go(func() { runner.Run(ctx) })
 	log.Info("Starting.", zap.String("name", writer.VM), zap.String("life", writer.Incarnation), zap.String("callers", cfg.Listen.Callers), zap.String("store", cfg.Store.Address))
 	return &run.Process{
-		Servers:      gatewayServers(cfg, handler, newPeerHandler(index.Texts, forwarder.Quarantine, store), ready),
+		Servers:      gatewayServers(cfg, handler, newPeerHandler(index.Texts, forwarder.Quarantine, followed), ready),
 		Ready:        func(isReady bool) { ready.serving.Store(isReady); releaseWork(isReady, handler, runner, usage) },
 		StopDelay:    time.Duration(serveShare * float64(cfg.Process.Grace)),
 		Drain:        func(ctx context.Context) error { return drain(ctx, handler, runner, usage, log) },
@@ -112,15 +113,6 @@
 	}, nil
 }
 
-// processesPerGateway is the estimated number of processes that read the feeds, for each gateway.
-// A gateway only knows the number of gateways, and there is about one agent for each of them.
-const processesPerGateway = 2
-
-// feedReadInterval returns the minimum time between two reads of a feed.
-func feedReadInterval(gateways *hosted.Peers, readsPerS float64) time.Duration {
-	return gatewayjobs.ReadInterval(processesPerGateway*(len(gateways.Addrs())+1), readsPerS)
-}
-
 // flushTimeout bounds the time in which the last spans are sent when the process stops.
 const flushTimeout = time.Second
 
@@ -154,12 +146,13 @@
 	return handler.Drain(ctx)
 }
 
-// newPeerHandler returns the handler for calls of other gateways: texts of jobs, quarantined
-// requests, and calls of the store that are relayed.
-func newPeerHandler(textHandler, quarantineHandler http.Handler, store *hosted.Store) http.Handler {
+// newPeerHandler returns the handler for calls of other processes: texts of jobs, quarantined
+// requests, streams that all processes follow, and calls of the store that are relayed.
+func newPeerHandler(textHandler, quarantineHandler http.Handler, store *followedStore) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(gatewayjobs.PathTexts, textHandler)
 	mux.Handle(quarantine.PathPeers, quarantineHandler)
+	mux.Handle(fanout.PathTail, store.tail)
 	mux.Handle("/", store.Relay())
 	return mux
 }
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -26,10 +26,10 @@
 	// force within 2 s, and a read without an answer ends after pollWait and the
 	// client's own timeout.
 	pollWait = 700 * time.Millisecond
-	// snapshotInterval is the usual time between two reads of the complete list. They
+	// DefaultSnapshotInterval is the usual time between two reads of the complete list. They
 	// make up for changes that a read missed, since the store's watchers can miss
 	// changes for a second.
-	snapshotInterval = 4 * time.Second
+	DefaultSnapshotInterval = 4 * time.Second
 	// maxSnapshotShare bounds the share of the time that is used to read complete
 	// lists: after a read that took long, the next one is later. The lists of a large
 	// fleet, read at the usual interval by every process, would overload the store and
@@ -86,6 +86,9 @@
 	// processes: without a bound, 300 processes would each read every change of the
 	// entries of 3,000 servers separately.
 	MinReadInterval func() time.Duration
+	// SnapshotInterval returns the time between two reads of a feed's complete list; nil means
+	// DefaultSnapshotInterval. It is set before Run.
+	SnapshotInterval func() time.Duration
 
 	feeds      platform.Feeds
 	log        *zap.Logger
@@ -132,7 +135,7 @@
 // the given time has been applied.
 func (v *View) recordRead(feed platform.Feed, sent time.Time) {
 	if feed == platform.FeedOperator {
-		v.operatorReadAt.Store(int64(max(1, sent.Sub(v.started))))
+		v.operatorReadAt.Store(max(1, v.operatorReadAt.Load(), int64(sent.Sub(v.started))))
 	}
 }
 
@@ -169,12 +172,15 @@
 }
 
 // follow alternates between reading the complete list of a feed and reading its
-// changes, until ctx ends.
+// changes, until ctx ends. After a complete list that was read only because it was due, it
+// continues at its own offset, so that processes that read the changes from this one miss none.
 func (v *View) follow(ctx context.Context, feed platform.Feed) {
 	f := &follower{view: v, feed: feed}
+	var next uint64
+	isContinued := false
 	for ctx.Err() == nil {
 		start := v.now()
-		changes, next, err := v.feeds.Snapshot(ctx, feed)
+		page, err := v.feeds.Snapshot(ctx, feed)
 		if err != nil {
 			f.readCopy(ctx)
 			f.recordFailure(ctx, err)
@@ -182,41 +188,49 @@
 		}
 		f.feedRead = true
 		f.recordSuccess()
-		v.replaceAll(feed, changes)
-		v.recordRead(feed, start)
-		f.followChanges(ctx, next, nextSnapshotDelay(v.now().Sub(start)))
+		v.replaceAll(feed, page.Changes)
+		v.recordRead(feed, start.Add(-page.Age))
+		if !isContinued {
+			next = page.Next
+		}
+		next, isContinued = f.followChanges(ctx, next, v.nextSnapshotDelay(v.now().Sub(start)))
 	}
 }
 
 // nextSnapshotDelay returns how long after a complete list the next one is due, if the
 // read took the given time.
-func nextSnapshotDelay(took time.Duration) time.Duration {
-	due := time.Duration(float64(took) / maxSnapshotShare)
-	if due <= snapshotInterval {
-		return snapshotInterval
+func (v *View) nextSnapshotDelay(took time.Duration) time.Duration {
+	interval := DefaultSnapshotInterval
+	if v.SnapshotInterval != nil {
+		interval = v.SnapshotInterval()
+	}
+	due := max(interval, min(maxSnapshotInterval, time.Duration(float64(took)/maxSnapshotShare)))
+	if due == DefaultSnapshotInterval {
+		return due
 	}
-	return max(snapshotInterval, sleep.Jitter(min(maxSnapshotInterval, due)))
+	return max(DefaultSnapshotInterval, sleep.Jitter(due))
 }
 
-// followChanges reads changes from offset next on, until a read fails or the next
-// complete list is due.
-func (f *follower) followChanges(ctx context.Context, next uint64, after time.Duration) {
+// followChanges reads changes from offset next on, until a read fails (false) or the next
+// complete list is due (true), and returns the offset to continue at.
+func (f *follower) followChanges(ctx context.Context, next uint64, after time.Duration) (uint64, bool) {
 	renew := f.view.now().Add(after)
 	for ctx.Err() == nil && f.view.now().Before(renew) {
 		sent := f.view.now()
-		changes, end, err := f.view.feeds.Changes(ctx, f.feed, next, pollWait)
+		page, err := f.view.feeds.Changes(ctx, f.feed, next, pollWait)
 		if err != nil {
 			f.recordFailure(ctx, err)
-			return
+			return 0, false
 		}
 		f.recordSuccess()
-		f.view.apply(f.feed, changes)
-		f.view.recordRead(f.feed, sent)
-		next = end
+		f.view.apply(f.feed, page.Changes)
+		f.view.recordRead(f.feed, sent.Add(-page.Age))
+		next = page.Next
 		if f.view.MinReadInterval != nil {
 			sleep.For(ctx, f.view.MinReadInterval()-f.view.now().Sub(sent))
 		}
 	}
+	return next, true
 }
 
 // recordFailure records a failed read and waits before the next attempt.
--- a/gateway/view/view_test.go
+++ b/gateway/view/view_test.go
@@ -24,6 +24,7 @@
 	changes map[platform.Feed][]platform.Change
 	down    bool
 	stalled bool // waiting reads return no changes
+	age     time.Duration
 	copies  map[platform.Feed][]platform.Change
 }
 
@@ -76,32 +77,32 @@
 	})
 }
 
-func (f *memoryFeeds) Snapshot(_ context.Context, feed platform.Feed) ([]platform.Change, uint64, error) {
+func (f *memoryFeeds) Snapshot(_ context.Context, feed platform.Feed) (platform.FeedPage, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return nil, 0, platform.ErrLogUnavailable
+		return platform.FeedPage{}, platform.ErrLogUnavailable
 	}
-	return f.newest[feed], uint64(len(f.changes[feed])), nil
+	return platform.FeedPage{Changes: f.newest[feed], Next: uint64(len(f.changes[feed])), Age: f.age}, nil
 }
 
-func (f *memoryFeeds) Changes(ctx context.Context, feed platform.Feed, from uint64, wait time.Duration) ([]platform.Change, uint64, error) {
+func (f *memoryFeeds) Changes(ctx context.Context, feed platform.Feed, from uint64, wait time.Duration) (platform.FeedPage, error) {
 	deadline := time.After(wait)
 	for {
 		f.mu.Lock()
-		all, down, stalled := f.changes[feed], f.down, f.stalled
+		all, down, stalled, age := f.changes[feed], f.down, f.stalled, f.age
 		f.mu.Unlock()
 		switch {
 		case down:
-			return nil, from, platform.ErrLogUnavailable
+			return platform.FeedPage{Next: from}, platform.ErrLogUnavailable
 		case !stalled && from < uint64(len(all)):
-			return all[from:], uint64(len(all)), nil
+			return platform.FeedPage{Changes: all[from:], Next: uint64(len(all)), Age: age}, nil
 		}
 		select {
 		case <-deadline:
-			return nil, from, nil
+			return platform.FeedPage{Next: from, Age: age}, nil
 		case <-ctx.Done():
-			return nil, from, ctx.Err()
+			return platform.FeedPage{Next: from}, ctx.Err()
 		case <-time.After(time.Millisecond):
 		}
 	}
@@ -162,7 +163,7 @@
 		require.Len(t, v.Current().Servers["s"], 2)
 		f.update(func(f *memoryFeeds) { f.stalled = true })
 		f.add(platform.FeedServers, platform.Change{RemovedServer: "a"})
-		time.Sleep(snapshotInterval + pollWait + 100*time.Millisecond)
+		time.Sleep(DefaultSnapshotInterval + pollWait + 100*time.Millisecond)
 		require.Len(t, v.Current().Servers["s"], 1)
 	})
 }
@@ -241,10 +242,11 @@
 // The longer a complete list takes to read, the later the next one is read. The store
 // thus spends most of its time on other reads, even if many processes read long lists.
 func TestSlowSnapshotsAreLessFrequent(t *testing.T) {
+	v := New(newMemoryFeeds(), zap.NewNop())
 	for range 100 {
-		require.Equal(t, snapshotInterval, nextSnapshotDelay(10*time.Millisecond))
-		require.Greater(t, nextSnapshotDelay(100*time.Millisecond), 9*time.Second)
-		require.Less(t, nextSnapshotDelay(time.Hour), 2*maxSnapshotInterval)
+		require.Equal(t, DefaultSnapshotInterval, v.nextSnapshotDelay(10*time.Millisecond))
+		require.Greater(t, v.nextSnapshotDelay(100*time.Millisecond), 9*time.Second)
+		require.Less(t, v.nextSnapshotDelay(time.Hour), 2*maxSnapshotInterval)
 	}
 }
 
