gateway/jobs: the number of idle processes that append heartbeats is bounded

Cause: each large idle gateway appends a heartbeat to the jobs' stream each 3 s, so that a step can be given to it. 285 of them are 95 appends a second on a partition that takes 500 in all, each read by 633 gateways: gateways x gateways. Now about 48 gateways, chosen by a hash of their VM's name and the number of gateways, do so; up to 48 gateways, all, as before. By arithmetic, 22 large candidates in 3 s: 7 appends a second at any size of the fleet.

--- a/gateway/jobs/api.go
+++ b/gateway/jobs/api.go
@@ -12,6 +12,7 @@
 
 	"dandelionsill.org/base/sleep"
 	"dandelionsill.org/decide/gather"
+	"dandelionsill.org/decide/route"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/platform"
@@ -276,6 +277,17 @@
 	return int(min(maxItems, itemsPerCore*cpuShare, itemsPerMbps*linkMbps))
 }
 
+// maxCandidates is the mean number of idle processes that append heartbeats in a large fleet. Each
+// heartbeat is read by all gateways: those of all gateways would cost the square of the fleet, and
+// take the time that the stream's appends have.
+const maxCandidates = 48
+
+// IsCandidate reports whether the process of a VM is one of those that append heartbeats while
+// they are idle, so that a step can be given to them. processes is the number of gateways.
+func IsCandidate(vm string, processes int) bool {
+	return route.Hash(vm)%uint64(max(1, processes)) < maxCandidates
+}
+
 // appendUntil appends records until the log accepts them, done reports that they are no
 // longer needed, or ctx ends. It returns the offset of the first record.
 func (s *Service) appendUntil(ctx context.Context, stream string, records [][]byte, done func() bool) (uint64, *kinds.Error) {
--- a/gateway/jobs/outbox.go
+++ b/gateway/jobs/outbox.go
@@ -67,8 +67,9 @@
 	partitions int // of the texts' stream
 	// capacity is how many items this process can run; each record reports it.
 	capacity int
-	// needsHeartbeat reports whether this process has to append heartbeats.
-	needsHeartbeat func() bool
+	// needsHeartbeat reports whether this process has to append heartbeats, and isCandidate
+	// whether it appends some while it is idle.
+	needsHeartbeat, isCandidate func() bool
 	// onTextAppended is called with each text that the log has stored.
 	onTextAppended func(textKey, string)
 
@@ -86,7 +87,7 @@
 
 func newOutbox(log Log, writer jobs.Writer, partitions int, needsHeartbeat func() bool, onTextAppended func(textKey, string), zlog *zap.Logger) *outbox {
 	return &outbox{
-		log: log, zlog: zlog, retryLog: logs.Limited(zlog, retryLogInterval), writer: writer, partitions: max(1, partitions), needsHeartbeat: needsHeartbeat, onTextAppended: onTextAppended,
+		log: log, zlog: zlog, retryLog: logs.Limited(zlog, retryLogInterval), writer: writer, partitions: max(1, partitions), needsHeartbeat: needsHeartbeat, isCandidate: func() bool { return true }, onTextAppended: onTextAppended,
 		appenders: map[int]*partitionAppender{}, urgent: make(chan struct{}, 1),
 	}
 }
@@ -160,7 +161,7 @@
 		case <-tick.C:
 			o.startAllIdle()
 		}
-		heartbeat := time.Since(last) >= heartbeatInterval && o.needsHeartbeat() || time.Since(last) >= idle && o.capacity >= fullStepItems
+		heartbeat := time.Since(last) >= heartbeatInterval && o.needsHeartbeat() || time.Since(last) >= idle && o.capacity >= fullStepItems && o.isCandidate()
 		if o.flush(ctx, heartbeat) {
 			last = time.Now()
 			idle = idleHeartbeatInterval - rand.N(idleHeartbeatInterval/3)
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -122,6 +122,10 @@
 	return r
 }
 
+// SetCandidate sets the function that reports whether this process appends heartbeats while it is
+// idle. It must be called before Run.
+func (r *Runner) SetCandidate(isCandidate func() bool) { r.out.isCandidate = isCandidate }
+
 // needsHeartbeat reports whether this process has to send heartbeats: while it owns jobs, and
 // for heartbeatLinger after that, so that it can be given the next step.
 func (r *Runner) needsHeartbeat() bool {
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -79,6 +79,7 @@
 	forwarder.Quarantine.EnableSharing(store, quarantine.NewHTTPPeers(peers.Addrs), cfg.Store.ReadsPerS)
 	index := gatewayjobs.NewIndex(followed, logs.Part(log, "jobs"))
 	runner := gatewayjobs.NewRunner(index, store, forwarder, writer, cfg.Store.Parts, capacity, logs.Part(log, "runner"))
+	runner.SetCandidate(func() bool { return gatewayjobs.IsCandidate(writer.VM, processCount()) })
 	handler := &front.Front{
 		View: v, Forward: forwarder, Log: logs.Part(log, "front"), Latency: metrics.NewHistogram("front_latency"),
 		Jobs: gatewayjobs.NewService(index, store, writer, cfg.Store.Parts, capacity, logs.Part(log, "jobs")),
