gateway/view: a configuration is as old as the page that it came from, also just after the start

By reading: an age that reaches back before this process's start was cut to the start, so that a process could answer 404 by a configuration up to 0.8 s older than allowed. Tests: TestConfigurationIsAsOldAsItsSource (fails before), TestProcessIsAsUpToDateAsItsSource.

--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -95,8 +96,8 @@
 	now        func() time.Time
 	unreadable unreadableRecords
 
-	// operatorReadAt is when the last successful read of the operator's feed was sent,
-	// in nanoseconds since started; 0 if none has succeeded.
+	// operatorReadAt is when the operator's feed was last known to hold nothing newer, in
+	// nanoseconds since started; neverRead if no read has succeeded.
 	operatorReadAt atomic.Int64
 	started        time.Time
 
@@ -108,6 +109,7 @@
 // New returns a view with an empty snapshot.
 func New(feeds platform.Feeds, log *zap.Logger) *View {
 	v := &View{feeds: feeds, log: log, now: time.Now, started: time.Now(), servers: members.New(members.DefaultGracePeriod)}
+	v.operatorReadAt.Store(neverRead)
 	v.current.Store(&Snapshot{Servers: map[string][]members.Server{}, Versions: map[string]uint64{}})
 	return v
 }
@@ -123,19 +125,27 @@
 // IsFresh reports whether the configuration is new enough to refuse a request for a
 // route that it lacks. A process that falls behind an overloaded store, or can't reach
 // it, would otherwise permanently refuse callers of routes that were added meanwhile.
-func (v *View) IsFresh() bool { return v.operatorReadAt.Load() > 0 && v.ConfigAge() <= maxConfigAge }
+func (v *View) IsFresh() bool {
+	return v.operatorReadAt.Load() != neverRead && v.ConfigAge() <= maxConfigAge
+}
+
+// neverRead is the value of operatorReadAt before the first read.
+const neverRead = math.MinInt64
 
 // ConfigAge returns how long ago the configuration was certainly the newest one, or the
 // age of the view if it never was.
 func (v *View) ConfigAge() time.Duration {
-	return v.now().Sub(v.started) - time.Duration(v.operatorReadAt.Load())
+	age := v.now().Sub(v.started)
+	if readAt := v.operatorReadAt.Load(); readAt != neverRead {
+		age -= time.Duration(readAt)
+	}
+	return age
 }
 
-// recordRead records that everything returned by a read of the feed that was sent at
-// the given time has been applied.
-func (v *View) recordRead(feed platform.Feed, sent time.Time) {
+// recordRead records that everything that the feed held at the given time has been applied.
+func (v *View) recordRead(feed platform.Feed, at time.Time) {
 	if feed == platform.FeedOperator {
-		v.operatorReadAt.Store(max(1, v.operatorReadAt.Load(), int64(sent.Sub(v.started))))
+		v.operatorReadAt.Store(max(v.operatorReadAt.Load(), int64(at.Sub(v.started))))
 	}
 }
 
--- a/gateway/view/view_test.go
+++ b/gateway/view/view_test.go
@@ -292,3 +292,23 @@
 		require.EqualValues(t, 5, v.Current().Table.Version)
 	})
 }
+
+// Guards against "no such route" for a route that was added since: a configuration that was read
+// from another process is as old as what that process had read, also after a newer read.
+func TestConfigurationIsAsOldAsItsSource(t *testing.T) {
+	f := newMemoryFeeds()
+	f.add(platform.FeedOperator, platform.Change{Table: tableOf(t, 1)})
+	f.age = maxConfigAge + time.Second
+	runView(t, f, func(v *View) {
+		time.Sleep(100 * time.Millisecond)
+		require.NotNil(t, v.Current().Table)
+		require.False(t, v.IsFresh())
+		f.update(func(f *memoryFeeds) { f.age = 0 })
+		time.Sleep(2 * pollWait)
+		require.True(t, v.IsFresh())
+		f.update(func(f *memoryFeeds) { f.age = maxConfigAge / 2 })
+		age := v.ConfigAge()
+		time.Sleep(pollWait)
+		require.LessOrEqual(t, v.ConfigAge(), age+pollWait)
+	})
+}
