gateway/fanout: a gateway that does not follow one stream still serves the others

By reading: while one partition of the store is away (the operator's feed), a parent refuses reads of that stream, and its children did not ask it for any stream for a while; with all roots in that state, nobody followed the jobs' stream. Staleness now belongs to a gateway's stream.

Also: a parent that no longer keeps the records asked for has answered; the read from the store that follows no longer counts against it if it fails.

--- a/decide/fanout/failures.go
+++ b/decide/fanout/failures.go
@@ -8,53 +8,55 @@
 	// others take the parent's place in the tree.
 	initialDeadTime = time.Second
 	maxDeadTime     = 30 * time.Second
-	// staleTime is how long a parent is not asked that answers with records that are too old.
-	// It keeps its place: it reads from the log as soon as the log can be read.
+	// staleTime is how long a parent is not asked for a stream that it does not follow now. It
+	// keeps its place: it reads the stream as soon as the log can be read.
 	staleTime = 250 * time.Millisecond
 )
 
 // Failures holds which gateways have failed a process as parents. The zero value is ready to
 // use. It is not safe for concurrent use.
 type Failures struct {
-	byVM map[string]*failure
+	dead  map[string]deadTime
+	stale map[gatewayStream]time.Time // until when
 }
 
-type failure struct {
-	deadUntil, staleUntil time.Time
-	deadTime              time.Duration // the last one
+type deadTime struct {
+	until time.Time
+	last  time.Duration
 }
 
-func (f *Failures) of(vm string) *failure {
-	if f.byVM == nil {
-		f.byVM = map[string]*failure{}
-	}
-	if f.byVM[vm] == nil {
-		f.byVM[vm] = &failure{}
-	}
-	return f.byVM[vm]
-}
+// gatewayStream is a stream at a gateway. Parts of the log can be unavailable, so that a gateway
+// may follow one stream and not another.
+type gatewayStream struct{ vm, stream string }
 
 // RecordNoAnswer records that a gateway gave no answer.
 func (f *Failures) RecordNoAnswer(vm string, now time.Time) {
-	of := f.of(vm)
-	of.deadTime = min(maxDeadTime, max(initialDeadTime, 2*of.deadTime))
-	of.deadUntil = now.Add(of.deadTime)
+	if f.dead == nil {
+		f.dead = map[string]deadTime{}
+	}
+	duration := min(maxDeadTime, max(initialDeadTime, 2*f.dead[vm].last))
+	f.dead[vm] = deadTime{until: now.Add(duration), last: duration}
 }
 
-// RecordStale records that a gateway answered, but does not follow the log now.
-func (f *Failures) RecordStale(vm string, now time.Time) { f.of(vm).staleUntil = now.Add(staleTime) }
+// RecordStale records that a gateway answered, but does not follow a stream now.
+func (f *Failures) RecordStale(vm, stream string, now time.Time) {
+	if f.stale == nil {
+		f.stale = map[gatewayStream]time.Time{}
+	}
+	f.stale[gatewayStream{vm, stream}] = now.Add(staleTime)
+	delete(f.dead, vm)
+}
 
-// RecordAnswer records that a gateway served records.
-func (f *Failures) RecordAnswer(vm string) { delete(f.byVM, vm) }
+// RecordAnswer records that a gateway served records of a stream.
+func (f *Failures) RecordAnswer(vm, stream string) {
+	delete(f.dead, vm)
+	delete(f.stale, gatewayStream{vm, stream})
+}
 
 // IsDead reports whether a gateway counts as gone.
-func (f *Failures) IsDead(vm string, now time.Time) bool {
-	of := f.byVM[vm]
-	return of != nil && now.Before(of.deadUntil)
-}
+func (f *Failures) IsDead(vm string, now time.Time) bool { return now.Before(f.dead[vm].until) }
 
-// IsStale reports whether a gateway did not follow the log a moment ago.
-func (f *Failures) IsStale(vm string, now time.Time) bool {
-	of := f.byVM[vm]
-	return of != nil && now.Before(of.staleUntil)
+// IsStale reports whether a gateway did not follow a stream a moment ago.
+func (f *Failures) IsStale(vm, stream string, now time.Time) bool {
+	return now.Before(f.stale[gatewayStream{vm, stream}])
 }
--- a/decide/fanout/fanout_test.go
+++ b/decide/fanout/fanout_test.go
@@ -157,20 +157,21 @@
 }
 
 // Guards against a parent that is asked again at once after it gave no answer, and against one
-// that loses its place because it did not follow the log for a moment.
+// that loses its place, or its other streams, because it did not follow one for a moment.
 func TestFailuresExpire(t *testing.T) {
 	var f fanout.Failures
 	now := time.Unix(1000, 0)
-	f.RecordStale("a", now)
-	require.True(t, f.IsStale("a", now))
+	f.RecordStale("a", "feed", now)
+	require.True(t, f.IsStale("a", "feed", now))
+	require.False(t, f.IsStale("a", "jobs", now))
 	require.False(t, f.IsDead("a", now))
-	require.False(t, f.IsStale("a", now.Add(time.Second)))
+	require.False(t, f.IsStale("a", "feed", now.Add(time.Second)))
 	for range 10 {
 		f.RecordNoAnswer("b", now)
 	}
 	require.True(t, f.IsDead("b", now.Add(29*time.Second)))
 	require.False(t, f.IsDead("b", now.Add(31*time.Second)))
-	f.RecordAnswer("b")
+	f.RecordAnswer("b", "jobs")
 	require.False(t, f.IsDead("b", now))
 	require.False(t, f.IsDead("unknown", now))
 }
--- a/gateway/fanout/reader.go
+++ b/gateway/fanout/reader.go
@@ -173,9 +173,6 @@
 			return r.readDirect(ctx, b, stream, from, max, wait)
 		}
 		page, endedAt, err := r.askParent(ctx, *parent, parentRead{stream: stream, from: from, maxBytes: max << 10, wait: min(wait, maxWait)})
-		if errors.Is(err, platform.ErrTruncated) {
-			return r.readDirect(ctx, b, stream, from, max, wait) // the parent keeps only the last records
-		}
 		if err == nil {
 			b.add(from, page, endedAt)
 		}
@@ -242,6 +239,9 @@
 		if err == nil || parent == nil || ctx.Err() != nil {
 			return page, err
 		}
+		if errors.Is(err, platform.ErrTruncated) {
+			return read(nil) // the parent keeps only the last records
+		}
 	}
 	return platform.Page{}, fmt.Errorf("%w: %w", platform.ErrLogUnavailable, err)
 }
@@ -274,7 +274,7 @@
 		r.logParent("")
 		return nil, false
 	}
-	if !r.failures.IsStale(chosen.VM, now) {
+	if !r.failures.IsStale(chosen.VM, stream, now) {
 		r.logParent(chosen.VM)
 		return &chosen, false
 	}
@@ -289,7 +289,7 @@
 		return nil, false
 	}
 	for _, i := range rand.Perm(len(roots)) {
-		if root := roots[i]; !r.failures.IsStale(root.VM, now) {
+		if root := roots[i]; !r.failures.IsStale(root.VM, stream, now) {
 			r.logParent(root.VM)
 			return &root, false
 		}
@@ -329,13 +329,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
-	case err == nil:
+	case err == nil || errors.Is(err, platform.ErrTruncated):
 		parentReads.Add(1)
 		delete(r.staleSince, stream)
-		r.failures.RecordAnswer(parent.VM)
+		r.failures.RecordAnswer(parent.VM, stream)
 	case errors.Is(err, errNotFollowing):
 		parentStale.Add(1)
-		r.failures.RecordStale(parent.VM, time.Now())
+		r.failures.RecordStale(parent.VM, stream, time.Now())
 		r.log.Info("A gateway does not follow the log now.", zap.String("parent", parent.VM), zap.String("stream", stream), zap.Error(err))
 	default:
 		parentFailures.Add(1)
--- a/gateway/fanout/reader_test.go
+++ b/gateway/fanout/reader_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"dandelionsill.org/base/boottime"
+	"dandelionsill.org/base/sleep"
 	"dandelionsill.org/decide/fanout"
 	"dandelionsill.org/platform"
 )
@@ -22,8 +23,9 @@
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 const (
-	testStream = "jobs"
-	maxTime    = 30 * time.Second
+	testStream  = "jobs"
+	otherStream = "feed"
+	maxTime     = 30 * time.Second
 )
 
 // memoryLog is a log in memory that counts who reads from it.
@@ -32,6 +34,8 @@
 	changed chan struct{}
 	records []platform.Record
 	down    bool
+	// unavailable is a stream that can't be read.
+	unavailable string
 }
 
 func (l *memoryLog) update(change func()) {
@@ -55,12 +59,12 @@
 	cut   atomic.Bool // this process can't reach the log
 }
 
-func (l *memberLog) Read(ctx context.Context, _ string, from uint64, _ int, wait time.Duration) (platform.Page, error) {
+func (l *memberLog) Read(ctx context.Context, stream string, from uint64, _ int, wait time.Duration) (platform.Page, error) {
 	l.reads.Add(1)
 	timeout := time.After(wait)
 	for {
 		l.mu.Lock()
-		end, changed, down := uint64(len(l.records)), l.changed, l.down
+		end, changed, down := uint64(len(l.records)), l.changed, l.down || stream == l.unavailable
 		page := platform.Page{Next: max(from, end), End: end}
 		if from < end {
 			page.Records = append(page.Records, l.records[from:]...)
@@ -94,7 +98,7 @@
 	server  *httptest.Server
 	frozen  atomic.Bool // its server gives no answers
 	next    atomic.Uint64
-	failed  atomic.Int64 // reads in succession
+	failed  atomic.Int64 // number of reads
 	members []fanout.Member
 	stop    context.CancelFunc
 	done    chan struct{}
@@ -115,10 +119,9 @@
 		page, err := p.reader.Read(ctx, testStream, p.next.Load(), 0, time.Second)
 		if err != nil {
 			p.failed.Add(1)
-			time.Sleep(5 * time.Millisecond) // the pause of a caller that repeats a read
+			sleep.For(ctx, 5*time.Millisecond) // the pause of a caller that repeats a read
 			continue
 		}
-		p.failed.Store(0)
 		p.next.Store(page.Next)
 	}
 }
@@ -156,7 +159,7 @@
 				p.members = append(p.members, m)
 			}
 		}
-		p.reader = NewReader(Config{Self: p.self, Log: p.log, Gateways: p, Streams: []Stream{{Name: testStream}}, Now: boottime.Now, Logger: zap.NewNop()})
+		p.reader = NewReader(Config{Self: p.self, Log: p.log, Gateways: p, Streams: []Stream{{Name: testStream}, {Name: otherStream}}, Now: boottime.Now, Logger: zap.NewNop()})
 		p.reader.started -= maxStartTime
 	}
 	f.start(t)
@@ -275,6 +278,38 @@
 	}
 }
 
+// Guards against a stream that nobody follows any more because another one is unavailable.
+func TestUnavailableStreamStopsNoOther(t *testing.T) {
+	f := newFleet(t, 110, 0)
+	f.appendAndWait(t, none)
+	f.log.update(func() { f.log.unavailable = otherStream })
+	ctx, cancel := context.WithCancel(t.Context())
+	var readers sync.WaitGroup
+	var failed atomic.Int64
+	for _, p := range f.processes {
+		readers.Go(func() {
+			for ctx.Err() == nil {
+				if _, err := p.reader.Read(ctx, otherStream, 0, 0, time.Second); err != nil {
+					failed.Add(1)
+				}
+				sleep.For(ctx, 5*time.Millisecond)
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return failed.Load() > 500 }, maxTime, time.Millisecond)
+	for _, p := range f.processes {
+		p.failed.Store(0)
+	}
+	for range 10 {
+		f.appendAndWait(t, none)
+	}
+	for _, p := range f.processes {
+		require.Zero(t, p.failed.Load(), p.self.VM)
+	}
+	cancel()
+	readers.Wait()
+}
+
 // Guards against a process that takes a list from a gateway that has read less than itself, and
 // brings back what was removed.
 func TestOlderListIsNotUsed(t *testing.T) {
