--- a/gateway/fanout/reader.go
+++ b/gateway/fanout/reader.go
@@ -1,5 +1,5 @@
-// Package fanout reads the streams of the log that all processes follow, and serves what it has
-// read to other processes. decide/fanout decides from which process each one reads.
+// Package fanout reads the common streams, those of the log that all processes follow, and serves
+// what it has read to other processes. decide/fanout decides from which process each one reads.
 package fanout
 
 import (
@@ -302,8 +302,13 @@
 	if vm == r.parent || !r.tree.IsUsed() {
 		return
 	}
-	r.log.Info("Reading the log through another gateway.", zap.String("parent", vm), zap.String("before", r.parent), zap.Int("gateways", len(r.members)))
+	before := r.parent
 	r.parent = vm
+	if vm == "" {
+		r.log.Info("Reading the common streams from the log.", zap.String("before", before), zap.Int("gateways", len(r.members)))
+		return
+	}
+	r.log.Info("Reading the common streams through another gateway.", zap.String("parent", vm), zap.String("before", before), zap.Int("gateways", len(r.members)))
 }
 
 // readFromParent makes a read and records its outcome. A parent that has not read the stream
