gateway/fanout: heartbeats that change nothing answer no read; leaves read less often

Cause: a parent kept back the heartbeats of servers, but answered its children at each of them, with an empty page and a new offset: 16 answers a second and stream in place of 5. The quantity: processes x servers again, in calls between processes. Now a read ends at a record that is kept. Leaves, which serve nobody, wait 500 ms and read 120 ms apart; agents read from few gateways (13 of 127 in a domain of the fleet), so that most gateways are leaves.

Test: TestBufferLeavesOutRepeats (fails before: a repeat ends the wait).

--- a/decide/fanout/fanout.go
+++ b/decide/fanout/fanout.go
@@ -27,6 +27,9 @@
 	// childCount is the number of children of a gateway. Two levels below the roots then hold
 	// 3,171 gateways of a failure domain, and a parent answers some 600 reads a second.
 	childCount = 32
+	// agentCount is the number of agents of a gateway that has some, if there are as many agents as
+	// gateways. The other gateways serve nobody, and need to read less often.
+	agentCount = 16
 	// staleStep is longer than most outages of the log. After maxDoublings, all gateways of a large
 	// failure domain read from it.
 	staleStep    = 3 * time.Second
@@ -129,7 +132,7 @@
 		if len(alive) == 0 {
 			return Member{}, false
 		}
-		return alive[t.hash%uint64(min(len(alive), rootCount+rootCount*childCount))], true
+		return alive[t.hash%uint64(min(len(alive), 2*rootCount+len(alive)/agentCount))], true
 	}
 	if len(alive) < rootCount {
 		return Member{}, false
--- a/gateway/fanout/buffer.go
+++ b/gateway/fanout/buffer.go
@@ -43,7 +43,8 @@
 func (b *buffer) add(from uint64, page platform.Page, endedAt time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.loaded || from > b.next {
+	before, isReset := b.bytes, !b.loaded || from > b.next
+	if isReset {
 		if from > b.newestNext {
 			b.newest = nil // it lacks the records between
 		}
@@ -59,8 +60,10 @@
 	if b.next >= page.End {
 		b.endedAt = max(b.endedAt, endedAt)
 	}
+	if isReset || b.bytes > before {
+		b.changed.Notify()
+	}
 	b.dropOldest()
-	b.changed.Notify()
 }
 
 // addRecord adds the next record; b.mu is held.
@@ -132,13 +135,22 @@
 	return now - b.endedAt, b.endedAt > 0
 }
 
-// hasAfter reports whether there is anything after an offset.
-func (b *buffer) hasAfter(from uint64) bool {
+// isAfter reports whether the buffer ends after an offset.
+func (b *buffer) isAfter(from uint64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.next > from
 }
 
+// hasRecord reports whether there is a record from an offset on, or may have been one that is no
+// longer kept. Repeats do not count: readers would otherwise be answered at each heartbeat of any
+// server.
+func (b *buffer) hasRecord(from uint64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return from < b.start || len(b.records) > 0 && b.records[len(b.records)-1].Offset >= from
+}
+
 // read returns records from an offset on with at most maxBytes, but at least one if there is
 // one; false: those from the offset on are no longer kept. The page's Age is relative to now.
 func (b *buffer) read(now time.Duration, from uint64, maxBytes int) (platform.Page, bool) {
--- a/gateway/fanout/buffer_test.go
+++ b/gateway/fanout/buffer_test.go
@@ -105,11 +105,21 @@
 	require.True(t, ok)
 	require.Equal(t, []string{"b=draining 2", "a=", "a=ready 3", "c=ready 1"}, dataOf(page))
 	require.EqualValues(t, 16, page.Next)
+	changed := b.changed.Next()
+	b.add(16, pageOf(16, "c=ready 2"), time.Second)
+	require.False(t, b.hasRecord(16), "a repeat ends no wait")
+	select {
+	case <-changed:
+		require.Fail(t, "a repeat wakes waiting readers")
+	default:
+	}
+	require.True(t, b.hasRecord(13))
+	require.True(t, b.hasRecord(0), "what is no longer kept may have been a record")
 
-	list := platform.Page{Next: 18, Records: []platform.Record{{Offset: 17, Data: []byte("b=gone 9")}}}
+	list := platform.Page{Next: 19, Records: []platform.Record{{Offset: 18, Data: []byte("b=gone 9")}}}
 	b.replaceNewest(list, 0)
-	b.add(16, pageOf(16, "b=gone 8", "b=gone 9"), time.Second)
-	page, _ = b.read(0, 16, 1000)
+	b.add(17, pageOf(17, "b=gone 8", "b=gone 9"), time.Second)
+	page, _ = b.read(0, 17, 1000)
 	require.Equal(t, []string{"b=gone 8", "b=gone 9"}, dataOf(page))
 }
 
--- a/gateway/fanout/http.go
+++ b/gateway/fanout/http.go
@@ -152,7 +152,8 @@
 		return
 	}
 	waitMS, _ := strconv.Atoi(query.Get(paramWait)) // invalid: no wait
-	b.waitAfter(req.Context(), from, min(maxWait, time.Duration(waitMS)*time.Millisecond))
+	r.lastServed.Store(int64(start))
+	b.waitForRecord(req.Context(), from, min(maxLeafWait, time.Duration(waitMS)*time.Millisecond))
 	maxBytes, _ := strconv.Atoi(query.Get(paramMaxBytes))
 	if maxBytes <= 0 {
 		maxBytes = defaultPageBytes
@@ -194,13 +195,13 @@
 	_, _ = w.Write(body.Bytes()) // the peer notices a lost answer
 }
 
-// waitAfter waits until there is anything after an offset, for at most wait.
-func (b *buffer) waitAfter(ctx context.Context, from uint64, wait time.Duration) {
+// waitForRecord waits until there is a record from an offset on, for at most wait.
+func (b *buffer) waitForRecord(ctx context.Context, from uint64, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		changed := b.changed.Next()
-		if b.hasAfter(from) {
+		if b.hasRecord(from) {
 			return
 		}
 		select {
--- a/gateway/fanout/reader.go
+++ b/gateway/fanout/reader.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -23,9 +24,12 @@
 
 // Time limits and sizes of reads.
 const (
-	// maxWait bounds how long a read waits for a record. Each level of a tree adds as much to the
-	// age of what it serves.
-	maxWait = 200 * time.Millisecond
+	// maxWait bounds how long a read of a process that serves others waits for a record. Each level
+	// of a tree adds as much to the age of what it serves. maxLeafWait is the bound of a process
+	// that has served no read for leafAfter: most processes serve nobody, and would only poll.
+	maxWait     = 200 * time.Millisecond
+	maxLeafWait = 500 * time.Millisecond
+	leafAfter   = 2 * time.Second
 	// answerMargin is how much longer a read from a parent, a millisecond away, may take.
 	answerMargin = 300 * time.Millisecond
 	dialTimeout  = 200 * time.Millisecond
@@ -96,6 +100,8 @@
 	http    *http.Client
 	buffers map[string]*buffer // by stream
 	started time.Duration
+	// lastServed is when the last read of another process arrived, in ns of cfg.Now; 0: none has.
+	lastServed atomic.Int64
 
 	mu         sync.Mutex
 	tree       *fanout.Tree
@@ -172,7 +178,7 @@
 		if parent == nil {
 			return r.readDirect(ctx, b, stream, from, max, wait)
 		}
-		page, endedAt, err := r.askParent(ctx, *parent, parentRead{stream: stream, from: from, maxBytes: max << 10, wait: min(wait, maxWait)})
+		page, endedAt, err := r.askParent(ctx, *parent, parentRead{stream: stream, from: from, maxBytes: max << 10, wait: min(wait, r.maxWait())})
 		if err == nil {
 			b.add(from, page, endedAt)
 		}
@@ -197,7 +203,7 @@
 			return page, err
 		}
 		page, endedAt, err := r.askParent(ctx, *parent, parentRead{stream: stream, newest: true})
-		if err == nil && b.hasAfter(page.Next) {
+		if err == nil && b.isAfter(page.Next) {
 			return platform.Page{}, errNotFollowing // this process has read more
 		}
 		if err == nil {
@@ -207,12 +213,26 @@
 	})
 }
 
+// IsLeaf reports whether this process serves no other one.
+func (r *Reader) IsLeaf() bool {
+	served := time.Duration(r.lastServed.Load())
+	return served == 0 || r.cfg.Now()-served > leafAfter
+}
+
+// maxWait returns how long a read may wait for a record.
+func (r *Reader) maxWait() time.Duration {
+	if r.IsLeaf() {
+		return maxLeafWait
+	}
+	return maxWait
+}
+
 // readDirect reads from the log.
 func (r *Reader) readDirect(ctx context.Context, b *buffer, stream string, from uint64, max int, wait time.Duration) (platform.Page, error) {
 	directReads.Add(1)
 	isShared := r.Mode() != ModeAll
 	if isShared {
-		wait = min(wait, maxWait)
+		wait = min(wait, r.maxWait())
 	}
 	sent := r.cfg.Now()
 	page, err := r.cfg.Log.Read(ctx, stream, from, max, wait)
--- a/gateway/server/follow.go
+++ b/gateway/server/follow.go
@@ -21,11 +21,12 @@
 	// gateway. A process only knows the number of gateways, and there is about one agent for each
 	// of them.
 	processesPerGateway = 2
-	// rootReadInterval and childReadInterval are the minimum times between two reads of a stream
-	// where processes read through each other. Roots are few. A child's interval bounds the reads
-	// that its parent answers.
+	// rootReadInterval, childReadInterval and leafReadInterval are the minimum times between two
+	// reads of a stream where processes read through each other. Roots are few. Leaves, which serve
+	// no other process, are most of the fleet, and their reads are most of what it does while idle.
 	rootReadInterval  = 25 * time.Millisecond
 	childReadInterval = 60 * time.Millisecond
+	leafReadInterval  = 120 * time.Millisecond
 	// sharedSnapshotInterval is the interval of complete lists where processes read through each
 	// other. Changes are read by offset, so that a list repairs nothing but a fault of a gateway.
 	sharedSnapshotInterval = time.Minute
@@ -73,10 +74,12 @@
 // readInterval returns the minimum time between two reads of a stream that is followed by a number
 // of processes for each gateway.
 func (s *followedStore) readInterval(processesPerGateway int) time.Duration {
-	switch s.tail.Mode() {
-	case fanout.ModeRoot:
+	switch mode := s.tail.Mode(); {
+	case mode == fanout.ModeRoot:
 		return rootReadInterval
-	case fanout.ModeChild:
+	case mode == fanout.ModeChild && s.tail.IsLeaf():
+		return leafReadInterval
+	case mode == fanout.ModeChild:
 		return childReadInterval
 	default:
 		return gatewayjobs.ReadInterval(processesPerGateway*(len(s.gateways.Addrs())+1), s.readsPerS)
