--- a/decide/fanout/fanout.go
+++ b/decide/fanout/fanout.go
@@ -104,13 +104,7 @@
 // Parent returns the gateway to read from; false: read from the log. Gateways for which isDead
 // returns true count as gone, so that others take their place.
 func (t *Tree) Parent(isDead func(vm string) bool) (Member, bool) {
-	alive := make([]Member, 0, len(t.ranked))
-	for _, m := range t.ranked {
-		if !isDead(m.VM) {
-			alive = append(alive, m)
-		}
-	}
-	return t.parentAmong(alive)
+	return t.parentAmong(t.alive(isDead))
 }
 
 // Roots returns the gateways that read from the log, as far as they precede the process, and
@@ -119,12 +113,19 @@
 // log. If it can't be reached at all, few processes read from it when it is available again.
 func (t *Tree) Roots(isDead func(vm string) bool, staleFor time.Duration) (roots []Member, isRoot bool) {
 	count := rootCount << min(staleFor/staleStep, maxDoublings)
+	alive := t.alive(isDead)
+	return alive[:min(len(alive), count)], !t.agent && len(alive) < count
+}
+
+// alive returns the gateways that precede the process and do not count as gone.
+func (t *Tree) alive(isDead func(vm string) bool) []Member {
+	alive := make([]Member, 0, len(t.ranked))
 	for _, m := range t.ranked {
 		if !isDead(m.VM) {
-			roots = append(roots, m)
+			alive = append(alive, m)
 		}
 	}
-	return roots[:min(len(roots), count)], !t.agent && len(roots) < count
+	return alive
 }
 
 func (t *Tree) parentAmong(alive []Member) (Member, bool) {
