--- a/decide/table/organisations.go
+++ b/decide/table/organisations.go
@@ -29,6 +29,14 @@
 	Keys     []KeyHash
 }
 
+// PriorityOr returns the organisation's priority, or the route's if it has none.
+func (o *Organisation) PriorityOr(ofRoute int) int {
+	if o.Priority != nil {
+		return *o.Priority
+	}
+	return ofRoute
+}
+
 // Directory maps keys to organisations. It is immutable once built.
 type Directory struct {
 	byKey map[KeyHash]*Organisation
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -21,6 +21,7 @@
 	"dandelionsill.org/decide/route"
 	"dandelionsill.org/decide/table"
 	"dandelionsill.org/gateway/backend"
+	broker "dandelionsill.org/gateway/permits"
 	"dandelionsill.org/gateway/usage"
 	"dandelionsill.org/gateway/view"
 	"dandelionsill.org/kinds"
@@ -70,8 +71,14 @@
 	// Organisation is the organisation that the request belongs to; empty if there is
 	// none.
 	Organisation string
+	// Priority is the organisation's priority, or else the route's; 0 is the most urgent.
+	Priority int
+	// Internal means that the system makes the call for a sample.
+	Internal bool
 	// Deadline is the time after which the answer is of no use.
 	Deadline time.Time
+	// CallerTimeout is how long the caller says that it will wait; 0: unknown.
+	CallerTimeout time.Duration
 }
 
 // Reply is the complete answer of a server.
@@ -97,6 +104,7 @@
 	log         *zap.Logger
 	serverStats *serverStats
 	policy      *route.Policy
+	sharing     *sharing // nil: no service is shared
 }
 
 // New returns a forwarder for a process in the failure domain.
@@ -116,7 +124,7 @@
 	defer cancel()
 	s := f.newCallState(call)
 	defer s.usage.Done()
-	s.outcomes = make(chan outcome, call.Route.MaxAttempts+maxRefusals+1)
+	s.outcomes = make(chan outcome, call.Route.MaxAttempts+maxRefusals+2)
 	reply, err := s.run(ctx)
 	s.reportResult(reply)
 	return reply, err
@@ -125,11 +133,12 @@
 // choice is the server picked for an attempt, with the reason for the pick.
 type choice struct {
 	server          members.Server
-	listed          int    // servers of the service
-	eligible        int    // servers that passed the filters
-	load            int    // requests of this process in flight at the server
-	reason          string // why the policy picked the server
-	skippedEjection bool   // the policy had to skip the filter of ejected servers
+	listed          int            // servers of the service
+	eligible        int            // servers that passed the filters
+	load            int            // requests of this process in flight at the server
+	reason          string         // why the policy picked the server
+	skippedEjection bool           // the policy had to skip the filter of ejected servers
+	permit          *broker.Permit // nil: the server was picked without a broker
 }
 
 // outcome is the result of one attempt.
@@ -168,18 +177,25 @@
 	lastFailure *outcome // the latest answer with a status of 500 or more
 	subject     *quarantine.TrackedRequest
 	usage       *usage.Request
+
+	permitAnswers chan permitAnswer
+	asking        int // asks for permits without an answer
+	withoutBroker bool
+	refusal       *broker.Refusal // the broker's latest
+	hedge         *time.Timer
 }
 
 func (f *Forwarder) newCallState(call Call) *callState {
 	s := &callState{forwarder: f, call: call, held: kinds.Hold(), service: call.Route.Pick(route.Hash(call.ID)), tried: map[string]bool{}, start: time.Now()}
 	s.subject, s.usage = f.newSubject(&s.call), f.Usage.Start(call.Organisation)
+	s.permitAnswers = make(chan permitAnswer)
 	return s
 }
 
 // run starts attempts until there is an answer or an error to return.
 func (s *callState) run(ctx context.Context) (*Reply, *kinds.Error) {
-	hedge := time.NewTimer(s.hedgeDelay())
-	defer hedge.Stop()
+	s.hedge = time.NewTimer(s.hedgeDelay())
+	defer s.hedge.Stop()
 	if !s.launch(ctx) {
 		return nil, s.noServerError()
 	}
@@ -190,16 +206,39 @@
 			if done {
 				return reply, err
 			}
-		case <-hedge.C:
-			if s.mayRepeat() && !s.isSuspect() && s.launch(ctx) {
-				hedges.Add(1)
+		case a := <-s.permitAnswers:
+			reply, err, done := s.handlePermitAnswer(ctx, a)
+			if done {
+				return reply, err
 			}
+		case <-s.hedge.C:
+			s.startHedge(ctx)
 		case <-ctx.Done():
 			return nil, s.contextError(ctx)
 		}
 	}
 }
 
+// startHedge sends the request to a second server as well, if that is allowed. At a shared
+// service it does so only if a place is free.
+func (s *callState) startHedge(ctx context.Context) {
+	switch {
+	case !s.mayRepeat() || s.isSuspect() || s.refusals > s.maxRefusals():
+	case !s.isShared():
+		if s.launch(ctx) {
+			hedges.Add(1)
+		}
+	case s.inFlight > 0 && s.asking == 0:
+		hedges.Add(1)
+		s.acquire(ctx, true)
+	}
+}
+
+// isShared reports whether an attempt needs a permit.
+func (s *callState) isShared() bool {
+	return !s.withoutBroker && s.forwarder.IsShared(s.service)
+}
+
 func (s *callState) hedgeDelay() time.Duration {
 	if s.call.Route.LatencyObjective <= 0 {
 		return defaultHedgeDelay
@@ -237,7 +276,7 @@
 		}
 		s.lastFailure = &o
 	}
-	if s.retry(ctx) || s.inFlight > 0 {
+	if s.retry(ctx) || s.inFlight > 0 || s.asking > 0 {
 		return nil, nil, false
 	}
 	if ctx.Err() != nil {
@@ -249,10 +288,10 @@
 // retry starts another attempt and returns true, if one is allowed, there is time for
 // it, and a server can be picked.
 func (s *callState) retry(ctx context.Context) bool {
-	if !s.mayRepeat() || s.refusals > maxRefusals || time.Until(s.call.Deadline) < minAttemptTime {
+	if !s.mayRepeat() || s.refusals > s.maxRefusals() || time.Until(s.call.Deadline) < minAttemptTime {
 		return false
 	}
-	if s.inFlight > 0 && s.isSuspect() {
+	if (s.inFlight > 0 || s.asking > 0) && s.isSuspect() {
 		return false // one server at a time, since the one that has the request may crash too
 	}
 	if s.launch(ctx) {
@@ -271,6 +310,14 @@
 	return s.launch(ctx)
 }
 
+// maxRefusals bounds how many servers may refuse the request.
+func (s *callState) maxRefusals() int {
+	if s.withoutBroker {
+		return maxUnsharedRefusals
+	}
+	return maxRefusals
+}
+
 // finalFailure returns the result of a call that no further attempt is made for: the
 // last failure that a server answered, or else an error.
 func (s *callState) finalFailure() (*Reply, *kinds.Error, bool) {
@@ -281,6 +328,9 @@
 	if s.isQuarantined() {
 		return nil, s.noServerError(), true
 	}
+	if s.mayHaveRun == 0 && s.refusal != nil {
+		return nil, s.permitError(), true
+	}
 	if s.mayHaveRun == 0 {
 		return nil, s.refuse(kinds.Overloaded, "all servers refused the request"), true
 	}
@@ -311,23 +361,35 @@
 	return s.held.Refuse(kind, "%s", reason).WithRetryAfter(retryAfter)
 }
 
-// launch starts an attempt at another server. It returns false if none can be picked or
-// the request is quarantined.
+// launch starts an attempt at another server, or asks for the permit that it needs. It
+// returns false if no server can be picked or the request is quarantined.
 func (s *callState) launch(ctx context.Context) bool {
 	if s.isQuarantined() {
 		return false
 	}
+	if s.isShared() {
+		s.acquire(ctx, false)
+		return true
+	}
 	c, ok := s.pick()
 	if !ok {
 		return false
 	}
+	s.startAttempt(ctx, c)
+	return true
+}
+
+// startAttempt sends the request to the chosen server.
+func (s *callState) startAttempt(ctx context.Context, c choice) {
 	s.tried[c.server.ID] = true
 	s.asked = append(s.asked, c.server.ID)
 	s.inFlight++
 	s.mayHaveRun++
 	attempts.Add(1)
+	if c.permit != nil && s.inFlight == 1 {
+		s.hedge.Reset(s.hedgeDelay())
+	}
 	go func() { s.outcomes <- s.forwarder.attempt(ctx, s.call, s.service, c) }()
-	return true
 }
 
 // pick chooses the server of the next attempt; false means that none is eligible.
@@ -362,6 +424,9 @@
 	o.notRun = errors.Is(o.err, backend.ErrNotSent) || o.err == nil && hosted.NotExecuted(o.reply.Status, o.reply.Header)
 	o.ctxDone = ctx.Err() != nil
 	o.crashed = !o.ctxDone && errors.Is(o.err, backend.ErrBroken) && f.ServerCrashed(ctx, service, server)
+	if c.permit != nil {
+		c.permit.Done(o.took, outcomeOf(&o))
+	}
 	f.serverStats.attemptEnded(service, server.ID, o.took, !o.ctxDone && (o.err != nil || o.reply.Status >= http.StatusInternalServerError))
 	return o
 }
--- /dev/null
+++ b/gateway/forward/permits.go
@@ -0,0 +1,204 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dandelionsill.org/base/metrics"
+	"dandelionsill.org/decide/evidence"
+	"dandelionsill.org/decide/permits"
+	"dandelionsill.org/decide/table"
+	broker "dandelionsill.org/gateway/permits"
+	"dandelionsill.org/kinds"
+)
+
+const (
+	// returningShare is the share of the longest time that callers of a route state up to
+	// which a request counts as a further attempt: a caller states the time that it has left.
+	returningShare = 0.97
+	// maxUnsharedRefusals bounds how many servers may refuse a request of a shared service
+	// while there is no broker. More would multiply the load on servers that are full.
+	maxUnsharedRefusals = 2
+)
+
+var permitsUnused = metrics.Counter("forward_permits_unused_total")
+
+// Permits grants permits for requests to the servers of shared services.
+type Permits interface {
+	// Acquire returns a permit, or a refusal, or an error if no broker is available.
+	Acquire(ctx context.Context, service string, ask permits.Ask) (*broker.Permit, *broker.Refusal, error)
+}
+
+// sharing decides which services are shared and describes requests to their broker.
+type sharing struct {
+	permits     Permits
+	maxPatience float64
+
+	mu      sync.Mutex
+	table   *table.Table // for which the following fields are valid
+	shared  map[string]bool
+	longest map[string]time.Duration // longest time that a caller stated, by route
+}
+
+// UsePermits makes requests to shared services ask for permits. A service is shared if a
+// route to it has a timeout of at most maxPatience objectives.
+func (f *Forwarder) UsePermits(p Permits, maxPatience float64) {
+	f.sharing = &sharing{permits: p, maxPatience: maxPatience}
+}
+
+// IsShared reports whether the places of the service are shared out.
+func (f *Forwarder) IsShared(service string) bool {
+	return f.sharing.isShared(f.View.Current().Table, service)
+}
+
+// isShared reports whether the service is shared according to the table; never if s is nil.
+func (s *sharing) isShared(t *table.Table, service string) bool {
+	if s == nil || t == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.update(t)
+	return s.shared[service]
+}
+
+// update derives what depends on the table; s.mu is held.
+func (s *sharing) update(t *table.Table) {
+	if s.table == t {
+		return
+	}
+	s.table, s.shared, s.longest = t, permits.SharedServices(t, s.maxPatience), map[string]time.Duration{}
+}
+
+// isReturning reports whether a caller that states the time it has left has made an earlier
+// attempt.
+func (s *sharing) isReturning(t *table.Table, route string, stated time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.update(t)
+	longest := max(s.longest[route], stated)
+	s.longest[route] = longest
+	return stated > 0 && float64(stated) < returningShare*float64(longest)
+}
+
+// ask describes the call's request to the broker.
+func (s *callState) ask(noWait bool) permits.Ask {
+	c, f := &s.call, s.forwarder
+	returning := !c.Internal && f.sharing.isReturning(f.View.Current().Table, c.Route.Name, c.CallerTimeout)
+	return permits.Ask{
+		Domain: f.domain, Route: c.Route.Name, Organisation: c.Organisation, Internal: c.Internal, Priority: c.Priority,
+		Objective: max(0, c.Route.LatencyObjective-time.Since(s.start)), Deadline: time.Until(c.Deadline), Returning: returning, NoWait: noWait, Avoid: slices.Clone(s.asked),
+	}
+}
+
+// permitAnswer is the answer to an ask.
+type permitAnswer struct {
+	permit  *broker.Permit
+	refusal *broker.Refusal
+	err     error
+	noWait  bool
+	took    time.Duration
+}
+
+// acquire asks for a permit in the background. The answer arrives in s.permitAnswers, or the
+// permit is returned if ctx ends before.
+func (s *callState) acquire(ctx context.Context, noWait bool) {
+	s.asking++
+	ask, start := s.ask(noWait), time.Now()
+	go func() {
+		a := permitAnswer{noWait: noWait}
+		a.permit, a.refusal, a.err = s.forwarder.sharing.permits.Acquire(ctx, s.service, ask)
+		a.took = time.Since(start)
+		select {
+		case s.permitAnswers <- a:
+		case <-ctx.Done():
+			if a.permit != nil {
+				permitsUnused.Add(1)
+				a.permit.Done(0, evidence.Unused)
+			}
+		}
+	}()
+}
+
+// handlePermitAnswer starts an attempt with a permit, or decides without one. It returns the
+// final answer or error and true, or false if an attempt is in flight or an ask is pending.
+func (s *callState) handlePermitAnswer(ctx context.Context, a permitAnswer) (*Reply, *kinds.Error, bool) {
+	s.asking--
+	switch {
+	case a.permit != nil:
+		if s.usePermit(ctx, a) {
+			return nil, nil, false
+		}
+	case a.err != nil:
+		s.withoutBroker = true
+		s.forwarder.log.Info("No broker.", zap.String("id", s.call.ID), zap.String("service", s.service), zap.Duration("took", a.took), zap.Error(a.err))
+		if !a.noWait && s.mayRepeat() && s.launch(ctx) {
+			return nil, nil, false
+		}
+	default:
+		s.forwarder.log.Info("Permit refused.", zap.String("id", s.call.ID), zap.String("service", s.service), zap.String("organisation", s.call.Organisation),
+			zap.String("why", string(a.refusal.Kind)), zap.Duration("retry_after", a.refusal.RetryAfter), zap.Duration("wait", a.refusal.Wait), zap.Bool("hedge", a.noWait), zap.Duration("took", a.took))
+		s.refusal = a.refusal
+	}
+	if a.noWait && s.inFlight > 0 {
+		s.hedge.Reset(s.hedgeDelay()) // a place may be free later
+	}
+	if s.inFlight > 0 || s.asking > 0 {
+		return nil, nil, false
+	}
+	return s.finalFailure()
+}
+
+// usePermit starts the attempt that a permit allows, or asks for another one if its server is
+// not known here or leaves. It returns false if neither is allowed.
+func (s *callState) usePermit(ctx context.Context, a permitAnswer) bool {
+	server, known := s.forwarder.View.Current().Server(s.service, a.permit.Server)
+	if known && !server.Leaving && s.mayRepeat() && !s.isQuarantined() {
+		c := choice{server: server, eligible: 1, listed: len(s.forwarder.View.Current().Servers[s.service]), reason: "permit: " + a.permit.Reason, permit: a.permit}
+		s.startAttempt(ctx, c)
+		return true
+	}
+	permitsUnused.Add(1)
+	a.permit.Done(0, evidence.Unused)
+	s.forwarder.log.Info("Permit not used.", zap.String("id", s.call.ID), zap.String("server", a.permit.Server), zap.Bool("known", known), zap.Bool("leaving", server.Leaving))
+	s.asked = append(s.asked, a.permit.Server)
+	s.refusals++
+	if a.noWait || s.refusals > maxRefusals || !s.mayRepeat() || s.isQuarantined() {
+		return false
+	}
+	s.acquire(ctx, false)
+	return true
+}
+
+// permitError returns the error of a call that got no permit and was sent to no server.
+func (s *callState) permitError() *kinds.Error {
+	kind := kinds.Overloaded
+	switch s.refusal.Kind {
+	case permits.DeadlineTooShort:
+		kind = kinds.DeadlineTooShort
+	case permits.NoServer:
+		kind = kinds.NoServer
+	}
+	return s.refuse(kind, "no place at a server in time; wait "+s.refusal.Wait.Round(time.Millisecond).String()).WithRetryAfter(max(s.refusal.RetryAfter, time.Millisecond))
+}
+
+// outcomeOf returns how an attempt ended, as evidence on its server.
+func outcomeOf(o *outcome) evidence.Outcome {
+	switch {
+	case o.err != nil && o.notRun:
+		return evidence.Unreachable
+	case o.ctxDone:
+		return evidence.Abandoned
+	case o.notRun:
+		return evidence.Refused
+	case o.err != nil || o.reply.Status >= http.StatusInternalServerError:
+		return evidence.Failed
+	default:
+		return evidence.Answered
+	}
+}
--- a/gateway/front/caller.go
+++ b/gateway/front/caller.go
@@ -14,25 +14,25 @@
 
 var unauthenticated = metrics.Counter("front_unauthenticated_total")
 
-// identify returns the organisation that owns the key in the request. It is empty if
-// the configuration has no organisations, or if the route is public and no known key
-// was sent.
-func (f *Front) identify(snap *view.Snapshot, r *http.Request, public bool) (string, *kinds.Error) {
+// identify returns the organisation that owns the key in the request. It is the zero
+// value if the configuration has no organisations, or if the route is public and no known
+// key was sent.
+func (f *Front) identify(snap *view.Snapshot, r *http.Request, public bool) (table.Organisation, *kinds.Error) {
 	directory := snap.Table.Organisations
 	if directory == nil {
-		return "", nil
+		return table.Organisation{}, nil
 	}
 	key, single := hosted.APIKey(r.Header)
 	hash := table.HashKey(key)
 	if single {
 		if o := directory.Find(hash); o != nil {
-			return o.Name, nil
+			return *o, nil
 		}
 	}
 	if public {
-		return "", nil
+		return table.Organisation{}, nil
 	}
-	return "", f.unknownKeyError(snap, hash, single)
+	return table.Organisation{}, f.unknownKeyError(snap, hash, single)
 }
 
 // unknownKeyError returns the error for a key that this process does not know. The
@@ -64,5 +64,5 @@
 	if snap.Table.Organisations == nil {
 		return nil
 	}
-	return f.Jobs.CheckAccess(ctx, job, organisation)
+	return f.Jobs.CheckAccess(ctx, job, organisation.Name)
 }
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -132,7 +132,7 @@
 	}
 	deadline := start.Add(answerTimeout(r, route))
 	if route.Kind == table.Batch {
-		return f.submitJob(w, r, route, organisation, body, start)
+		return f.submitJob(w, r, route, organisation.Name, body, start)
 	}
 	return f.proxy(w, r, route, organisation, body, deadline)
 }
@@ -173,10 +173,11 @@
 }
 
 // proxy forwards the request to a server and writes its answer.
-func (f *Front) proxy(w http.ResponseWriter, r *http.Request, route *table.Route, organisation string, body []byte, deadline time.Time) (int, *kinds.Error) {
+func (f *Front) proxy(w http.ResponseWriter, r *http.Request, route *table.Route, organisation table.Organisation, body []byte, deadline time.Time) (int, *kinds.Error) {
 	call := forward.Call{
 		Route: route, ID: hosted.AttemptID(r.Header), Method: r.Method, URI: r.RequestURI, Host: r.Host,
-		Header: forward.EndToEnd(r.Header), Body: body, Deadline: deadline, Organisation: organisation,
+		Header: forward.EndToEnd(r.Header), Body: body, Deadline: deadline, CallerTimeout: hosted.Deadline(r.Header),
+		Organisation: organisation.Name, Priority: organisation.PriorityOr(route.Priority),
 	}
 	if route.Kind == table.Stream {
 		return f.Forward.Stream(r.Context(), call, w)
--- a/gateway/jobs/score.go
+++ b/gateway/jobs/score.go
@@ -87,7 +87,7 @@
 	}
 	reply, err := r.forward.Send(ctx, forward.Call{
 		Route: route, ID: request.ID, Method: http.MethodPost, URI: request.Path, Host: request.Host,
-		Header: http.Header{}, Body: request.Body, Deadline: time.Now().Add(timeout),
+		Header: http.Header{}, Body: request.Body, Deadline: time.Now().Add(timeout), Internal: true, Priority: route.Priority,
 	})
 	return reply, route.MaxAttempts, err
 }
