--- a/gateway/permits/client.go
+++ b/gateway/permits/client.go
@@ -2,16 +2,34 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
+	"go.opentelemetry.io/otel/attribute"
+	oteltrace "go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
-	"dandelionsill.org/decide/evidence"
+	"dandelionsill.org/base/boottime"
+	"dandelionsill.org/base/trace"
 	"dandelionsill.org/decide/members"
 	decide "dandelionsill.org/decide/permits"
 )
 
+const (
+	// idleTimeout is how long a stream stays open without asks and permits.
+	idleTimeout = 5 * time.Second
+	// cleanInterval is how often streams are checked for it.
+	cleanInterval = time.Second
+	// maxShardsAsked bounds the shards that are asked for one request. A service with several
+	// shards has many servers, so that two shards without a free place show that there is none.
+	maxShardsAsked = 2
+	// maxDraws bounds the servers that are drawn in order to find so many shards.
+	maxDraws = 8
+)
+
 // Config holds the settings of a Client.
 type Config struct {
 	VM            string // of this process
@@ -23,29 +41,168 @@
 	Servers func(service string) []members.Server
 	// Local serves the brokers of this process without a connection; nil: it serves none.
 	Local *Server
-	// Now reads a clock that continues while the VM is suspended.
+	// Now reads a monotonic clock that continues while the VM is suspended; nil: boottime.Now.
 	Now func() time.Duration
-	// Open opens a stream to the broker at an address (IP:port); nil: by gRPC.
+	// Open opens a stream to the broker at an address (IP:port), which lasts until ctx ends; nil:
+	// by gRPC.
 	Open   func(ctx context.Context, addr string) (Stream, error)
 	Logger *zap.Logger
 }
 
 // Client asks brokers for permits. It is safe for concurrent use.
-type Client struct{ cfg Config }
+type Client struct {
+	cfg Config
+	// ctx ends all streams.
+	ctx    context.Context
+	cancel context.CancelFunc
+	loops  sync.WaitGroup // goroutines of streams
 
-// NewClient returns a client.
-func NewClient(cfg Config) *Client { return &Client{cfg: cfg} }
+	mu     sync.Mutex
+	shards map[shardKey]*shardClient
+}
+
+// NewClient returns a client without streams. Run must be called.
+func NewClient(cfg Config) *Client {
+	if cfg.Now == nil {
+		cfg.Now = boottime.Now
+	}
+	if cfg.Open == nil {
+		cfg.Open = openGRPC
+	}
+	c := &Client{cfg: cfg, shards: map[shardKey]*shardClient{}}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	return c
+}
+
+// Run closes streams that are not used. It closes all of them when ctx ends; there is no broker
+// for this process any more then.
+func (c *Client) Run(ctx context.Context) {
+	ticker := time.NewTicker(cleanInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			c.close()
+			return
+		case <-ticker.C:
+		}
+		for _, s := range c.all() {
+			s.closeIdle()
+		}
+	}
+}
+
+func (c *Client) close() {
+	c.cancel()
+	for _, s := range c.all() {
+		s.closeAll()
+	}
+	c.loops.Wait()
+}
 
 // Acquire asks for a permit for one request to the service and waits for the decision. Exactly
 // one result is not nil. ask.ID and ask.Domain are filled in. The error is ErrNoBroker, upon which
 // the caller decides by itself, or that of ctx.
 func (c *Client) Acquire(ctx context.Context, service string, ask decide.Ask) (*Permit, *Refusal, error) {
-	return nil, nil, errors.Trace(ErrNoBroker)
+	ctx, span := trace.Tracer("gateway: permits").Start(ctx, "permits.acquire", oteltrace.WithAttributes(attribute.String("service", service)))
+	defer span.End()
+	asked.Add(1)
+	ask.Domain = c.cfg.FailureDomain
+	permit, refusal, err := c.acquire(ctx, service, ask)
+	switch {
+	case permit != nil:
+		granted.Add(1)
+		span.SetAttributes(attribute.String("server", permit.Server), attribute.String("reason", permit.Reason))
+	case refusal != nil:
+		refused.Add(1)
+		span.SetAttributes(attribute.String("refused", string(refusal.Kind)))
+	default:
+		span.SetAttributes(attribute.String("error", err.Error()))
+		if errors.Is(err, ErrNoBroker) {
+			withoutBroker.Add(1)
+		}
+	}
+	return permit, refusal, err
 }
 
-// Run closes streams that are not used until ctx ends.
-func (c *Client) Run(ctx context.Context) { <-ctx.Done() }
+// acquire asks the shard of a random server, and another one if there is no place in the first.
+func (c *Client) acquire(ctx context.Context, service string, ask decide.Ask) (*Permit, *Refusal, error) {
+	var refusal *Refusal
+	var err error
+	startedAt := c.cfg.Now()
+	for _, key := range c.choose(service) {
+		permit, newRefusal, newErr := c.shard(key).acquire(ctx, withTimeLeft(ask, c.cfg.Now()-startedAt))
+		if permit != nil {
+			return permit, nil, nil
+		}
+		if newRefusal != nil {
+			refusal = sooner(refusal, newRefusal)
+		}
+		err = newErr
+		if ctx.Err() != nil || newRefusal != nil && newRefusal.Kind == decide.DeadlineTooShort {
+			break
+		}
+	}
+	if refusal != nil && ctx.Err() == nil {
+		return nil, refusal, nil
+	}
+	return nil, nil, errors.Trace(err)
+}
 
-type shardClient struct{}
+// sooner returns the refusal that lets the caller return earlier.
+func sooner(a, b *Refusal) *Refusal {
+	if a != nil && a.RetryAfter <= b.RetryAfter {
+		return a
+	}
+	return b
+}
 
-func (s *shardClient) giveBack(p *Permit, took time.Duration, outcome evidence.Outcome) {}
+// withTimeLeft returns the ask as it is after some time.
+func withTimeLeft(ask decide.Ask, elapsed time.Duration) decide.Ask {
+	ask.Objective = max(0, ask.Objective-elapsed)
+	ask.Deadline = max(0, ask.Deadline-elapsed)
+	return ask
+}
+
+// choose returns the shards to ask, in their order. A random server's shard comes first, so that
+// a shard is asked in proportion to its servers.
+func (c *Client) choose(service string) []shardKey {
+	servers := c.cfg.Servers(service)
+	shards := decide.Shards(len(servers))
+	if shards <= 1 {
+		return []shardKey{{service: service, shards: 1}}
+	}
+	var keys []shardKey
+	for range maxDraws {
+		server := servers[rand.IntN(len(servers))].ID
+		key := shardKey{service: service, shard: decide.ShardOf(server, shards), shards: shards}
+		if !slices.Contains(keys, key) {
+			keys = append(keys, key)
+		}
+		if len(keys) == maxShardsAsked {
+			break
+		}
+	}
+	return keys
+}
+
+func (c *Client) shard(key shardKey) *shardClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.shards[key]
+	if s == nil {
+		s = newShardClient(c, key)
+		c.shards[key] = s
+	}
+	return s
+}
+
+func (c *Client) all() []*shardClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	shards := make([]*shardClient, 0, len(c.shards))
+	for _, s := range c.shards {
+		shards = append(shards, s)
+	}
+	return shards
+}
--- /dev/null
+++ b/gateway/permits/convert.go
@@ -0,0 +1,105 @@
+package permits
+
+import (
+	"math"
+	"time"
+
+	"dandelionsill.org/decide/evidence"
+	decide "dandelionsill.org/decide/permits"
+	"dandelionsill.org/wire/pb"
+)
+
+// Times travel as whole milliseconds or microseconds, and negative ones as 0.
+func toMillis(d time.Duration) uint32 { return toUint32(d, time.Millisecond) }
+func toMicros(d time.Duration) uint32 { return toUint32(d, time.Microsecond) }
+
+func toUint32(d, unit time.Duration) uint32 {
+	return uint32(min(max(0, d/unit), math.MaxUint32))
+}
+
+func fromMillis(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func encodeAsk(ask decide.Ask) *pb.PermitAsk {
+	return &pb.PermitAsk{
+		Id: ask.ID.Number, Route: ask.Route, Organisation: ask.Organisation, Internal: ask.Internal, Priority: int32(ask.Priority),
+		ObjectiveMs: toMillis(ask.Objective), DeadlineMs: toMillis(ask.Deadline), Returning: ask.Returning, NoWait: ask.NoWait, Avoid: ask.Avoid,
+	}
+}
+
+func decodeAsk(gateway, domain string, ask *pb.PermitAsk) decide.Ask {
+	return decide.Ask{
+		ID: decide.AskID{Gateway: gateway, Number: ask.GetId()}, Domain: domain, Route: ask.GetRoute(), Organisation: ask.GetOrganisation(),
+		Internal: ask.GetInternal(), Priority: int(ask.GetPriority()), Objective: fromMillis(ask.GetObjectiveMs()),
+		Deadline: fromMillis(ask.GetDeadlineMs()), Returning: ask.GetReturning(), NoWait: ask.GetNoWait(), Avoid: ask.GetAvoid(),
+	}
+}
+
+var toOutcome = map[evidence.Outcome]pb.PermitOutcome{
+	evidence.Unused: pb.PermitOutcome_PERMIT_UNUSED, evidence.Answered: pb.PermitOutcome_PERMIT_ANSWERED,
+	evidence.Failed: pb.PermitOutcome_PERMIT_FAILED, evidence.Refused: pb.PermitOutcome_PERMIT_REFUSED,
+	evidence.Unreachable: pb.PermitOutcome_PERMIT_UNREACHABLE, evidence.Abandoned: pb.PermitOutcome_PERMIT_ABANDONED,
+}
+
+var fromOutcome = func() map[pb.PermitOutcome]evidence.Outcome {
+	inverse := map[pb.PermitOutcome]evidence.Outcome{}
+	for outcome, encoded := range toOutcome {
+		inverse[encoded] = outcome
+	}
+	return inverse
+}()
+
+// decodeReport takes an outcome of a later release as Abandoned, which says nothing of the server.
+func decodeReport(gateway string, r *pb.PermitReport) decide.Report {
+	outcome, ok := fromOutcome[r.GetOutcome()]
+	if !ok {
+		outcome = evidence.Abandoned
+	}
+	return decide.Report{
+		ID: decide.AskID{Gateway: gateway, Number: r.GetId()}, Server: r.GetServer(), Route: r.GetRoute(),
+		Took: time.Duration(r.GetTookUs()) * time.Microsecond, Outcome: outcome,
+	}
+}
+
+func encodeDecision(d decide.Decision) *pb.PermitDecision {
+	encoded := &pb.PermitDecision{Id: d.ID.Number, RetryAfterMs: toMillis(d.RetryAfter), WaitMs: toMillis(d.Wait), Reason: d.Reason}
+	switch d.Kind {
+	case decide.Granted:
+		encoded.Server = d.Server
+	case decide.Queued:
+		encoded.Queued = true
+	case decide.Refused:
+		encoded.Refused = string(d.Refusal)
+	}
+	return encoded
+}
+
+// decodeDecision returns false for a decision of a kind that this release does not know.
+func decodeDecision(d *pb.PermitDecision) (decide.Decision, bool) {
+	decoded := decide.Decision{
+		ID: decide.AskID{Number: d.GetId()}, Server: d.GetServer(), Refusal: decide.Refusal(d.GetRefused()),
+		RetryAfter: fromMillis(d.GetRetryAfterMs()), Wait: fromMillis(d.GetWaitMs()), Reason: d.GetReason(),
+	}
+	switch {
+	case d.GetServer() != "":
+		decoded.Kind = decide.Granted
+	case d.GetQueued():
+		decoded.Kind = decide.Queued
+	case d.GetRefused() != "":
+		decoded.Kind = decide.Refused
+	default:
+		return decide.Decision{}, false
+	}
+	return decoded, true
+}
+
+func encodeLoad(load decide.Load) *pb.ServiceLoadReply {
+	reply := &pb.ServiceLoadReply{
+		Known: true, Waiting: uint32(load.Waiting), Refused: uint32(load.Refused), AsksPerS: float32(load.AsksPerS), MeanUs: toMicros(load.Mean),
+	}
+	for _, d := range load.Domains {
+		reply.Domains = append(reply.Domains, &pb.DomainLoad{
+			FailureDomain: d.Domain, Servers: uint32(d.Servers), Places: uint32(d.Places), Running: uint32(d.Running),
+		})
+	}
+	return reply
+}
--- a/gateway/permits/permits.go
+++ b/gateway/permits/permits.go
@@ -23,6 +23,7 @@
 	queued        = metrics.Counter("permits_queued_total")
 	refused       = metrics.Counter("permits_refused_total")
 	withoutBroker = metrics.Counter("permits_without_broker_total")
+	brokersLost   = metrics.Counter("permits_brokers_lost_total")
 )
 
 // Broker decides on the asks for one service, or for a shard of its servers. Calls are serialized.
