--- a/decide/fanout/fanout.go
+++ b/decide/fanout/fanout.go
@@ -47,6 +47,8 @@
 	FailureDomain string
 	// Small: the VM has little processor time and bandwidth, and ranks after all others.
 	Small bool
+	// Permits is the IP:port of its brokers of permits; empty: it serves none.
+	Permits string
 }
 
 // Tree holds the gateways that may be ancestors of one process, in the order of their rank. It is
