--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -68,7 +68,7 @@
 	store := hosted.NewStore(cfg.Store.Address)
 	writer := jobs.Writer{VM: cfg.Process.Name, Incarnation: newIncarnation()}
 	capacity := gatewayjobs.Capacity(cfg.VM.CPUShare, cfg.VM.LinkMbps)
-	self := decide.Member{VM: cfg.Process.Name, Addr: cfg.Listen.Peers, FailureDomain: cfg.Process.FailureDomain, Small: cfg.VM.CPUShare < smallVMCores}
+	self := decide.Member{VM: cfg.Process.Name, Addr: cfg.Listen.Peers, FailureDomain: cfg.Process.FailureDomain, Small: cfg.VM.CPUShare < smallVMCores, Permits: cfg.Permits.Listen}
 	peers := newPeers(store, self, log)
 	processCount := func() int { return len(peers.Addrs()) + 1 }
 	followed := newFollowedStore(store, peers, self, cfg.Store.ReadsPerS, log)
@@ -91,8 +91,10 @@
 	if usage != nil {
 		forwarder.Usage = usage.counter
 	}
+	permits := newSharing(&cfg, self, writer.Incarnation, peers, v, logs.Part(log, "permits"))
 	var loops sync.WaitGroup
 	usage.run(ctx, loops.Go)
+	permits.run(ctx, loops.Go)
 	loops.Go(func() { peers.Run(ctx) })
 	loops.Go(func() { v.Run(ctx) })
 	loops.Go(func() { v.RunCopies(ctx, processCount) })
@@ -101,8 +103,11 @@
 	loops.Go(func() { runner.Run(ctx) })
 	log.Info("Starting.", zap.String("name", writer.VM), zap.String("life", writer.Incarnation), zap.String("callers", cfg.Listen.Callers), zap.String("store", cfg.Store.Address))
 	return &run.Process{
-		Servers:      gatewayServers(cfg, handler, newPeerHandler(index.Texts, forwarder.Quarantine, followed), ready),
-		Ready:        func(isReady bool) { ready.serving.Store(isReady); releaseWork(isReady, handler, runner, usage) },
+		Servers: append(gatewayServers(cfg, handler, newPeerHandler(index.Texts, forwarder.Quarantine, followed), ready), permits.servers()...),
+		Ready: func(isReady bool) {
+			ready.serving.Store(isReady)
+			releaseWork(isReady, handler, runner, usage, permits)
+		},
 		StopDelay:    time.Duration(serveShare * float64(cfg.Process.Grace)),
 		Drain:        func(ctx context.Context) error { return drain(ctx, handler, runner, usage, log) },
 		DrainTimeout: time.Duration(drainShare * float64(cfg.Process.Grace)),
@@ -126,13 +131,14 @@
 	}
 }
 
-// releaseWork releases this process's jobs and duties as soon as the process starts to stop; ready
-// is false then.
-func releaseWork(ready bool, handler *front.Front, runner *gatewayjobs.Runner, usage *reporting) {
+// releaseWork releases this process's jobs, duties and brokers as soon as the process starts to
+// stop; ready is false then.
+func releaseWork(ready bool, handler *front.Front, runner *gatewayjobs.Runner, usage *reporting, permits *sharing) {
 	if ready {
 		return
 	}
 	usage.resign()
+	permits.leave()
 	handler.StartDrain()
 	runner.Drain()
 }
--- /dev/null
+++ b/gateway/server/permits.go
@@ -0,0 +1,79 @@
+package server
+
+import (
+	"context"
+
+	"github.com/go-kratos/kratos/v2/transport"
+	"go.uber.org/zap"
+
+	decide "dandelionsill.org/decide/fanout"
+	"dandelionsill.org/decide/members"
+	decidepermits "dandelionsill.org/decide/permits"
+	"dandelionsill.org/gateway/permits"
+	"dandelionsill.org/gateway/view"
+	"dandelionsill.org/platform/hosted"
+)
+
+// newBroker returns the decisions of a broker for a service. Permits are not used while it is nil.
+var newBroker func(service string) permits.Broker
+
+// sharing holds the parts of a gateway by which the places at servers are shared out. A nil
+// pointer is valid and does nothing.
+type sharing struct {
+	addr   string
+	server *permits.Server
+	client *permits.Client
+}
+
+// newSharing returns the parts for permits of a process; nil if they are disabled in the settings.
+func newSharing(cfg *Gateway, self decide.Member, incarnation string, peers *hosted.Peers, v *view.View, log *zap.Logger) *sharing {
+	if cfg.Permits.Listen == "" || newBroker == nil {
+		return nil
+	}
+	servers := func(service string) []members.Server { return v.Current().Servers[service] }
+	server := permits.NewServer(permits.ServerConfig{NewBroker: newBroker, Servers: servers, Logger: log})
+	client := permits.NewClient(permits.Config{
+		VM: self.VM, Incarnation: incarnation, FailureDomain: self.FailureDomain, Servers: servers, Local: server, Logger: log,
+		Members: func() []decidepermits.Member { return brokers(self, peers.Members()) },
+	})
+	return &sharing{addr: cfg.Permits.Listen, server: server, client: client}
+}
+
+// brokers returns the gateways that serve brokers.
+func brokers(self decide.Member, others []decide.Member) []decidepermits.Member {
+	found := make([]decidepermits.Member, 0, len(others)+1)
+	add := func(m decide.Member) {
+		if m.Permits != "" {
+			found = append(found, decidepermits.Member{VM: m.VM, Addr: m.Permits, Small: m.Small})
+		}
+	}
+	add(self)
+	for _, m := range others {
+		add(m)
+	}
+	return found
+}
+
+// run starts the loops that end with ctx.
+func (s *sharing) run(ctx context.Context, loop func(func())) {
+	if s == nil {
+		return
+	}
+	loop(func() { s.server.Run(ctx) })
+	loop(func() { s.client.Run(ctx) })
+}
+
+// servers returns the listener for other gateways.
+func (s *sharing) servers() []transport.Server {
+	if s == nil {
+		return nil
+	}
+	return []transport.Server{permits.NewGRPC(s.addr, s.server)}
+}
+
+// leave ends this process's brokers.
+func (s *sharing) leave() {
+	if s != nil {
+		s.server.Leave()
+	}
+}
--- a/gateway/server/settings.go
+++ b/gateway/server/settings.go
@@ -51,9 +51,17 @@
 // Gateway holds the settings of the gateway.
 type Gateway struct {
 	Common
-	Listen Listen
-	VM     VM
-	Duties Duties
+	Listen  Listen
+	VM      VM
+	Duties  Duties
+	Permits Permits
+}
+
+// Permits holds the settings of permits, by which all gateways share the places at the servers of
+// a service.
+type Permits struct {
+	Listen      string  `ini:"permits.listen" kind:"ip:port" help:"IP:port where other gateways ask this one for permits; empty: this process neither grants nor asks for any"`
+	MaxPatience float64 `ini:"permits.max_patience" default:"10" min:"1" max:"1000000" help:"a service's places are shared out if a route to it has a timeout of at most this many objectives"`
 }
 
 // Duties holds the settings of duties, tasks that exactly one process has at a time.
@@ -91,8 +99,13 @@
 			return errors.Annotate(err, listener.name)
 		}
 	}
-	if g.Duties.Platform != "" {
-		return errors.Annotate(settings.IPPort(g.Duties.Platform), "duties.platform")
+	for _, optional := range []struct{ name, value string }{{"duties.platform", g.Duties.Platform}, {"permits.listen", g.Permits.Listen}} {
+		if optional.value == "" {
+			continue
+		}
+		if err := settings.IPPort(optional.value); err != nil {
+			return errors.Annotate(err, optional.name)
+		}
 	}
 	return nil
 }
