--- a/decide/permits/broker_test.go
+++ b/decide/permits/broker_test.go
@@ -57,8 +57,26 @@
 	require.Equal(t, newcomer.ID, last(b.Report(epoch.Add(ms), done(granted[1]))).ID)
 }
 
-// Load: a hundred calls are refused at once. If they came back at once they would be
-// refused again: they are spread at the rate at which places become free.
+// Load: a queued newcomer can't be answered in time any more. Those that can go first.
+func TestLateAskGoesBehindThoseInTime(t *testing.T) {
+	b, _ := fleet(Config{}, times, 1)
+	granted := fill(t, b, epoch)
+	now := epoch.Add(140 * ms)
+	late, inTime := ask(Ask{}), ask(Ask{})
+	b.Ask(epoch, late)
+	b.Ask(now, inTime)
+	require.Equal(t, inTime.ID, last(b.Report(now, done(granted[0]))).ID)
+	require.Equal(t, late.ID, last(b.Report(now, done(granted[1]))).ID)
+
+	late = ask(Ask{})
+	b.Ask(now, late)
+	b.Tick(now.Add(140 * ms))
+	require.Zero(t, b.lanes[laneCallers].Cost(), "newcomers must not be refused for its sake")
+	require.Equal(t, late.ID, last(b.Report(now.Add(141*ms), done(granted[2]))).ID)
+}
+
+// Load: two hundred calls come at once. If those that are refused came back at once they
+// would be refused again: they are spread at the rate at which places become free.
 func TestRetryAfterSpreadsReturns(t *testing.T) {
 	b, _ := fleet(Config{}, times, 1)
 	fill(t, b, epoch)
@@ -140,6 +158,27 @@
 	require.Equal(t, "s00", last(b.Ask(epoch, ask(Ask{}))).Server)
 }
 
+// Failure: one gateway can't reach a server. It gets places elsewhere, other gateways
+// still get them there.
+func TestServerEjectedForOneGateway(t *testing.T) {
+	b, e := fleet(Config{}, times, 1, 1)
+	e.alone = map[string]string{"cut": "s00"}
+	for n := range uint64(6) {
+		d := last(b.Ask(epoch, ask(Ask{ID: AskID{"cut", n}, Domain: "d0"})))
+		require.Equal(t, "s01", d.Server)
+	}
+	require.Equal(t, Queued, last(b.Ask(epoch, ask(Ask{ID: AskID{"cut", 7}}))).Kind)
+	require.Equal(t, "s00", last(b.Ask(epoch, ask(Ask{}))).Server)
+}
+
+// Load: few requests. They stay in the gateway's failure domain, until its servers have
+// a request more than others.
+func TestOwnFailureDomainFirst(t *testing.T) {
+	b, _ := fleet(Config{}, times, 1, 1)
+	require.Equal(t, "s01", last(b.Ask(epoch, ask(Ask{Domain: "d1"}))).Server)
+	require.Equal(t, "s00", last(b.Ask(epoch, ask(Ask{Domain: "d1"}))).Server)
+}
+
 // Failure: the last server leaves while asks wait. They are refused at once.
 func TestLastServerLeaves(t *testing.T) {
 	b, _ := fleet(Config{}, times, 1)
