--- a/gateway/permits/broker.go
+++ b/gateway/permits/broker.go
@@ -15,8 +15,9 @@
 const (
 	// heartbeatInterval is how often a gateway with queued asks is sent something.
 	heartbeatInterval = 100 * time.Millisecond
-	// gatewayTimeout is how long the permits of a gateway without a stream are remembered.
-	gatewayTimeout = 10 * time.Second
+	// gatewayTimeout is how long the permits of a gateway without a stream are remembered. It is
+	// longer than a request runs.
+	gatewayTimeout = time.Minute
 )
 
 // broker connects the decisions for one shard with the gateways' streams.
@@ -217,7 +218,7 @@
 			continue
 		}
 		if now.Sub(g.lostAt) >= gatewayTimeout {
-			b.held -= len(g.held)
+			b.reconcile(now, g, nil)
 			delete(b.gateways, name)
 		}
 	}
--- a/gateway/permits/session.go
+++ b/gateway/permits/session.go
@@ -151,6 +151,7 @@
 	if n.isStale(now) {
 		n.shard.log.Warn("A stream is opened anew.", n.describe(now, "its messages are late")...)
 		n.shard.end(n)
+		n.shard.choose(now)
 		return
 	}
 	n.heardAt, n.silences = now, 0
--- a/gateway/permits/shard.go
+++ b/gateway/permits/shard.go
@@ -70,6 +70,9 @@
 	answerBy := startedAt + answerTimeout
 	for range maxBrokersAsked {
 		now := s.client.cfg.Now()
+		if now >= answerBy {
+			break
+		}
 		w := s.ask(withTimeLeft(ask, now-startedAt))
 		if w == nil {
 			break
@@ -282,6 +285,9 @@
 	brokersLost.Add(1)
 	s.log.Warn("A broker is lost.", failed.describe(now, why)...)
 	s.end(failed)
+	if len(s.inUse) > 0 {
+		s.choose(now) // its successor must learn of them before it grants the same places
+	}
 }
 
 // end ends a session.
