--- a/gateway/permits/stream.go
+++ b/gateway/permits/stream.go
@@ -10,9 +10,14 @@
 	"dandelionsill.org/wire/pb"
 )
 
-// bufferBytes is the size of a connection's buffers. Messages have a few hundred bytes, and a
-// broker has a connection to each gateway.
-const bufferBytes = 4 << 10
+const (
+	// bufferBytes is the size of a connection's buffers. Messages have a few hundred bytes, and a
+	// broker has a connection to each gateway.
+	bufferBytes = 4 << 10
+	// windowBytes is the size of flow control windows. It is fixed, since gRPC would otherwise
+	// measure the connection with each message, which costs as many bytes as the message.
+	windowBytes = 64 << 10
+)
 
 // Stream is a gateway's end of a stream to a broker.
 type Stream interface {
@@ -22,14 +27,16 @@
 
 // NewGRPC returns a server that listens on addr (IP:port) for gateways' streams.
 func NewGRPC(addr string, s *Server) *run.GRPCServer {
-	server := run.NewGRPC(addr, grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes))
+	server := run.NewGRPC(addr, grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
+		grpc.StaticStreamWindowSize(windowBytes), grpc.StaticConnWindowSize(windowBytes))
 	pb.RegisterPermitBrokerServer(server.Server, s)
 	return server
 }
 
 // openGRPC opens a stream with a connection of its own to addr (IP:port), until ctx ends.
 func openGRPC(ctx context.Context, addr string) (Stream, error) {
-	conn, err := run.NewClient(addr, grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes))
+	conn, err := run.NewClient(addr, grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes),
+		grpc.WithStaticStreamWindowSize(windowBytes), grpc.WithStaticConnWindowSize(windowBytes))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
