gateway/permits: shards by the names of servers; permits in use are told again

A server that restarts stays with its broker, whose evidence goes by name. A broker that has set a lost gateway's permits aside takes them back when the gateway's next stream lists them.

--- a/decide/permits/ranks.go
+++ b/decide/permits/ranks.go
@@ -48,11 +48,11 @@
 
 // Load is the load of a service, as far as one broker knows it.
 type Load struct {
-	Domains  []DomainLoad
-	Waiting  int // queued asks
-	Refused  int // asks refused within the last second
-	AsksPerS float64
-	Mean     time.Duration // mean time of an answer
+	Domains       []DomainLoad
+	Waiting       int // queued asks
+	Refused       int // asks refused within the last second
+	AsksPerSecond float64
+	Mean          time.Duration // mean time of an answer
 }
 
 // DomainLoad is the load of the servers of a failure domain.
--- a/gateway/permits/broker.go
+++ b/gateway/permits/broker.go
@@ -76,10 +76,10 @@
 func (b *broker) reconcile(now time.Time, g *gateway, inUse []*pb.PermitInUse) {
 	listed := make(map[uint64]bool, len(inUse))
 	for _, permit := range inUse {
-		listed[permit.GetId()] = true
-		if _, ok := g.held[permit.GetId()]; ok || permit.GetServer() == "" {
+		if permit.GetServer() == "" {
 			continue
 		}
+		listed[permit.GetId()] = true
 		b.hold(g, permit.GetId(), permit.GetServer())
 		b.decider.InUse(now, decide.AskID{Gateway: g.name, Number: permit.GetId()}, permit.GetServer())
 	}
@@ -233,7 +233,7 @@
 	b.servers = servers
 	var own []decide.Server
 	for _, s := range servers {
-		if b.key.has(s.ID) {
+		if b.key.has(s) {
 			own = append(own, decide.Server{ID: s.ID, Name: s.Name, Domain: s.FailureDomain, Slots: s.Slots, Leaving: s.Leaving})
 		}
 	}
--- a/gateway/permits/client.go
+++ b/gateway/permits/client.go
@@ -174,8 +174,8 @@
 	}
 	var keys []shardKey
 	for range maxDraws {
-		server := servers[rand.IntN(len(servers))].ID
-		key := shardKey{service: service, shard: decide.ShardOf(server, shards), shards: shards}
+		name := servers[rand.IntN(len(servers))].Name
+		key := shardKey{service: service, shard: decide.ShardOf(name, shards), shards: shards}
 		if !slices.Contains(keys, key) {
 			keys = append(keys, key)
 		}
--- a/gateway/permits/convert.go
+++ b/gateway/permits/convert.go
@@ -94,7 +94,7 @@
 
 func encodeLoad(load decide.Load) *pb.ServiceLoadReply {
 	reply := &pb.ServiceLoadReply{
-		Known: true, Waiting: uint32(load.Waiting), Refused: uint32(load.Refused), AsksPerS: float32(load.AsksPerS), MeanUs: toMicros(load.Mean),
+		Known: true, Waiting: uint32(load.Waiting), Refused: uint32(load.Refused), AsksPerS: float32(load.AsksPerSecond), MeanUs: toMicros(load.Mean),
 	}
 	for _, d := range load.Domains {
 		reply.Domains = append(reply.Domains, &pb.DomainLoad{
--- a/gateway/permits/fakes_test.go
+++ b/gateway/permits/fakes_test.go
@@ -174,7 +174,7 @@
 func newFleet(t *testing.T, gateways, servers, slots int) *fleet {
 	f := &fleet{t: t, ctx: t.Context(), brokers: map[string]*fakeBroker{}, nodes: map[string]*node{}}
 	for i := range servers {
-		f.servers = append(f.servers, members.Server{ID: fmt.Sprintf("server-%d", i), Slots: slots})
+		f.servers = append(f.servers, members.Server{ID: fmt.Sprintf("server-%d", i), Name: fmt.Sprintf("server-%d", i), Slots: slots})
 	}
 	for i := range gateways {
 		f.members = append(f.members, decide.Member{VM: fmt.Sprintf("vm-%d", i), Addr: fmt.Sprintf("10.0.0.%d:1", i)})
--- a/gateway/permits/key.go
+++ b/gateway/permits/key.go
@@ -46,9 +46,10 @@
 	return shardKey{service: name[:at], shard: shard, shards: shards}
 }
 
-// has reports whether a server belongs to the shard.
-func (k shardKey) has(server string) bool {
-	return k.shards <= 1 || decide.ShardOf(server, k.shards) == k.shard
+// has reports whether a server belongs to the shard. It stays there when it restarts under its
+// name, so that what is known of it is not lost.
+func (k shardKey) has(server members.Server) bool {
+	return k.shards <= 1 || decide.ShardOf(server.Name, k.shards) == k.shard
 }
 
 // isSameList reports whether two lists are one slice. Lists are replaced, never modified.
--- a/gateway/permits/permits.go
+++ b/gateway/permits/permits.go
@@ -32,7 +32,8 @@
 	Ask(now time.Time, ask decide.Ask) []decide.Decision
 	Cancel(now time.Time, id decide.AskID) []decide.Decision
 	Report(now time.Time, report decide.Report) []decide.Decision
-	// InUse tells of a permit that an earlier broker granted.
+	// InUse tells of a permit that an earlier broker granted, or this one before the gateway lost
+	// its stream. It may be told again.
 	InUse(now time.Time, id decide.AskID, server string)
 	// Forget tells that a gateway's stream has ended.
 	Forget(now time.Time, gateway string) []decide.Decision
