gateway/permits: loads of services, for whoever orders servers

A process adds up the shards whose brokers it runs. A service without calls has no broker, so that its load is unknown rather than nothing: a broker that others can't reach would otherwise have servers taken away.

--- a/gateway/permits/convert.go
+++ b/gateway/permits/convert.go
@@ -91,15 +91,3 @@
 	}
 	return decoded, true
 }
-
-func encodeLoad(load decide.Load) *pb.ServiceLoadReply {
-	reply := &pb.ServiceLoadReply{
-		Known: true, Waiting: uint32(load.Waiting), Refused: uint32(load.Refused), AsksPerS: float32(load.AsksPerSecond), MeanUs: toMicros(load.Mean),
-	}
-	for _, d := range load.Domains {
-		reply.Domains = append(reply.Domains, &pb.DomainLoad{
-			FailureDomain: d.Domain, Servers: uint32(d.Servers), Places: uint32(d.Places), Running: uint32(d.Running),
-		})
-	}
-	return reply
-}
--- a/gateway/permits/grpc_test.go
+++ b/gateway/permits/grpc_test.go
@@ -132,6 +132,12 @@
 	}
 	require.Eventually(t, func() bool { _, used := broker.counts(); return used == 0 }, waitTime, time.Millisecond)
 
+	brokers := c.Brokers("echo")
+	require.Len(t, brokers, 1)
+	reply, err := brokers[0].Load(t.Context(), &pb.ServiceLoadRequest{Service: "other"})
+	require.NoError(t, err)
+	require.False(t, reply.GetKnown())
+
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	stream, err := openGRPC(ctx, member.Addr)
--- a/gateway/permits/permits_test.go
+++ b/gateway/permits/permits_test.go
@@ -253,6 +253,15 @@
 	})
 }
 
+// Load: shards of unlike load and speed.
+func TestLoadsOfShardsAreAddedUp(t *testing.T) {
+	reply := &pb.ServiceLoadReply{}
+	addLoad(reply, decide.Load{Waiting: 1, AsksPerSecond: 30, Mean: time.Millisecond, Domains: []decide.DomainLoad{{Domain: "a", Servers: 2, Places: 4, Running: 3}}})
+	addLoad(reply, decide.Load{Waiting: 2, Refused: 1, AsksPerSecond: 10, Mean: 9 * time.Millisecond, Domains: []decide.DomainLoad{{Domain: "a", Servers: 1}}})
+	require.Equal(t, []uint32{3, 1, 40, 3000}, []uint32{reply.Waiting, reply.Refused, uint32(reply.AsksPerS), reply.MeanUs})
+	require.Len(t, reply.Domains, 2)
+}
+
 // Guards against connections and brokers that stay for services which nobody calls.
 func TestIdleStreamsAndBrokersEnd(t *testing.T) {
 	bubble(t, func(t *testing.T) {
--- a/gateway/permits/server.go
+++ b/gateway/permits/server.go
@@ -20,9 +20,6 @@
 	tickInterval = 50 * time.Millisecond
 	// brokerTimeout is how long a broker is kept without a stream.
 	brokerTimeout = 10 * time.Second
-	// loadKnownAfter is how long a broker has to run until its load is that of the service:
-	// gateways that used another broker open their streams meanwhile.
-	loadKnownAfter = 2 * time.Second
 )
 
 var (
@@ -107,17 +104,6 @@
 	}
 }
 
-// Load implements pb.PermitBrokerServer.
-func (s *Server) Load(_ context.Context, req *pb.ServiceLoadRequest) (*pb.ServiceLoadReply, error) {
-	s.mu.Lock()
-	b := s.brokers[parseKey(req.GetService())]
-	s.mu.Unlock()
-	if b == nil || s.cfg.Now().Sub(b.startedAt) < loadKnownAfter {
-		return &pb.ServiceLoadReply{}, nil
-	}
-	return encodeLoad(b.load()), nil
-}
-
 // Exchange implements pb.PermitBrokerServer.
 func (s *Server) Exchange(stream grpc.BidiStreamingServer[pb.PermitRequest, pb.PermitReply]) error {
 	return s.exchange(stream.Context(), stream)
--- a/gateway/permits/session.go
+++ b/gateway/permits/session.go
@@ -169,8 +169,7 @@
 // broker's was suspended, and what was granted may have been given to others meanwhile. The
 // permits in use that the next stream tells free what was granted in vain.
 func (n *session) isStale(now time.Duration) bool {
-	oldest := n.oldestAsk(now)
-	return oldest > silenceTimeout && now-n.heardAt > silenceTimeout
+	return now-n.heardAt > silenceTimeout && n.oldestAsk(now) > silenceTimeout
 }
 
 // oldestAsk returns the age of the oldest ask without a decision; 0: there is none.
