--- a/gateway/permits/session.go
+++ b/gateway/permits/session.go
@@ -151,6 +151,7 @@
 	if n.isStale(now) {
 		n.shard.log.Warn("A stream is opened anew.", n.describe(now, "its messages are late")...)
 		n.shard.end(n)
+		n.shard.choose(now)
 		return
 	}
 	n.heardAt, n.silences = now, 0
@@ -168,8 +169,7 @@
 // broker's was suspended, and what was granted may have been given to others meanwhile. The
 // permits in use that the next stream tells free what was granted in vain.
 func (n *session) isStale(now time.Duration) bool {
-	oldest := n.oldestAsk(now)
-	return oldest > silenceTimeout && now-n.heardAt > silenceTimeout
+	return now-n.heardAt > silenceTimeout && n.oldestAsk(now) > silenceTimeout
 }
 
 // oldestAsk returns the age of the oldest ask without a decision; 0: there is none.
