--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -92,6 +92,9 @@
 		forwarder.Usage = usage.counter
 	}
 	permits := newSharing(&cfg, self, writer.Incarnation, peers, v, logs.Part(log, "permits"))
+	if permits != nil {
+		forwarder.UsePermits(permits.client, cfg.Permits.MaxPatience)
+	}
 	var loops sync.WaitGroup
 	usage.run(ctx, loops.Go)
 	permits.run(ctx, loops.Go)
--- a/gateway/server/permits.go
+++ b/gateway/server/permits.go
@@ -6,6 +6,7 @@
 	"github.com/go-kratos/kratos/v2/transport"
 	"go.uber.org/zap"
 
+	"dandelionsill.org/decide/evidence"
 	decide "dandelionsill.org/decide/fanout"
 	"dandelionsill.org/decide/members"
 	decidepermits "dandelionsill.org/decide/permits"
@@ -14,8 +15,10 @@
 	"dandelionsill.org/platform/hosted"
 )
 
-// newBroker returns the decisions of a broker for a service. Permits are not used while it is nil.
-var newBroker func(service string) permits.Broker
+// newBroker returns the broker of a service.
+func newBroker(string) permits.Broker {
+	return decidepermits.New(decidepermits.DefaultConfig(), evidence.New(evidence.Default))
+}
 
 // sharing holds the parts of a gateway by which the places at servers are shared out. A nil
 // pointer is valid and does nothing.
@@ -27,7 +30,7 @@
 
 // newSharing returns the parts for permits of a process; nil if they are disabled in the settings.
 func newSharing(cfg *Gateway, self decide.Member, incarnation string, peers *hosted.Peers, v *view.View, log *zap.Logger) *sharing {
-	if cfg.Permits.Listen == "" || newBroker == nil {
+	if cfg.Permits.Listen == "" {
 		return nil
 	}
 	servers := func(service string) []members.Server { return v.Current().Servers[service] }
