--- a/gateway/permits/server.go
+++ b/gateway/permits/server.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"dandelionsill.org/base/logs"
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/decide/members"
 	"dandelionsill.org/wire/pb"
@@ -18,6 +19,8 @@
 const (
 	// tickInterval is how often the queues of brokers are looked through.
 	tickInterval = 50 * time.Millisecond
+	// refusalLogInterval is the least time between two log lines on refused streams.
+	refusalLogInterval = 10 * time.Second
 	// brokerTimeout is how long a broker is kept without a stream.
 	brokerTimeout = 10 * time.Second
 )
@@ -41,9 +44,10 @@
 // Server runs the brokers of this process. It is safe for concurrent use.
 type Server struct {
 	pb.UnimplementedPermitBrokerServer
-	cfg     ServerConfig
-	started chan struct{} // has a value after the first broker was added
-	leaving chan struct{} // closed by Leave
+	cfg      ServerConfig
+	refusals *zap.Logger   // limited, since a faulty process may try again and again
+	started  chan struct{} // has a value after the first broker was added
+	leaving  chan struct{} // closed by Leave
 
 	mu        sync.Mutex
 	brokers   map[shardKey]*broker
@@ -55,7 +59,10 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	s := &Server{cfg: cfg, started: make(chan struct{}, 1), leaving: make(chan struct{}), brokers: map[shardKey]*broker{}}
+	s := &Server{
+		cfg: cfg, refusals: logs.Limited(cfg.Logger, refusalLogInterval),
+		started: make(chan struct{}, 1), leaving: make(chan struct{}), brokers: map[shardKey]*broker{},
+	}
 	metrics.Gauge("permits_brokers", func() any { return len(s.all()) })
 	metrics.Gauge("permits_queue_length", func() any { return s.sum(func(b *broker) int { return b.waiting }) })
 	metrics.Gauge("permits_in_use", func() any { return s.sum(func(b *broker) int { return b.held }) })
@@ -124,7 +131,7 @@
 	}
 	if first.GetService() == "" || first.GetGateway() == "" {
 		streamsRefused.Add(1)
-		s.cfg.Logger.Warn("A stream is refused.", zap.String("gateway", first.GetGateway()), zap.String("service", first.GetService()), zap.String("why", "no gateway or no service"))
+		s.refusals.Warn("A stream is refused.", zap.String("gateway", first.GetGateway()), zap.String("service", first.GetService()), zap.String("why", "no gateway or no service"))
 		return status.Error(codes.InvalidArgument, "gateway and service must not be empty")
 	}
 	b := s.join(parseKey(first.GetService()))
