gateway/permits: a refusal that meets the end of its caller is returned

Acquire returned no permit, no refusal and no error if an ask was refused just as its caller's context ended, and its span dereferenced the error.

--- a/gateway/permits/client.go
+++ b/gateway/permits/client.go
@@ -143,7 +143,7 @@
 			break
 		}
 	}
-	if refusal != nil && ctx.Err() == nil {
+	if refusal != nil {
 		return nil, refusal, nil
 	}
 	return nil, nil, errors.Trace(err)
--- a/gateway/permits/permits_test.go
+++ b/gateway/permits/permits_test.go
@@ -188,6 +188,22 @@
 	})
 }
 
+// Guards against an ask without any result: it is refused at the deadline at which its caller goes.
+func TestRefusalAtDeadline(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		f := newFleet(t, 1, 1, 1)
+		c := f.client("a")
+		mustAcquire(t, c)
+		for range 50 {
+			ctx, cancel := context.WithTimeout(t.Context(), tickInterval)
+			o := acquire(ctx, c, decide.Ask{Deadline: tickInterval})
+			cancel()
+			require.Nil(t, o.permit)
+			require.True(t, (o.err == nil) != (o.refusal == nil), "%+v", o)
+		}
+	})
+}
+
 // Guards against places that a lost gateway's queued asks take, and against permits that are
 // forgotten when a gateway loses its stream for a moment.
 func TestLostGateway(t *testing.T) {
