decide/permits: late asks are refused while places are short; ejected servers help out

A returning ask now counts its objective from the caller's first attempt, so that it goes behind those that can be in time, and is refused at once while such asks are refused.

An ejected server that answers part of its requests is used rather than a refusal, for requests that may be repeated. One place a server beyond its slots in place of two: requests of 25 ms queued behind those of 200 ms in the servers.

--- a/decide/admit/admit.go
+++ b/decide/admit/admit.go
@@ -34,8 +34,6 @@
 	Priority int       // the higher class goes first
 	Cost     float64   // expected work, in one unit for all requests (requests or tokens); 0 counts as 1
 	Deadline time.Time // zero: none
-	// Ahead puts the request before those of the same caller and class without it.
-	Ahead bool
 }
 
 // Config sets the bounds of a Queue.
@@ -105,9 +103,7 @@
 	caller       string
 	class        *class
 	items        list.List
-	lastAhead    *list.Element // last item with Ahead; nil: none
-	cost         float64       // sum over the waiting items
-	aheadCost    float64       // sum over those with Ahead
+	cost         float64 // sum over the waiting items
 	weight       float64
 	virtualStart float64 // virtual start time of the first item
 	index        int     // in class.heap; -1 when no items wait
@@ -319,7 +315,8 @@
 		heap.Push(&c.heap, f)
 	}
 	it.flow = f
-	f.insert(it)
+	it.element = f.items.PushBack(it)
+	f.cost += it.Cost
 	c.cost += it.Cost
 	c.waiting++
 	q.waiting++
@@ -367,7 +364,9 @@
 // remove removes a waiting item and updates all counts.
 func (q *Queue) remove(it *Item) {
 	f, c := it.flow, it.flow.class
-	f.drop(it)
+	f.items.Remove(it.element)
+	it.element = nil
+	f.cost -= it.Cost
 	c.cost -= it.Cost
 	c.waiting--
 	q.waiting--
@@ -375,7 +374,7 @@
 		heap.Fix(&c.heap, f.index)
 		return
 	}
-	f.cost, f.aheadCost = 0, 0
+	f.cost = 0
 	heap.Remove(&c.heap, f.index)
 	if c.waiting == 0 {
 		// The busy period of this class has ended: past shares no longer count, and
--- a/decide/admit/estimate.go
+++ b/decide/admit/estimate.go
@@ -120,14 +120,14 @@
 }
 
 // costAhead returns the cost of the items in this class that would start before a
-// new item of t's caller: all waiting items of that caller (those with Ahead if t
-// has it), and of every other caller as much as its share allows until then.
+// new item of t's caller: all waiting items of that caller, and of every other
+// caller as much as its share allows until then.
 func (c *class) costAhead(t Ticket) float64 {
 	start := c.virtualTime
 	var own float64
 	if f := c.flows[t.Caller]; f != nil {
-		own = f.costAhead(t)
-		start = max(start, f.virtualStart) + own/t.Weight
+		own = f.cost
+		start = max(start, f.virtualStart) + f.cost/t.Weight
 	}
 	sum := own
 	for _, f := range c.heap {
--- a/decide/evidence/config.go
+++ b/decide/evidence/config.go
@@ -19,6 +19,9 @@
 	// SlowSamples times reaches it.
 	SlowPace    float64
 	SlowSamples int
+	// UsefulShare is the share of failures up to which an ejected server is better than a
+	// refusal: most requests are answered by it, or by another server after it.
+	UsefulShare float64
 
 	// BaseEjection is the duration of the first ejection. Each further one within
 	// ForgetAfter of the last lasts twice as long, up to MaxEjection.
@@ -41,13 +44,14 @@
 // SlowPace is what usual objectives are in typical times: a slower server's answers are in
 // time for nobody. Requests with shorter objectives are kept from it by its Pace.
 var Default = Config{
-	Pipeline:         2,
+	Pipeline:         1,
 	Recent:           30 * time.Second,
 	FailureShare:     0.3,
 	MinSamples:       4,
 	MinFailures:      2,
 	SlowPace:         6,
 	SlowSamples:      3,
+	UsefulShare:      0.6,
 	BaseEjection:     time.Second,
 	MaxEjection:      10 * time.Second,
 	ForgetAfter:      30 * time.Second,
--- a/decide/evidence/pool.go
+++ b/decide/evidence/pool.go
@@ -175,6 +175,9 @@
 	}
 	limit, reason := sv.limitAt(now, p.cfg)
 	standing := Standing{Limit: limit, Pace: p.paceAt(now, sv), Ejected: sv.ejected(now), Reason: reason}
+	if standing.Ejected {
+		standing.LastResort = sv.lastResort(p.cfg)
+	}
 	if standing.Ejected || len(sv.views) == 0 {
 		return standing
 	}
--- a/decide/evidence/server.go
+++ b/decide/evidence/server.go
@@ -136,6 +136,17 @@
 	return sv.unreachable
 }
 
+// lastResort returns how many requests the server, which is ejected, may have if they would be
+// refused otherwise.
+func (sv *server) lastResort(c Config) int {
+	isUseful := sv.ejection.reason == reasonSlow ||
+		sv.ejection.reason == reasonFailing && sv.ejection.severity-severityFailing <= c.UsefulShare
+	if !isUseful || sv.unreachable {
+		return 0
+	}
+	return sv.slots
+}
+
 // limitAt returns how many requests the server may have, and why not more.
 func (sv *server) limitAt(now time.Time, c Config) (int, string) {
 	switch {
--- a/decide/permits/broker.go
+++ b/decide/permits/broker.go
@@ -77,6 +77,7 @@
 	drain         drain
 	returns       returns
 	stats         stats
+	turnedAway    time.Time // when a caller's ask that could be in time was last refused
 }
 
 // New returns a broker without servers.
@@ -152,6 +153,9 @@
 	}
 	wait, known := b.estimate(w)
 	if known && b.isTooLate(w, wait) {
+		if w.lane == laneCallers {
+			b.turnedAway = b.now
+		}
 		return append(out, b.settle(w, DeadlineTooShort, wait, "the estimated wait is too long"))
 	}
 	return b.enqueue(out, w, wait)
@@ -281,11 +285,14 @@
 }
 
 // settle refuses an ask unless a place is free at which the answer, although late, would
-// be of use.
+// be of use, or an ejected server may help out.
 func (b *Broker) settle(w *waiter, why Refusal, wait time.Duration, reason string) Decision {
 	if i, place := b.pick(w, anyUse); i >= 0 {
 		return b.grant(w, i, place)
 	}
+	if i := b.pickEjected(w); i >= 0 {
+		return b.grant(w, i, "an ejected server, rather than a refusal")
+	}
 	return b.refuse(w, why, wait, reason)
 }
 
--- a/decide/permits/permits.go
+++ b/decide/permits/permits.go
@@ -27,8 +27,8 @@
 	Objective time.Duration
 	// Deadline is the time left in which an answer is of use.
 	Deadline time.Duration
-	// Returning means that an earlier attempt of the caller was refused.
-	Returning bool
+	// Repeatable means that the request may be sent to another server after one has failed it.
+	Repeatable bool
 	// NoWait asks for a refusal rather than a place in the queue.
 	NoWait bool
 	// Avoid holds the servers that are used only if there is no other.
--- a/decide/permits/pick.go
+++ b/decide/permits/pick.go
@@ -137,6 +137,29 @@
 	return -1, ""
 }
 
+// pickEjected returns the ejected server that gets a request which would be refused
+// otherwise: if a service is short of places, a server that answers part of its requests is
+// better than none. It returns -1 if there is none, or if a failure would be final.
+func (b *Broker) pickEjected(w *waiter) int {
+	best := -1
+	if !w.Repeatable || w.NoWait {
+		return best
+	}
+	for i := range b.servers {
+		s := &b.servers[i]
+		if s.Leaving || !s.standing.Ejected || s.inUse >= s.standing.LastResort || slices.Contains(w.Avoid, s.ID) {
+			continue
+		}
+		if !b.isFastEnough(w, s.standing.Pace, anyUse) {
+			continue
+		}
+		if best < 0 || s.inUse < b.servers[best].inUse {
+			best = i
+		}
+	}
+	return best
+}
+
 // usable reports whether server i has a free place for the ask.
 func (b *Broker) usable(w *waiter, i int, u use) (evidence.Standing, bool) {
 	s := &b.servers[i]
--- a/decide/permits/queue.go
+++ b/decide/permits/queue.go
@@ -12,6 +12,10 @@
 // too short makes a late answer, one that is too long a refusal that wasn't needed.
 const estimateMargin = 1.2
 
+// shortageMemory is how long places count as short after an ask that could have been in time
+// was refused.
+const shortageMemory = 200 * time.Millisecond
+
 // lane is a group of queued asks.
 type lane int
 
@@ -83,7 +87,7 @@
 	if w.Internal {
 		caller = ""
 	}
-	return admit.Ticket{Caller: caller, Weight: 1, Priority: -w.Priority, Cost: w.cost, Ahead: w.Returning}
+	return admit.Ticket{Caller: caller, Weight: 1, Priority: -w.Priority, Cost: w.cost}
 }
 
 // fastest returns the expected time of the request at the fastest server; 0: unknown.
@@ -95,16 +99,26 @@
 	return b.now.Add(b.fastest(w)).After(w.objective) || !b.now.Before(w.objective)
 }
 
-// isTooLate reports whether an ask that would wait this long is refused at once: a
-// newcomer of a caller if its answer would be late, any other if it would be of no use.
+// isTooLate reports whether an ask that would wait this long is refused at once: an
+// internal one if its answer would be of no use, a caller's if it would be late. A caller's
+// ask that can't be in time in any case waits only while all others find places: else those
+// would take each place that becomes free, and it would be held until its deadline for nothing.
 func (b *Broker) isTooLate(w *waiter, wait time.Duration) bool {
 	until := w.deadline
-	if !w.Internal && !w.Returning && w.Objective > 0 {
+	switch w.lane {
+	case laneCallers:
 		until = w.objective
+	case laneLate:
+		if b.isShort() {
+			return true
+		}
 	}
 	return b.now.Add(scale(wait, estimateMargin) + b.fastest(w)).After(until)
 }
 
+// isShort reports whether places are so short that asks which could be in time are refused.
+func (b *Broker) isShort() bool { return b.now.Sub(b.turnedAway) < shortageMemory }
+
 // estimate returns how long the ask would wait for a place. It is unknown for a route
 // without a typical time.
 func (b *Broker) estimate(w *waiter) (wait time.Duration, known bool) {
@@ -202,14 +216,15 @@
 	w.item, _, _ = q.Offer(b.now, w.ticket(), w)
 }
 
-// sweep refuses the queued asks whose chance has passed, and moves those that can't be
-// in time any more.
+// sweep refuses the queued asks whose chance has passed. Those that can't be in time any
+// more are refused as well while places are short, and else moved behind all.
 func (b *Broker) sweep() []Decision {
 	var out []Decision
+	short := b.isShort()
 	for _, w := range b.sortedWaiters(func(w *waiter) bool {
-		return b.isHopeless(w) || w.lane == laneCallers && b.missesObjective(w)
+		return b.isHopeless(w) || w.lane == laneLate && short || w.lane == laneCallers && b.missesObjective(w)
 	}) {
-		if !b.isHopeless(w) {
+		if !b.isHopeless(w) && !short {
 			b.moveToLate(w)
 			continue
 		}
--- a/gateway/forward/permits.go
+++ b/gateway/forward/permits.go
@@ -17,14 +17,9 @@
 	"dandelionsill.org/kinds"
 )
 
-const (
-	// returningShare is the share of the longest time that callers of a route state up to
-	// which a request counts as a further attempt: a caller states the time that it has left.
-	returningShare = 0.97
-	// maxUnsharedRefusals bounds how many servers may refuse a request of a shared service
-	// while there is no broker. More would multiply the load on servers that are full.
-	maxUnsharedRefusals = 2
-)
+// maxUnsharedRefusals bounds how many servers may refuse a request of a shared service
+// while there is no broker. More would multiply the load on servers that are full.
+const maxUnsharedRefusals = 2
 
 var permitsUnused = metrics.Counter("forward_permits_unused_total")
 
@@ -69,30 +64,31 @@
 
 // update derives what depends on the table; s.mu is held.
 func (s *sharing) update(t *table.Table) {
-	if s.table == t {
-		return
+	if s.table != t {
+		s.table, s.shared, s.longest = t, permits.SharedServices(t, s.maxPatience), map[string]time.Duration{}
 	}
-	s.table, s.shared, s.longest = t, permits.SharedServices(t, s.maxPatience), map[string]time.Duration{}
 }
 
-// isReturning reports whether a caller that states the time it has left has made an earlier
-// attempt.
-func (s *sharing) isReturning(t *table.Table, route string, stated time.Duration) bool {
+// sinceFirstAttempt returns how long ago a caller made its first attempt: a caller states the
+// time that it has left, and states the same time at each first attempt.
+func (s *sharing) sinceFirstAttempt(t *table.Table, route string, stated time.Duration) time.Duration {
+	if stated <= 0 {
+		return 0
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.update(t)
-	longest := max(s.longest[route], stated)
-	s.longest[route] = longest
-	return stated > 0 && float64(stated) < returningShare*float64(longest)
+	s.longest[route] = max(s.longest[route], stated)
+	return s.longest[route] - stated
 }
 
 // ask describes the call's request to the broker.
 func (s *callState) ask(noWait bool) permits.Ask {
-	c, f := &s.call, s.forwarder
-	returning := !c.Internal && f.sharing.isReturning(f.View.Current().Table, c.Route.Name, c.CallerTimeout)
+	c, sharing := &s.call, s.forwarder.sharing
+	elapsed := time.Since(s.start) + sharing.sinceFirstAttempt(s.forwarder.View.Current().Table, c.Route.Name, c.CallerTimeout)
 	return permits.Ask{
-		Domain: f.domain, Route: c.Route.Name, Organisation: c.Organisation, Internal: c.Internal, Priority: c.Priority,
-		Objective: max(0, c.Route.LatencyObjective-time.Since(s.start)), Deadline: time.Until(c.Deadline), Returning: returning, NoWait: noWait, Avoid: slices.Clone(s.asked),
+		Domain: s.forwarder.domain, Route: c.Route.Name, Organisation: c.Organisation, Internal: c.Internal, Priority: c.Priority,
+		Objective: max(0, c.Route.LatencyObjective-elapsed), Deadline: time.Until(c.Deadline), Repeatable: c.Route.Repeatable(), NoWait: noWait, Avoid: slices.Clone(s.asked),
 	}
 }
 
--- a/gateway/permits/convert.go
+++ b/gateway/permits/convert.go
@@ -22,7 +22,7 @@
 func encodeAsk(ask decide.Ask) *pb.PermitAsk {
 	return &pb.PermitAsk{
 		Id: ask.ID.Number, Route: ask.Route, Organisation: ask.Organisation, Internal: ask.Internal, Priority: int32(ask.Priority),
-		ObjectiveMs: toMillis(ask.Objective), DeadlineMs: toMillis(ask.Deadline), Returning: ask.Returning, NoWait: ask.NoWait, Avoid: ask.Avoid,
+		ObjectiveMs: toMillis(ask.Objective), DeadlineMs: toMillis(ask.Deadline), Repeatable: ask.Repeatable, NoWait: ask.NoWait, Avoid: ask.Avoid,
 	}
 }
 
@@ -30,7 +30,7 @@
 	return decide.Ask{
 		ID: decide.AskID{Gateway: gateway, Number: ask.GetId()}, Domain: domain, Route: ask.GetRoute(), Organisation: ask.GetOrganisation(),
 		Internal: ask.GetInternal(), Priority: int(ask.GetPriority()), Objective: fromMillis(ask.GetObjectiveMs()),
-		Deadline: fromMillis(ask.GetDeadlineMs()), Returning: ask.GetReturning(), NoWait: ask.GetNoWait(), Avoid: ask.GetAvoid(),
+		Deadline: fromMillis(ask.GetDeadlineMs()), Repeatable: ask.GetRepeatable(), NoWait: ask.GetNoWait(), Avoid: ask.GetAvoid(),
 	}
 }
 
--- a/gateway/permits/session.go
+++ b/gateway/permits/session.go
@@ -13,7 +13,7 @@
 )
 
 // reportDelay is how long a report may wait for others. Its place stays taken for that time.
-const reportDelay = 5 * time.Millisecond
+const reportDelay = time.Millisecond
 
 // session is a stream to a broker. Its fields are guarded by shardClient.mu.
 type session struct {
