decide/evidence: whether an ejected server may help out follows from its recent answers

The share of failures at the time of the ejection rests on two samples after a probation: a server that answered 60 % of its requests was left out for seconds while all others were full.

--- a/decide/evidence/server.go
+++ b/decide/evidence/server.go
@@ -139,10 +139,17 @@
 // lastResort returns how many requests the server, which is ejected, may have if they would be
 // refused otherwise.
 func (sv *server) lastResort(c Config) int {
-	isUseful := sv.ejection.reason == reasonSlow ||
-		sv.ejection.reason == reasonFailing && sv.ejection.severity-severityFailing <= c.UsefulShare
-	if !isUseful || sv.unreachable {
+	var total tally
+	for i := range sv.filled {
+		if e := sv.newest(i); isResult(e.outcome) {
+			total.add(e)
+		}
+	}
+	switch {
+	case sv.unreachable || total.samples == total.failures:
 		return 0
+	case total.share() > c.UsefulShare:
+		return 1
 	}
 	return sv.slots
 }
