base/budget: a bound on the bytes that a process holds for others

Bodies, answers and texts are held without a common bound, so a VM of 144 MB can be killed by callers who read or write slowly. A budget has a share for each use: a guaranteed part that no other use can take, and a rest that is common to all.

Tests: rapid over random reservations (never above the total, the guaranteed part always there, a refusal only without room, nothing in use after all releases), and that a nil budget bounds nothing.

--- /dev/null
+++ b/base/budget/budget_test.go
@@ -0,0 +1,107 @@
+package budget
+
+import (
+	"expvar"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Random reservations of several uses: together they never exceed the total, each use always gets its
+// guaranteed part, a refusal means that there was no room, and after all releases nothing is in use.
+func TestSharesStayWithinBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := rapid.Int64Range(0, 1000).Draw(t, "total")
+		b := New(total)
+		var shares []*Share
+		guaranteedSum := int64(0)
+		for range rapid.IntRange(1, 4).Draw(t, "shares") {
+			s := b.Share("s", rapid.Int64Range(0, 500).Draw(t, "guaranteed"))
+			guaranteedSum += s.guaranteed
+			shares = append(shares, s)
+		}
+		require.LessOrEqual(t, guaranteedSum, total)
+		held := make([]Reservation, 8)
+		for i := range held {
+			held[i] = shares[i%len(shares)].Reserve()
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			r := &held[rapid.IntRange(0, len(held)-1).Draw(t, "reservation")]
+			if rapid.Bool().Draw(t, "release") {
+				r.Release()
+				continue
+			}
+			n := rapid.Int64Range(0, 400).Draw(t, "n")
+			inUse, free := r.share.inUse, total-guaranteedSum
+			for _, s := range shares {
+				free -= max(0, s.inUse-s.guaranteed)
+			}
+			require.GreaterOrEqual(t, free, int64(0))
+			room := free + max(0, r.share.guaranteed-inUse)
+			require.Equal(t, n <= room, r.Grow(n))
+			sum := int64(0)
+			for _, s := range shares {
+				sum += s.InUse()
+			}
+			require.LessOrEqual(t, sum, total)
+		}
+		for i := range held {
+			held[i].Release()
+		}
+		for _, s := range shares {
+			require.Zero(t, s.InUse())
+		}
+		require.Equal(t, total-guaranteedSum, b.common)
+	})
+}
+
+// A process without a budget holds whatever it is sent.
+func TestNilBudgetBoundsNothing(t *testing.T) {
+	var b *Budget
+	b.Publish()
+	s := b.Share("s", 1)
+	require.True(t, s.Acquire(1<<40))
+	s.Release(1 << 40)
+	r := s.Reserve()
+	require.True(t, r.Grow(1<<40))
+	r.Release()
+	require.Zero(t, s.InUse())
+}
+
+// Guards against a budget that grows because bytes are returned twice.
+func TestReleaseOfMoreThanAcquiredPanics(t *testing.T) {
+	s := New(10).Share("s", 5)
+	require.True(t, s.Acquire(3))
+	r := s.Reserve()
+	require.True(t, r.Grow(2))
+	r.Release()
+	r.Release()
+	require.Panics(t, func() { s.Release(4) })
+}
+
+func TestSharesArePublished(t *testing.T) {
+	b := New(10)
+	bodies := b.Share("bodies", 4)
+	b.Publish()
+	require.True(t, bodies.Acquire(7))
+	require.False(t, bodies.Acquire(4))
+	bodies.Release(2)
+	require.Equal(t, `{"bodies":5}`, expvar.Get("budget_in_use_bytes").String())
+	require.Equal(t, `{"bodies":7}`, expvar.Get("budget_peak_bytes").String())
+	require.Equal(t, `{"bodies":1}`, expvar.Get("budget_refused_total").String())
+	require.Equal(t, "10", expvar.Get("budget_total_bytes").String())
+}
+
+// BenchmarkReservation measures what a budget adds to a request, with all cores at it.
+func BenchmarkReservation(b *testing.B) {
+	s := New(1<<40).Share("s", 1<<20)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			r := s.Reserve()
+			r.Grow(800)
+			r.Release()
+		}
+	})
+}
