gateway/front: bodies of requests are held within a budget

Any number of bodies of up to 32 MB each was read at once, so that a few dozen callers could end a small gateway. With a share for bodies, the room is taken by Content-Length where it is told, else in steps that double; past it the request is refused at once as not run, with Retry-After. A body past the configured limit stays 413. A body that has not arrived by the request's deadline is refused and gives its room back: a caller that announces 32 MB and sends nothing would hold it for good.

A refusal closes the connection: net/http would otherwise read up to 256 KB of the body before it sends the answer. Callers are paced where there is a share. Without a share the body is read as before.

--- /dev/null
+++ b/gateway/front/body.go
@@ -0,0 +1,122 @@
+package front
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+
+	"dandelionsill.org/base/budget"
+	"dandelionsill.org/kinds"
+)
+
+const (
+	// bodyStepBytes is the first step in which a body of unknown length is read; later steps
+	// double what was read.
+	bodyStepBytes = 4 << 10
+	// bodyRetryAfter is the retry delay suggested to callers whose body had no room. Most
+	// requests that hold a body are answered in this time.
+	bodyRetryAfter = 250 * time.Millisecond
+)
+
+// readBody reads the request's body, which may have up to limit bytes; a limit of 0 or less means
+// defaultMaxBodyBytes. The bytes are taken from held, which the caller of readBody must release
+// once the body is no longer needed. A body for which there is no room, or that has not arrived by the
+// deadline, is refused and not read further.
+func (f *Front) readBody(w http.ResponseWriter, r *http.Request, held *budget.Reservation, limit int64, deadline time.Time) ([]byte, *kinds.Error) {
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	if f.Bodies == nil {
+		return readUnbounded(r, limit)
+	}
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(deadline) // without it, the body is waited for as if there was no budget
+	body, failed := readWithin(r, held, limit)
+	if failed != nil {
+		// Otherwise net/http would read the rest of the body before it sends the refusal. The
+		// deadline stays, for what net/http reads after it.
+		w.Header().Set("Connection", "close")
+		return nil, failed
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+// readUnbounded reads a body of up to limit bytes.
+func readUnbounded(r *http.Request, limit int64) ([]byte, *kinds.Error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return nil, bodyError(err)
+	}
+	if int64(len(body)) > limit {
+		return nil, tooLarge(limit)
+	}
+	return body, nil
+}
+
+// readWithin reads a body of up to limit bytes, for as many bytes as held can take.
+func readWithin(r *http.Request, held *budget.Reservation, limit int64) ([]byte, *kinds.Error) {
+	if r.ContentLength > limit {
+		return nil, tooLarge(limit)
+	}
+	if r.ContentLength < 0 {
+		return readInSteps(r.Body, held, limit)
+	}
+	if !held.Grow(r.ContentLength) {
+		return nil, noRoom()
+	}
+	body := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, body); err != nil {
+		return nil, bodyError(err)
+	}
+	return body, nil
+}
+
+// readInSteps reads a body of unknown length.
+func readInSteps(from io.Reader, held *budget.Reservation, limit int64) ([]byte, *kinds.Error) {
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			step := max(bodyStepBytes, int64(cap(body)))
+			if !held.Grow(step) {
+				return nil, noRoom()
+			}
+			larger := make([]byte, len(body), int64(cap(body))+step)
+			copy(larger, body)
+			body = larger
+		}
+		n, err := from.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if int64(len(body)) > limit {
+			return nil, tooLarge(limit)
+		}
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return nil, bodyError(err)
+		}
+	}
+}
+
+func tooLarge(limit int64) *kinds.Error {
+	return kinds.Hold().Refuse(kinds.TooLarge, "body of over %d bytes", limit)
+}
+
+func noRoom() *kinds.Error {
+	return kinds.Hold().Refuse(kinds.Overloaded, "no room for the request's body").WithRetryAfter(bodyRetryAfter)
+}
+
+// bodyError returns the error of a body that did not arrive.
+func bodyError(err error) *kinds.Error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return kinds.Hold().Refuse(kinds.DeadlineTooShort, "the request's body did not arrive in time")
+	}
+	return kinds.New(kinds.Cancelled, "the request's body ended early: %v", err)
+}
--- /dev/null
+++ b/gateway/front/body_test.go
@@ -0,0 +1,151 @@
+package front_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"dandelionsill.org/base/budget"
+	"dandelionsill.org/gateway/front"
+	"dandelionsill.org/gateway/gatewaytest"
+	"dandelionsill.org/platform/hosted/hostedtest"
+)
+
+// newBoundedFront is newFront with a budget of total bytes.
+func newBoundedFront(t *testing.T, pf *gatewaytest.Platform, total int64) (*front.Front, string) {
+	f, url := newFront(t, pf)
+	b := budget.New(total)
+	f.Bodies = b.Share("bodies", total/4)
+	return f, url
+}
+
+// waitEmpty waits until nothing is held for requests any more.
+func waitEmpty(t testing.TB, f *front.Front) {
+	require.Eventually(t, func() bool { return f.Bodies.InUse() == 0 }, gatewaytest.MaxWait, time.Millisecond)
+}
+
+// post sends a body, with its length or in chunks, and returns the response without its body; nil on failure.
+func post(url, id string, body []byte, chunked bool) *http.Response {
+	var from io.Reader = bytes.NewReader(body)
+	if chunked {
+		from = io.MultiReader(from) // hides the length
+	}
+	r, err := http.NewRequest(http.MethodPost, url+"/score/x", from)
+	if err != nil {
+		return nil
+	}
+	r.Host = "app.example"
+	r.Header.Set(hostedtest.HeaderAttempt, id)
+	r.Header.Set(hostedtest.HeaderDeadline, "20000")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return resp
+}
+
+func requireNotRun(t *testing.T, resp *http.Response) {
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Equal(t, "1", resp.Header.Get(hostedtest.HeaderNotExecuted))
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+}
+
+// Load: a dozen callers send bodies of 1 MB at once to a slow server, through a gateway that has room for four.
+// Four run, the others are refused at once and do not run, and a small request is served meanwhile.
+func TestLargeBodiesStayWithinBudget(t *testing.T) {
+	for name, chunked := range map[string]bool{"length told": false, "in chunks": true} {
+		t.Run(name, func(t *testing.T) {
+			pf := gatewaytest.NewPlatform(t, 0, 1)
+			f, url := newBoundedFront(t, pf, 4<<20+64<<10)
+			gate := make(chan struct{})
+			large := make(chan string, 12)
+			replaceServer(t, pf, f, func(w http.ResponseWriter, r *http.Request) {
+				body, _ := io.ReadAll(r.Body)
+				if len(body) > 1000 {
+					large <- r.Header.Get(hostedtest.HeaderAttempt)
+					<-gate
+				}
+				sealed(w, r)
+				_, _ = io.WriteString(w, "ok")
+			})
+			responses := make(chan *http.Response, 12)
+			for i := range 12 {
+				go func() { responses <- post(url, fmt.Sprint("r", i), bytes.Repeat([]byte("b"), 1_000_000), chunked) }()
+			}
+			for range 8 {
+				requireNotRun(t, <-responses)
+			}
+			require.Equal(t, 200, post(url, "small", []byte("b"), chunked).StatusCode)
+			require.LessOrEqual(t, f.Bodies.InUse(), int64(4<<20+64<<10))
+			close(gate)
+			for range 4 {
+				require.Equal(t, 200, (<-responses).StatusCode)
+			}
+			ran := map[string]bool{}
+			for len(large) > 0 {
+				ran[<-large] = true // hedges repeat an id
+			}
+			require.Len(t, ran, 4)
+			waitEmpty(t, f)
+		})
+	}
+}
+
+// sendPart sends the head of a request with a body of length bytes and only a part of it, and returns
+// the answer.
+func sendPart(t *testing.T, url string, length, part, deadlineMS int) *http.Response {
+	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = fmt.Fprintf(conn, "POST /write/x HTTP/1.1\r\nHost: app.example\r\n%s: r\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
+		hostedtest.HeaderAttempt, hostedtest.HeaderDeadline, deadlineMS, length, strings.Repeat("b", part))
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	return resp
+}
+
+// Guards against a refusal that waits for the rest of a body, which may never come, and against a
+// connection on which that rest is taken for the next request.
+func TestRefusalDoesNotWaitForBody(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 1)
+	f, url := newBoundedFront(t, pf, 1000)
+	resp := sendPart(t, url, 2000, 10, 20000)
+	requireNotRun(t, resp)
+	require.True(t, resp.Close)
+	resp = sendPart(t, url, 1<<20+1, 10, 20000)
+	require.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
+	require.Empty(t, pf.Servers[0].Arrivals())
+	waitEmpty(t, f)
+}
+
+// Guards against room that is taken for good by callers who never send what they have announced.
+func TestBodyThatDoesNotArriveGivesItsRoomBack(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 1)
+	f, url := newBoundedFront(t, pf, 1<<20)
+	requireNotRun(t, sendPart(t, url, 2000, 10, 200))
+	waitEmpty(t, f)
+	require.Empty(t, pf.Servers[0].Arrivals())
+}
+
+// Bodies beyond the configured limit are too large, also if their length is not told; they are not refused as if a
+// retry could help.
+func TestTooLargeBodyWithBudget(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 1)
+	f, url := newBoundedFront(t, pf, 64<<20)
+	for _, chunked := range []bool{false, true} {
+		require.Equal(t, http.StatusRequestEntityTooLarge, post(url, "r", make([]byte, 1<<20+1), chunked).StatusCode)
+		require.Equal(t, 200, post(url, "r", make([]byte, 1<<20), chunked).StatusCode)
+	}
+	waitEmpty(t, f)
+}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -15,12 +14,14 @@
 	oteltrace "go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
+	"dandelionsill.org/base/budget"
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/base/trace"
 	"dandelionsill.org/decide/table"
 	"dandelionsill.org/entry/answer"
 	"dandelionsill.org/gateway/forward"
 	"dandelionsill.org/gateway/jobs"
+	"dandelionsill.org/gateway/pace"
 	"dandelionsill.org/gateway/view"
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/platform/hosted"
@@ -54,6 +55,9 @@
 	Jobs    *jobs.Service
 	Log     *zap.Logger
 	Latency *metrics.Histogram
+	// Bodies bounds the bodies of requests that are held, and answers to callers that read too slowly are
+	// cut off; nil: neither.
+	Bodies *budget.Share
 
 	inFlight atomic.Int64
 	draining atomic.Bool
@@ -78,6 +82,11 @@
 	if f.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if f.Bodies != nil {
+		paced := pace.NewWriter(w, hosted.AttemptID(r.Header), f.Log)
+		defer paced.Finish()
+		w = paced
+	}
 	status, err := f.serve(w, r, start)
 	if err != nil {
 		status = f.writeError(w, r, err, start)
@@ -126,11 +135,13 @@
 	if refused != nil {
 		return 0, refused
 	}
-	body, failed := readBody(r, snap.Table.Limits.BodyBytes)
+	deadline := start.Add(answerTimeout(r, route))
+	room := f.Bodies.Reserve()
+	defer room.Release()
+	body, failed := f.readBody(w, r, &room, snap.Table.Limits.BodyBytes, deadline)
 	if failed != nil {
 		return 0, failed
 	}
-	deadline := start.Add(answerTimeout(r, route))
 	if route.Kind == table.Batch {
 		return f.submitJob(w, r, route, organisation, body, start)
 	}
@@ -156,22 +167,6 @@
 	return max(left-answerMargin, left/2)
 }
 
-// readBody reads the request's body, which may have up to limit bytes; a limit of 0 or
-// less means defaultMaxBodyBytes.
-func readBody(r *http.Request, limit int64) ([]byte, *kinds.Error) {
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, kinds.New(kinds.Cancelled, "the request's body ended early: %v", err)
-	}
-	if int64(len(body)) > limit {
-		return nil, kinds.Hold().Refuse(kinds.TooLarge, "body of over %d bytes", limit)
-	}
-	return body, nil
-}
-
 // proxy forwards the request to a server and writes its answer.
 func (f *Front) proxy(w http.ResponseWriter, r *http.Request, route *table.Route, organisation string, body []byte, deadline time.Time) (int, *kinds.Error) {
 	call := forward.Call{
--- /dev/null
+++ b/gateway/front/servers_test.go
@@ -0,0 +1,33 @@
+package front_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"dandelionsill.org/gateway/front"
+	"dandelionsill.org/gateway/gatewaytest"
+	"dandelionsill.org/platform/hosted/hostedtest"
+)
+
+// replaceServer makes the front send the requests of the platform's only server to a handler.
+func replaceServer(t *testing.T, pf *gatewaytest.Platform, f *front.Front, handler http.HandlerFunc) {
+	srv := httptest.NewServer(handler)
+	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
+	pf.Servers[0].AdvertisedAddr = strings.TrimPrefix(srv.URL, "http://")
+	pf.Register(pf.Servers[0], "ready")
+	require.Eventually(t, func() bool {
+		return f.View.Current().Servers["plain"][0].Addr == pf.Servers[0].AdvertisedAddr
+	}, gatewaytest.MaxWait, time.Millisecond)
+}
+
+// sealed adds the headers of a server's answer.
+func sealed(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(hostedtest.HeaderAttempt)
+	w.Header().Set(hostedtest.HeaderAttempt, id)
+	w.Header().Set(hostedtest.HeaderSeal, "seal-"+id)
+}
