gateway/jobs: texts are held within their room, and queued appends are counted

The cache of texts was bounded by 8 MB on every VM. With a share it drops its oldest texts also where the share has no room; they are read from the log again. What is read now goes to the results directly; results of one job name each item once, so that no two wait for the same text.

Texts that the log does not take can't be dropped or refused, since they have been generated. They are counted: jobs_queued_append_bytes, beside jobs_text_cache_bytes.

--- a/gateway/jobs/outbox.go
+++ b/gateway/jobs/outbox.go
@@ -75,6 +75,8 @@
 
 	// lastAppendNanos is the duration of the last successful append, in nanoseconds.
 	lastAppendNanos atomic.Int64
+	// appendingBytes is the size of the texts that are being appended.
+	appendingBytes atomic.Int64
 
 	mu        sync.Mutex
 	pending   jobs.Record
@@ -86,10 +88,12 @@
 }
 
 func newOutbox(log Log, writer jobs.Writer, partitions int, needsHeartbeat func() bool, onTextAppended func(textKey, string), zlog *zap.Logger) *outbox {
-	return &outbox{
+	o := &outbox{
 		log: log, zlog: zlog, retryLog: logs.Limited(zlog, retryLogInterval), writer: writer, partitions: max(1, partitions), needsHeartbeat: needsHeartbeat, isCandidate: func() bool { return true }, onTextAppended: onTextAppended,
 		appenders: map[int]*partitionAppender{}, urgent: make(chan struct{}, 1),
 	}
+	metrics.Gauge("jobs_queued_append_bytes", func() any { return o.queuedBytes() })
+	return o
 }
 
 // add changes the pending record; if urgent, it is appended at once.
--- a/gateway/jobs/partition_appender.go
+++ b/gateway/jobs/partition_appender.go
@@ -113,7 +113,10 @@
 	o.mu.Lock()
 	texts, releases := a.texts, a.releases
 	a.texts, a.releases = map[jobClaim]*pendingTexts{}, nil
+	size := sizeOfTexts(texts)
+	o.appendingBytes.Add(size)
 	o.mu.Unlock()
+	defer o.appendingBytes.Add(-size)
 	progress, results := o.encodeTexts(texts)
 	if a.unavailable {
 		results = o.appendGroups(ctx, o.otherPartition(a.part), results)
--- a/gateway/jobs/text_cache.go
+++ b/gateway/jobs/text_cache.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"dandelionsill.org/base/budget"
 	"dandelionsill.org/base/logs"
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/fold/jobs"
@@ -40,6 +41,9 @@
 	// unknown.
 	peerAddr func(node string) string
 
+	// room bounds the texts beside maxCacheBytes; nil: it does not.
+	room *budget.Share
+
 	mu    sync.Mutex
 	texts map[textKey]string
 	order []textKey // oldest first
@@ -56,31 +60,59 @@
 func keyOf(r *jobs.Result) textKey { return textKey{r.Ref.Partition, r.Ref.Offset, r.Item} }
 
 func newTextCache(log *reader, zlog *zap.Logger) *TextCache {
-	return &TextCache{
+	c := &TextCache{
 		log: log, zlog: logs.Limited(zlog, retryLogInterval), texts: map[textKey]string{}, peerAddr: func(string) string { return "" },
 		http: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: maxConcurrentCalls}},
 	}
+	metrics.Gauge("jobs_text_cache_bytes", func() any { return c.size() })
+	return c
+}
+
+// SetRoom sets the share of the process's memory for texts. It must be called before the first
+// use.
+func (c *TextCache) SetRoom(room *budget.Share) { c.room = room }
+
+// size returns the number of bytes of all texts.
+func (c *TextCache) size() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.bytes
 }
 
 // SetPeers sets the function that returns the address at which the process of another VM
 // serves texts. It must be called before the first use.
 func (c *TextCache) SetPeers(addr func(node string) string) { c.peerAddr = addr }
 
-// put stores a text and removes the oldest ones beyond maxCacheBytes.
+// put stores a text and removes the oldest ones beyond maxCacheBytes or the room for texts. They
+// can be read from the log again.
 func (c *TextCache) put(key textKey, text string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if _, known := c.texts[key]; known {
 		return
 	}
+	for c.bytes+len(text) > maxCacheBytes && len(c.order) > 0 {
+		c.removeOldest()
+	}
+	for !c.room.Acquire(int64(len(text))) {
+		if len(c.order) == 0 {
+			c.zlog.Warn("The room for texts is smaller than one text.", zap.String("item", key.item), zap.Int("bytes", len(text)))
+			return
+		}
+		c.removeOldest()
+	}
 	c.texts[key] = text
 	c.order = append(c.order, key)
 	c.bytes += len(text)
-	for c.bytes > maxCacheBytes && len(c.order) > 1 {
-		c.bytes -= len(c.texts[c.order[0]])
-		delete(c.texts, c.order[0])
-		c.order = c.order[1:]
-	}
+}
+
+// removeOldest removes the oldest text; c.mu is held.
+func (c *TextCache) removeOldest() {
+	size := len(c.texts[c.order[0]])
+	delete(c.texts, c.order[0])
+	c.order = c.order[1:]
+	c.bytes -= size
+	c.room.Release(int64(size))
 }
 
 func (c *TextCache) get(key textKey) (string, bool) {
--- a/gateway/jobs/textcalls.go
+++ b/gateway/jobs/textcalls.go
@@ -148,7 +148,8 @@
 }
 
 // readFromLog reads the first of the missing texts, which are sorted by their place in the log,
-// and those that are stored near it. It returns those that are still missing.
+// and those that are stored near it. It returns those that are still missing. The texts are given
+// to the results as they are read, since the cache may have no room for all of them.
 func (c *TextCache) readFromLog(ctx context.Context, missing []*jobs.Result) ([]*jobs.Result, error) {
 	first := missing[0].Ref
 	textReads.Add(1)
@@ -156,6 +157,10 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	wanted := make(map[textKey]*jobs.Result, len(missing))
+	for _, r := range missing {
+		wanted[keyOf(r)] = r
+	}
 	for _, rec := range page.Records {
 		record, err := jobs.DecodeText(rec.Data)
 		if err != nil {
@@ -163,11 +168,15 @@
 			continue // another record's error; a missing text is reported below
 		}
 		for _, text := range record.Texts {
-			c.put(textKey{first.Partition, rec.Offset, text.Item}, text.Text)
+			key := textKey{first.Partition, rec.Offset, text.Item}
+			if r := wanted[key]; r != nil {
+				r.Text = text.Text
+			}
+			c.put(key, text.Text)
 		}
 	}
 	remaining := slices.DeleteFunc(slices.Clone(missing), func(r *jobs.Result) bool {
-		return r.Ref.Partition == first.Partition && r.Ref.Offset < page.Next && c.contains(keyOf(r))
+		return r.Ref.Partition == first.Partition && r.Ref.Offset < page.Next && r.Text != ""
 	})
 	if len(remaining) > 0 && remaining[0].Ref.Partition == first.Partition && remaining[0].Ref.Offset < page.Next {
 		return nil, errors.NotFoundf("text of item %s at offset %d", remaining[0].Item, remaining[0].Ref.Offset)
@@ -175,11 +184,6 @@
 	return remaining, nil
 }
 
-func (c *TextCache) contains(key textKey) bool {
-	_, ok := c.get(key)
-	return ok
-}
-
 // textReadKB returns how many KB likely hold the missing texts of the first one's partition.
 func textReadKB(missing []*jobs.Result) int {
 	size := 0
