gateway/server: [vm] memory_mb bounds what is held for others

A gateway on a VM with memory_mb may fill 0.3 of it with bodies, answers and texts: most of these bytes may be there twice for a moment and the collector lets the heap grow by a quarter, which makes three quarters; the last one is for the runtime, the tables and the batch jobs. Bodies and answers have a quarter of it each, texts an eighth, the rest is common. Callers are paced and their connections' send buffers bounded. Without memory_mb nothing is bounded, as before.

Weighed: a memory limit of the runtime (debug.SetMemoryLimit). Near the limit it trades processor time for memory without turning anything away, so that it hides the cause; left out.

--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -26,6 +26,7 @@
 	"dandelionsill.org/gateway/forward"
 	"dandelionsill.org/gateway/front"
 	gatewayjobs "dandelionsill.org/gateway/jobs"
+	"dandelionsill.org/gateway/pace"
 	"dandelionsill.org/gateway/view"
 	"dandelionsill.org/platform/hosted"
 	"dandelionsill.org/quarantine"
@@ -86,6 +87,9 @@
 	}
 	ready := &readiness{view: v, index: index, quarantine: forwarder.Quarantine}
 	index.Texts.SetPeers(peers.Addr)
+	held := newHeldMemory(cfg.VM.MemoryMB)
+	handler.Bodies, forwarder.Answers = held.bodies, held.answers
+	index.Texts.SetRoom(held.texts)
 	index.SetReadInterval(func() time.Duration { return followed.readInterval(1) })
 	usage := newReporting(&cfg, lease.Holder(writer), store, processCount, log)
 	if usage != nil {
@@ -164,6 +168,9 @@
 	callerServer := run.NewHTTP(cfg.Listen.Callers)
 	callerServer.Handler = callerHandler // without a router, which would change paths
 	callerServer.IdleTimeout = idleTimeout
+	if cfg.VM.MemoryMB > 0 {
+		callerServer.ConnContext = pace.BoundSendBuffer
+	}
 	readyServer := run.NewHTTP(cfg.Listen.Ready)
 	readyServer.HandleFunc(hosted.PathReady, ready.serve)
 	servers := []transport.Server{callerServer, readyServer}
--- a/gateway/server/memory.go
+++ b/gateway/server/memory.go
@@ -1,6 +1,10 @@
 package server
 
-import "runtime/debug"
+import (
+	"runtime/debug"
+
+	"dandelionsill.org/base/budget"
+)
 
 // gcPercent is the heap growth between two garbage collections, in percent. A process has 64 MB
 // of memory and uses 2% of a core, so that memory is its scarcer resource: a gateway's peak on a
@@ -10,3 +14,38 @@
 
 // saveMemory makes the garbage collector trade processor time for memory.
 func saveMemory() { debug.SetGCPercent(gcPercent) }
+
+// heldPart is the part of a VM's memory that may be filled with what the process holds for others.
+// Most of it may be there twice for a moment, as a decoded job beside its body or in the kernel's
+// buffers, and the collector lets the heap grow by a quarter: together three quarters of the
+// memory. The last quarter is for the runtime, the tables and the batch jobs.
+const heldPart = 0.3
+
+// Guaranteed parts of what may be held. The rest is common, so that each use can take half of all or
+// more while the others are quiet.
+const (
+	bodiesPart  = 0.25
+	answersPart = 0.25
+	textsPart   = 0.125
+)
+
+// heldMemory is the room for what the process holds for others. The shares are nil if it is not bounded.
+type heldMemory struct {
+	bodies, answers, texts *budget.Share
+}
+
+// newHeldMemory returns the room on a VM with memoryMB of memory, 0 if it is not known.
+func newHeldMemory(memoryMB float64) heldMemory {
+	if memoryMB <= 0 {
+		return heldMemory{}
+	}
+	total := heldPart * memoryMB * 1e6
+	b := budget.New(int64(total))
+	held := heldMemory{
+		bodies:  b.Share("bodies", int64(bodiesPart*total)),
+		answers: b.Share("answers", int64(answersPart*total)),
+		texts:   b.Share("texts", int64(textsPart*total)),
+	}
+	b.Publish()
+	return held
+}
--- /dev/null
+++ b/gateway/server/memory_test.go
@@ -0,0 +1,30 @@
+package server
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A VM without a told amount of memory bounds nothing; on any other, what is held for others stays a part of the memory,
+// whatever the uses need, and leaves each its guaranteed part.
+func TestHeldMemory(t *testing.T) {
+	require.Equal(t, heldMemory{}, newHeldMemory(0))
+	for _, memoryMB := range []float64{32, 144, 536} {
+		held := newHeldMemory(memoryMB)
+		const step = 64 << 10
+		taken := 0.0
+		for held.bodies.Acquire(step) {
+			taken += step
+		}
+		for held.answers.Acquire(step) {
+			taken += step
+		}
+		for held.texts.Acquire(step) {
+			taken += step
+		}
+		require.LessOrEqual(t, taken, heldPart*memoryMB*1e6)
+		require.InDelta(t, answersPart*heldPart*memoryMB*1e6, held.answers.InUse(), step)
+		require.InDelta(t, textsPart*heldPart*memoryMB*1e6, held.texts.InUse(), step)
+	}
+}
--- a/gateway/server/settings.go
+++ b/gateway/server/settings.go
@@ -71,6 +71,7 @@
 // VM holds the resources of the VM that the process may use.
 type VM struct {
 	CPUShare float64 `ini:"vm.cpu_share" default:"1" min:"0.01" max:"1024" help:"cores that this process may use"`
+	MemoryMB float64 `ini:"vm.memory_mb" default:"0" min:"0" max:"100000000" help:"memory that this process may use, MB; what it holds for others is bounded to a part of it; 0: not told, nothing is bounded"`
 	LinkMbps float64 `ini:"vm.link_mbps" default:"1000" min:"1" max:"1000000" help:"bandwidth of the VM's link, Mbit/s"`
 }
 
