gateway/front: a test of a stream that its caller does not read

Guards against a stream that holds an engine and a connection for good: the connection is closed at the stated pace, and another caller's stream is whole meanwhile.

--- a/gateway/front/answer_test.go
+++ b/gateway/front/answer_test.go
@@ -156,6 +156,42 @@
 	}
 }
 
+// Guards against a caller that never reads its stream and holds it, and its engine, for good. Another caller's stream
+// is whole meanwhile.
+func TestCallerThatDoesNotReadItsStreamIsCutOff(t *testing.T) {
+	t.Parallel()
+	pf := gatewaytest.NewPlatform(t, 1, 0)
+	f, _ := newBoundedFront(t, pf, 1<<20)
+	replace(t, pf, f, pf.Engines, func(w http.ResponseWriter, r *http.Request) {
+		sealed(w, r)
+		events := 1 << 20 // more than all buffers on the way take
+		if r.Header.Get(hostedtest.HeaderAttempt) == "short" {
+			events = 5
+		}
+		for n := 1; n <= events; n++ {
+			if _, err := fmt.Fprintf(w, "id: %d\ndata: %01000d\n\n", n, n); err != nil {
+				return
+			}
+		}
+	})
+	srv := httptest.NewUnstartedServer(f)
+	srv.Config.ConnContext = pace.BoundSendBuffer
+	srv.Start()
+	defer srv.Close()
+	unread, err := http.DefaultClient.Do(wanted{}.request(t.Context(), srv.URL+"/chat/x", "unread", nil))
+	require.NoError(t, err)
+	defer func() { _ = unread.Body.Close() }()
+	short, err := http.DefaultClient.Do(wanted{}.request(t.Context(), srv.URL+"/chat/x", "short", nil))
+	require.NoError(t, err)
+	body, err := io.ReadAll(short.Body)
+	require.NoError(t, err)
+	require.NoError(t, short.Body.Close())
+	require.Equal(t, 5, bytes.Count(body, []byte("id: ")))
+	waitEmpty(t, f)
+	_, err = io.Copy(io.Discard, unread.Body)
+	require.Error(t, err, "it must not look complete")
+}
+
 // Random requests that end in random ways, of which the budget has room for a few: an answer that looks complete is
 // complete and signed, and afterwards nothing is held.
 func TestNothingIsHeldAfterRandomOutcomes(t *testing.T) {
--- a/gateway/front/servers_test.go
+++ b/gateway/front/servers_test.go
@@ -14,15 +14,19 @@
 	"dandelionsill.org/platform/hosted/hostedtest"
 )
 
-// replaceServers makes the front send the requests of the platform's servers to a handler.
+// replaceServers makes the front send the requests of the platform's plain servers to a handler.
 func replaceServers(t *testing.T, pf *gatewaytest.Platform, f *front.Front, handler http.HandlerFunc) {
-	for i, server := range pf.Servers {
+	replace(t, pf, f, pf.Servers, handler)
+}
+
+func replace(t *testing.T, pf *gatewaytest.Platform, f *front.Front, servers []*hostedtest.Server, handler http.HandlerFunc) {
+	for i, server := range servers {
 		srv := httptest.NewServer(handler)
 		t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
 		server.AdvertisedAddr = strings.TrimPrefix(srv.URL, "http://")
 		pf.Register(server, "ready")
 		require.Eventually(t, func() bool {
-			return f.View.Current().Servers["plain"][i].Addr == server.AdvertisedAddr
+			return f.View.Current().Servers[server.Service][i].Addr == server.AdvertisedAddr
 		}, gatewaytest.MaxWait, time.Millisecond)
 	}
 }
