gateway/forward: the bodies that one server holds are bounded

A server crashes if the requests that it holds exceed its memory, and nothing bounded what this process sent to one. [vm] server_body_mb does: a server without room is picked only if no healthy one has room, and the request then waits there until there is, or is told "not run" before its deadline. A body larger than the bound goes alone. 0, the default, bounds nothing.

Weighed: a refusal at once by the path of servers' refusals (it would count as the server's failure and eject it). Each gateway counts only its own; a bound over all of them is the broker's.

--- a/decide/route/filters.go
+++ b/decide/route/filters.go
@@ -11,6 +11,7 @@
 	StageEjected  = "ejected"
 	StageDomain   = "domain"
 	StageCapacity = "capacity"
+	StageRoom     = "room"
 )
 
 // Ready keeps servers that accept work according to their latest report.
@@ -67,6 +68,12 @@
 // Keep implements Filter.
 func (HasFreeSlot) Keep(_ *Request, c *Candidate) bool { return c.Load() < max(1, c.Slots) }
 
+// HasRoom drops servers without room for the request's body.
+type HasRoom struct{}
+
+// Keep implements Filter.
+func (HasRoom) Keep(_ *Request, c *Candidate) bool { return !c.Full }
+
 // HardStages returns the filters that are never skipped, in order. If one leaves
 // no candidate, the request is refused.
 func HardStages() []Stage {
--- a/decide/route/route.go
+++ b/decide/route/route.go
@@ -44,6 +44,7 @@
 	QueueWait    time.Duration
 	WarmPrefixes []uint64 // prefixes that the engine may have in its cache
 	Connected    bool     // an idle connection to it exists
+	Full         bool     // it has no room for the request's body now
 }
 
 // Load returns the reported load, corrected for this entry's own requests. A
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -100,6 +101,8 @@
 	Usage *usage.Counter
 	// Answers bounds the answers that are held for calls with PassOn; nil: nothing does.
 	Answers *budget.Share
+	// Bodies bounds the bodies that one server holds; nil: nothing does.
+	Bodies *ServerBodies
 
 	domain      string
 	log         *zap.Logger
@@ -110,7 +113,7 @@
 // New returns a forwarder for a process in the failure domain.
 func New(v *view.View, pool *backend.Pool, domain string, log *zap.Logger) *Forwarder {
 	policy := &route.Policy{
-		Stages:  append(route.HardStages(), route.SoftStages()...),
+		Stages:  slices.Concat(route.HardStages(), route.SoftStages(), []route.Stage{{Name: route.StageRoom, Filter: route.HasRoom{}, Soft: true}}),
 		Scorers: []route.Scorer{route.LoadScore{}, route.DistanceScore{}, route.ConnectScore{}},
 		Picker:  route.LowestScore{},
 	}
@@ -347,6 +350,7 @@
 	for i := range candidates {
 		candidates[i].Connected = s.forwarder.Pool.HasIdle(servers[i].Addr)
 	}
+	s.forwarder.Bodies.markFull(candidates, len(s.call.Body))
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	picked := s.forwarder.policy.Pick(&route.Request{Tried: s.tried}, candidates, rng, &route.Scratch{})
 	if picked.Index < 0 {
@@ -385,6 +389,10 @@
 }
 
 func (f *Forwarder) exchange(ctx context.Context, call Call, server members.Server) (*Reply, error) {
+	if err := f.Bodies.acquire(ctx, call.Deadline, server.ID, len(call.Body)); err != nil {
+		return nil, err
+	}
+	defer f.Bodies.release(server.ID, len(call.Body))
 	answer, err := f.open(ctx, call, server)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/gateway/forward/room_test.go
@@ -0,0 +1,84 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"dandelionsill.org/decide/route"
+	"dandelionsill.org/gateway/backend"
+	"dandelionsill.org/gateway/view"
+)
+
+// pick returns the server that a new forwarder's policy picks of an idle server and a busy one.
+func pick(b *ServerBodies, n int) string {
+	candidates := []route.Candidate{{Name: "idle", Ready: true, Slots: 6}, {Name: "busy", Ready: true, Slots: 6, OwnLoad: 5}}
+	b.markFull(candidates, n)
+	policy := New(&view.View{}, nil, "zone-a", zap.NewNop()).policy
+	return candidates[policy.Pick(&route.Request{}, candidates, rand.New(rand.NewPCG(1, 1)), &route.Scratch{}).Index].Name
+}
+
+// Guards against a request that waits at a server without room while a busier one has room, and against a refusal
+// where all are full: then it waits.
+func TestServerWithRoomIsPicked(t *testing.T) {
+	b := NewServerBodies(100)
+	require.Equal(t, "idle", pick(b, 80))
+	require.Nil(t, b.tryAcquire("idle", 60))
+	require.Equal(t, "idle", pick(b, 40))
+	require.Equal(t, "busy", pick(b, 80))
+	require.Nil(t, b.tryAcquire("busy", 60))
+	require.Equal(t, "idle", pick(b, 80))
+	require.Equal(t, "idle", pick(nil, 80))
+}
+
+// Guards against a request that waits at a full server beyond the time in which it could still be told that it did not
+// run, and against a wait that misses the release.
+func TestWaitForRoomEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewServerBodies(100)
+		start := time.Now()
+		require.NoError(t, b.acquire(t.Context(), start.Add(time.Second), "s", 200), "alone, a larger body is sent")
+		require.ErrorIs(t, b.acquire(t.Context(), start.Add(time.Second), "s", 1), backend.ErrNotSent)
+		require.Equal(t, time.Second-minAttemptTime, time.Since(start))
+		gone, cancel := context.WithCancel(t.Context())
+		cancel()
+		require.ErrorIs(t, b.acquire(gone, start.Add(time.Hour), "s", 1), backend.ErrNotSent)
+		time.AfterFunc(time.Minute, func() { b.release("s", 200) })
+		require.NoError(t, b.acquire(t.Context(), start.Add(time.Hour), "s", 100))
+		b.release("s", 100)
+		require.Empty(t, b.held)
+	})
+}
+
+// Random bodies at random servers: no server holds more than the limit, but for one body that is larger by itself.
+func TestServerHoldsNoMoreThanLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewServerBodies(100)
+		taken := map[string][]int{}
+		for range rapid.IntRange(1, 50).Draw(t, "steps") {
+			server := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "server")
+			if bodies := taken[server]; len(bodies) > 0 && rapid.Bool().Draw(t, "release") {
+				b.release(server, bodies[0])
+				taken[server] = bodies[1:]
+				continue
+			}
+			n := rapid.IntRange(1, 150).Draw(t, "n")
+			if b.tryAcquire(server, int64(n)) == nil {
+				taken[server] = append(taken[server], n)
+			}
+			require.True(t, b.held[server] <= 100 || len(taken[server]) == 1)
+		}
+		for server, bodies := range taken {
+			for _, n := range bodies {
+				b.release(server, n)
+			}
+		}
+		require.Empty(t, b.held)
+	})
+}
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -118,6 +118,10 @@
 	if !s.call.Route.Resumable {
 		gapTimer.Stop()
 	}
+	if err := s.forwarder.Bodies.acquire(ctx, s.call.Deadline, c.server.ID, len(s.call.Body)); err != nil {
+		return streamRefused, err
+	}
+	defer s.forwarder.Bodies.release(c.server.ID, len(s.call.Body))
 	start := time.Now()
 	s.forwarder.serverStats.attemptStarted(c.server.ID)
 	answer, err := s.forwarder.open(ctx, s.remainingCall(), c.server)
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -90,6 +90,7 @@
 	held := newHeldMemory(cfg.VM.MemoryMB)
 	handler.Bodies, forwarder.Answers = held.bodies, held.answers
 	index.Texts.SetRoom(held.texts)
+	forwarder.Bodies = forward.NewServerBodies(int64(cfg.VM.ServerBodyMB * 1e6))
 	index.SetReadInterval(func() time.Duration { return followed.readInterval(1) })
 	usage := newReporting(&cfg, lease.Holder(writer), store, processCount, log)
 	if usage != nil {
--- a/gateway/server/settings.go
+++ b/gateway/server/settings.go
@@ -73,6 +73,8 @@
 	CPUShare float64 `ini:"vm.cpu_share" default:"1" min:"0.01" max:"1024" help:"cores that this process may use"`
 	MemoryMB float64 `ini:"vm.memory_mb" default:"0" min:"0" max:"100000000" help:"memory that this process may use, MB; what it holds for others is bounded to a part of it; 0: not told, nothing is bounded"`
 	LinkMbps float64 `ini:"vm.link_mbps" default:"1000" min:"1" max:"1000000" help:"bandwidth of the VM's link, Mbit/s"`
+
+	ServerBodyMB float64 `ini:"vm.server_body_mb" default:"0" min:"0" max:"1000000" help:"bodies of this process's requests that one server holds at a time, MB; 0: not bounded"`
 }
 
 // Listen holds the addresses on which the gateway listens.
