gateway/front: answers to HTTP/1.0 callers are always buffered

Such a caller gets an answer of unknown length up to the end of its connection, and would take one that breaks off while it is passed on for a complete one. Its answers may hold more than the budget.

--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -171,7 +171,9 @@
 func (f *Front) proxy(w http.ResponseWriter, r *http.Request, route *table.Route, organisation string, body []byte, deadline time.Time) (int, *kinds.Error) {
 	call := forward.Call{
 		Route: route, ID: hosted.AttemptID(r.Header), Method: r.Method, URI: r.RequestURI, Host: r.Host,
-		Header: forward.EndToEnd(r.Header), Body: body, Deadline: deadline, Organisation: organisation, PassOn: true,
+		Header: forward.EndToEnd(r.Header), Body: body, Deadline: deadline, Organisation: organisation,
+		// An HTTP/1.0 caller would take an answer of unknown length that breaks off for a complete one.
+		PassOn: r.ProtoAtLeast(1, 1),
 	}
 	if route.Kind == table.Stream {
 		return f.Forward.Stream(r.Context(), call, w)
