--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -14,6 +15,7 @@
 	oteltrace "go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
+	"dandelionsill.org/base/budget"
 	"dandelionsill.org/base/logs"
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/base/trace"
@@ -79,9 +81,13 @@
 	Deadline time.Time
 	// CallerTimeout is how long the caller says that it will wait; 0: unknown.
 	CallerTimeout time.Duration
+	// PassOn allows an answer without room to be returned before it is complete. The caller of Send must
+	// then use Reply.WriteBody in place of Reply.Body, and Reply.Close.
+	PassOn  bool
+	replies *replySet
 }
 
-// Reply is the complete answer of a server.
+// Reply is the answer of a server, complete unless Call.PassOn is set.
 type Reply struct {
 	Status int
 	Header http.Header
@@ -89,6 +95,7 @@
 	Server string
 	// Failures is the number of servers that answered the call with status 500.
 	Failures int
+	replyBody
 }
 
 // Forwarder sends calls to the servers listed in the view.
@@ -99,6 +106,10 @@
 	Quarantine *quarantine.Quarantine
 	// Usage counts the started requests of each organisation; nil disables counting.
 	Usage *usage.Counter
+	// Answers bounds the answers that are held for calls with PassOn; nil: nothing does.
+	Answers *budget.Share
+	// Bodies bounds the bodies that one server holds; nil: nothing does.
+	Bodies *ServerBodies
 
 	domain      string
 	log         *zap.Logger
@@ -110,7 +121,7 @@
 // New returns a forwarder for a process in the failure domain.
 func New(v *view.View, pool *backend.Pool, domain string, log *zap.Logger) *Forwarder {
 	policy := &route.Policy{
-		Stages:  append(route.HardStages(), route.SoftStages()...),
+		Stages:  slices.Concat(route.HardStages(), route.SoftStages(), []route.Stage{{Name: route.StageRoom, Filter: route.HasRoom{}, Soft: true}}),
 		Scorers: []route.Scorer{route.LoadScore{}, route.DistanceScore{}, route.ConnectScore{}},
 		Picker:  route.LowestScore{},
 	}
@@ -122,11 +133,13 @@
 func (f *Forwarder) Send(ctx context.Context, call Call) (*Reply, *kinds.Error) {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
+	call.replies = f.newReplySet(&call)
 	s := f.newCallState(call)
 	defer s.usage.Done()
 	s.outcomes = make(chan outcome, call.Route.MaxAttempts+maxRefusals+2)
 	reply, err := s.run(ctx)
 	s.reportResult(reply)
+	call.replies.closeOthers(reply)
 	return reply, err
 }
 
@@ -399,6 +412,7 @@
 	for i := range candidates {
 		candidates[i].Connected = s.forwarder.Pool.HasIdle(servers[i].Addr)
 	}
+	s.forwarder.Bodies.markFull(candidates, len(s.call.Body))
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	picked := s.forwarder.policy.Pick(&route.Request{Tried: s.tried}, candidates, rng, &route.Scratch{})
 	if picked.Index < 0 {
@@ -440,17 +454,23 @@
 }
 
 func (f *Forwarder) exchange(ctx context.Context, call Call, server members.Server) (*Reply, error) {
+	if err := f.Bodies.acquire(ctx, call.Deadline, server.ID, len(call.Body)); err != nil {
+		return nil, err
+	}
+	defer f.Bodies.release(server.ID, len(call.Body))
 	answer, err := f.open(ctx, call, server)
 	if err != nil {
 		return nil, err
 	}
+	if call.replies != nil {
+		return f.receive(&call, server, answer)
+	}
 	defer answer.Close()
 	body, err := answer.ReadAll(maxBodyBytes)
 	if err != nil {
 		return nil, err
 	}
-	// A success without a signature did not come from the server.
-	if answer.Status < http.StatusMultipleChoices && hosted.Seal(answer.Header) == "" {
+	if !isSigned(answer) {
 		return nil, errors.Annotate(backend.ErrBroken, "success without a signature")
 	}
 	return &Reply{Status: answer.Status, Header: answer.Header, Body: body, Server: server.ID}, nil
