--- a/decide/table/table.go
+++ b/decide/table/table.go
@@ -88,6 +88,27 @@
 	MaxConns int
 	// Slots is how many streams an engine batches; 0 for services that are not engines.
 	Slots int
+	// Scaling bounds the number of servers that this system may order; nil: the number
+	// is not changed.
+	Scaling *Scaling
+}
+
+// Scaling bounds the number of a service's servers. Min equal to Max fixes it.
+type Scaling struct {
+	Min, Max int           // servers in each failure domain
+	Boot     time.Duration // from the order of a server until it serves
+}
+
+// Validate returns an error if no number of servers satisfies the bounds, or if they
+// would leave the service without any server for good.
+func (s *Scaling) Validate() error {
+	switch {
+	case s.Min < 0 || s.Max <= 0 || s.Boot < 0:
+		return errors.Errorf("bounds %d to %d, boot time %v: not positive", s.Min, s.Max, s.Boot)
+	case s.Min > s.Max:
+		return errors.Errorf("the minimum %d is above the maximum %d", s.Min, s.Max)
+	}
+	return nil
 }
 
 // Limits are the limits on the requests and connections of callers.
