gateway/duties: a renewal that meets a conflict is repeated at once

Cause: the leases of all duties are in one stream. A holder writes its renewal without a read if its last write succeeded; once another duty is renewed as well, each such write meets a conflict and the next attempt came a renewal interval later. Every second renewal was lost, and in the time before the next one the holder could not act.

Weighed: a stream for each duty (one more stream that is read by all processes, and holders of earlier builds would not see the leases of newer ones) and a read before each renewal (a call more where only one duty exists). With one duty there are no conflicts between renewals, and nothing changes.

--- a/gateway/duties/keeper.go
+++ b/gateway/duties/keeper.go
@@ -27,6 +27,10 @@
 	writesConflict = metrics.Counter("duties_writes_conflicting_total")
 )
 
+// conflictPause is the mean pause before a holder whose renewal met a conflict reads the
+// stream and renews again. A whole RenewInterval would take that much off its term.
+const conflictPause = 40 * time.Millisecond
+
 // Config holds the settings of a Keeper.
 type Config struct {
 	Duty   string // key of the duty's lease
@@ -147,14 +151,17 @@
 		}
 	}
 	k.caughtUp = false
-	record, write := k.dueWrite()
-	if write {
-		k.write(ctx, record)
+	conflicted := false
+	if record, write := k.dueWrite(); write {
+		conflicted = k.write(ctx, record)
 	}
 	k.logChange()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.state.Holds() {
+		if conflicted { // often only with another duty's lease
+			return sleep.Jitter(conflictPause)
+		}
 		return k.cfg.RenewInterval
 	}
 	k.caughtUp = false
@@ -187,28 +194,30 @@
 }
 
 // write writes the lease's record; the store accepts it only if nothing was written since the
-// last read. The outcome of a write without an answer is found by the next read.
-func (k *Keeper) write(ctx context.Context, r lease.Record) {
+// last read; true: something was. The outcome of a write without an answer is found by the next
+// read.
+func (k *Keeper) write(ctx context.Context, r lease.Record) (conflicted bool) {
 	value, err := json.Marshal(r)
 	if err != nil {
 		k.log.Error("Could not encode a lease.", zap.Error(err))
-		return
+		return false
 	}
 	next, err := k.cfg.Store.PutAt(ctx, platform.StreamDuties, []platform.KeyedRecord{{Key: k.cfg.Duty, Value: value}}, k.nextOffset)
 	switch {
 	case errors.Is(err, platform.ErrConflict):
 		writesConflict.Add(1)
-		return
+		return true
 	case err != nil:
 		writesFailed.Add(1)
 		k.recordFailure()
 		k.log.Warn("Could not write a lease.", zap.Uint64("token", r.Token), zap.Bool("may_stand", errors.Is(err, platform.ErrAppendUnknown)), zap.Error(err))
-		return
+		return false
 	}
 	k.nextOffset, k.caughtUp = next, true // no read is needed before the next write if no other process writes
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.state.Observe(&r, k.cfg.Now())
+	return false
 }
 
 // read updates the state with all records up to the end of the stream. If the records after
