decide/scale: servers may be known while the load is not

Cause: a service without a broker has no known load, and so its failure domains were unknown too; an operator could not fix its number. The servers are observed on their own now, and bounds apply to them at once.

--- a/decide/scale/scale.go
+++ b/decide/scale/scale.go
@@ -33,9 +33,10 @@
 	maxGap = 5 * time.Second
 )
 
-// Load is the load of a service at a moment.
+// Load is the load of a service at a moment. The servers may be known while the rest is not.
 type Load struct {
-	Domains map[string]Domain // by failure domain
+	Known   bool              // all of the load is known, not only the servers
+	Domains map[string]Domain // by failure domain; nil: not known
 	Waiting int               // requests that wait for a place
 	Refused int               // requests refused within the last second
 	// AsksPerSecond is the rate of new requests, including the refused ones.
@@ -99,19 +100,20 @@
 // Hold returns for how long a smaller number of servers must have been enough.
 func Hold(bounds table.Scaling) time.Duration { return max(minHold, holdBoots*bounds.Boot) }
 
-// Decide decides the targets from the load measured now; nil: the load is unknown. Unknown
-// load changes no target, except where the bounds demand it.
+// Decide decides the targets from the load measured now. Unknown load changes no target, except
+// where the bounds demand it.
 func (s *Service) Decide(now time.Time, load *Load, bounds table.Scaling) Plan {
 	before := map[string]int{}
-	plan := Plan{Known: load != nil}
-	if load != nil {
-		s.observe(now, load, bounds)
-	}
+	plan := Plan{Known: load.Known}
+	s.observeServers(now, load, bounds)
 	for name, d := range s.domains {
 		before[name] = d.target
 	}
 	reasons := s.applyBounds(bounds)
-	if load != nil && s.places > 0 {
+	if load.Known {
+		s.restartAfterGap(now)
+	}
+	if load.Known && s.places > 0 {
 		s.assess(now, load, bounds, &plan)
 		s.grow(&plan, bounds, reasons)
 		s.reduce(now, &plan, bounds, reasons)
@@ -126,13 +128,20 @@
 	return plan
 }
 
-// observe updates what is known of the failure domains and restarts the hold after a gap.
-func (s *Service) observe(now time.Time, load *Load, bounds table.Scaling) {
+// restartAfterGap restarts the hold time if the load was unknown for too long.
+func (s *Service) restartAfterGap(now time.Time) {
 	if s.measuredAt.IsZero() || now.Sub(s.measuredAt) > maxGap {
 		s.holdSince = now
 		s.history.clear()
 	}
 	s.measuredAt = now
+}
+
+// observeServers updates what is known of the failure domains.
+func (s *Service) observeServers(now time.Time, load *Load, bounds table.Scaling) {
+	if load.Domains == nil {
+		return
+	}
 	servers, places := 0, 0
 	for name, seen := range load.Domains {
 		d := s.domains[name]
--- a/decide/scale/scale_test.go
+++ b/decide/scale/scale_test.go
@@ -22,6 +22,9 @@
 
 var bounds = table.Scaling{Min: 1, Max: 20, Boot: boot}
 
+// unknown is the load if nothing could be measured.
+var unknown = &scale.Load{}
+
 // change is a change of a target.
 type change struct {
 	at     int // s
@@ -55,7 +58,7 @@
 
 // load returns the load of a demand in requests that run at a time; those without a place wait.
 func (f *fleet) load(demand float64) *scale.Load {
-	l := &scale.Load{Domains: map[string]scale.Domain{}, AsksPerSecond: demand / mean.Seconds(), MeanTime: mean, MaxWait: time.Second}
+	l := &scale.Load{Known: true, Domains: map[string]scale.Domain{}, AsksPerSecond: demand / mean.Seconds(), MeanTime: mean, MaxWait: time.Second}
 	free := 0
 	for name, n := range f.ready {
 		if f.cut[name] {
@@ -112,7 +115,7 @@
 
 // target returns the newest target of a failure domain.
 func (f *fleet) target(domain string) int {
-	for _, t := range f.service.Decide(f.now(), nil, f.bounds).Targets {
+	for _, t := range f.service.Decide(f.now(), unknown, f.bounds).Targets {
 		if t.Domain == domain {
 			return t.To
 		}
@@ -241,7 +244,7 @@
 	hold := int(scale.Hold(bounds).Seconds())
 	for second := range 20 * hold {
 		if second%hold < 7 {
-			f.tick(nil)
+			f.tick(unknown)
 		} else {
 			f.tick(f.load(1))
 		}
@@ -259,9 +262,10 @@
 // Guards against an operator who can't fix the number of servers, whatever the load.
 func TestEqualBoundsPinTheNumber(t *testing.T) {
 	f := newFleet(4, "a", "b")
-	f.play(5, constant(10))
 	f.bounds.Min, f.bounds.Max = 6, 6
-	f.tick(nil)
+	f.tick(unknown)
+	require.Empty(t, f.changes, "where the service runs is not known")
+	f.tick(&scale.Load{Domains: f.load(10).Domains})
 	require.Len(t, f.changes, 2)
 	require.Equal(t, "bounds 6 to 6", f.changes[0].target.Reason)
 	f.play(300, func(s int) float64 { return float64(s % 90) })
@@ -288,7 +292,7 @@
 			level := rapid.Float64Range(0, 300).Draw(t, "level")
 			for range length {
 				demands = append(demands, level*rapid.Float64Range(0.8, 1).Draw(t, "noise"))
-				plan := f.tick(&scale.Load{Domains: f.load(0).Domains, AsksPerSecond: demands[len(demands)-1] / mean.Seconds(), MeanTime: mean})
+				plan := f.tick(&scale.Load{Known: true, Domains: f.load(0).Domains, AsksPerSecond: demands[len(demands)-1] / mean.Seconds(), MeanTime: mean})
 				for _, target := range plan.Targets {
 					require.GreaterOrEqual(t, target.To, f.bounds.Min)
 					require.LessOrEqual(t, target.To, f.bounds.Max)
