gateway/server: services with bounds are scaled where the platform takes orders

The part runs where the settings name the platform's interface for duties, and takes the lease only while the configuration bounds the servers of a service. Its keeper is built as that of usage reports. Plain services have no brokers yet, so that their load is unknown and only bounds change their number.

--- a/gateway/server/duties.go
+++ b/gateway/server/duties.go
@@ -58,20 +58,9 @@
 	if !cfg.Duties.reportsUsage() {
 		return nil
 	}
-	share := func(whole time.Duration, fraction float64) time.Duration {
-		return time.Duration(fraction * float64(whole))
-	}
 	clock := boottime.NewClock()
 	log = logs.Part(log, "usage")
-	keeper := duties.New(duties.Config{
-		Duty: usage.Duty, InitialProgress: usage.InitialProgress(clock.Now(), cfg.Duties.UsageWindow), Self: self, Store: store, Now: boottime.Now, Logger: logs.Part(log, "duties"),
-		Timing:        lease.Timing{ValidFor: share(cfg.Duties.Lease, validShare), TakeOverAfter: share(cfg.Duties.Lease, takeOverShare)},
-		RenewInterval: share(cfg.Duties.Lease, renewShare),
-		PollInterval: func() time.Duration {
-			return max(minPollInterval, time.Duration(processCount())*time.Second/maxPollsPerSecond)
-		},
-		ClaimDelay: claimDelay(self, cfg.VM.CPUShare),
-	})
+	keeper := newKeeper(cfg, usage.Duty, usage.InitialProgress(clock.Now(), cfg.Duties.UsageWindow), self, store, processCount, log)
 	counter := usage.NewCounter(store, self.VM+"/"+self.Incarnation, cfg.Duties.UsageWindow, clock.Now, processCount, log)
 	return &reporting{
 		counter: counter,
@@ -84,6 +73,24 @@
 	}
 }
 
+// newKeeper returns the keeper of a duty's lease.
+func newKeeper(cfg *Gateway, duty string, initialProgress uint64, self lease.Holder, store *hosted.Store, processCount func() int, log *zap.Logger) *duties.Keeper {
+	return duties.New(duties.Config{
+		Duty: duty, InitialProgress: initialProgress, Self: self, Store: store, Now: boottime.Now, Logger: logs.Part(log, "duties"),
+		Timing:        lease.Timing{ValidFor: share(cfg.Duties.Lease, validShare), TakeOverAfter: share(cfg.Duties.Lease, takeOverShare)},
+		RenewInterval: share(cfg.Duties.Lease, renewShare),
+		PollInterval: func() time.Duration {
+			return max(minPollInterval, time.Duration(processCount())*time.Second/maxPollsPerSecond)
+		},
+		ClaimDelay: claimDelay(self, cfg.VM.CPUShare),
+	})
+}
+
+// share returns a fraction of a duration.
+func share(whole time.Duration, fraction float64) time.Duration {
+	return time.Duration(fraction * float64(whole))
+}
+
 // claimDelay returns how long a process lets others claim a duty first. It is derived from the
 // process's identity so that the processes claim at different times.
 func claimDelay(self lease.Holder, cpuShare float64) time.Duration {
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -91,8 +91,10 @@
 	if usage != nil {
 		forwarder.Usage = usage.counter
 	}
+	scaling := newScaling(&cfg, lease.Holder(writer), store, v, index, nil, processCount, log)
 	var loops sync.WaitGroup
 	usage.run(ctx, loops.Go)
+	scaling.run(ctx, loops.Go)
 	loops.Go(func() { peers.Run(ctx) })
 	loops.Go(func() { v.Run(ctx) })
 	loops.Go(func() { v.RunCopies(ctx, processCount) })
@@ -101,8 +103,11 @@
 	loops.Go(func() { runner.Run(ctx) })
 	log.Info("Starting.", zap.String("name", writer.VM), zap.String("life", writer.Incarnation), zap.String("callers", cfg.Listen.Callers), zap.String("store", cfg.Store.Address))
 	return &run.Process{
-		Servers:      gatewayServers(cfg, handler, newPeerHandler(index.Texts, forwarder.Quarantine, followed), ready),
-		Ready:        func(isReady bool) { ready.serving.Store(isReady); releaseWork(isReady, handler, runner, usage) },
+		Servers: gatewayServers(cfg, handler, newPeerHandler(index.Texts, forwarder.Quarantine, followed), ready),
+		Ready: func(isReady bool) {
+			ready.serving.Store(isReady)
+			releaseWork(isReady, handler, runner, usage, scaling)
+		},
 		StopDelay:    time.Duration(serveShare * float64(cfg.Process.Grace)),
 		Drain:        func(ctx context.Context) error { return drain(ctx, handler, runner, usage, log) },
 		DrainTimeout: time.Duration(drainShare * float64(cfg.Process.Grace)),
@@ -128,11 +133,12 @@
 
 // releaseWork releases this process's jobs and duties as soon as the process starts to stop; ready
 // is false then.
-func releaseWork(ready bool, handler *front.Front, runner *gatewayjobs.Runner, usage *reporting) {
+func releaseWork(ready bool, handler *front.Front, runner *gatewayjobs.Runner, usage *reporting, scaling *scaling) {
 	if ready {
 		return
 	}
 	usage.resign()
+	scaling.resign()
 	handler.StartDrain()
 	runner.Drain()
 }
