decide/scale: the queue is served within what is left of the objective

Cause: a waiting request was given the whole objective to get a place, and so was answered late by its own service time.

--- a/decide/scale/demand.go
+++ b/decide/scale/demand.go
@@ -22,8 +22,7 @@
 )
 
 // demand returns the number of places that the load needs: by Little's law the requests that
-// are served at a time, and what serves the waiting ones within the time that callers can
-// wait.
+// are served at a time, and what serves the waiting ones so that their answers are in time.
 func (l *Load) demand() float64 {
 	running := 0
 	for _, d := range l.Domains {
@@ -34,8 +33,8 @@
 		return served + float64(l.Waiting+l.Refused)
 	}
 	share := 1.0
-	if l.MaxWait > l.MeanTime {
-		share = l.MeanTime.Seconds() / l.MaxWait.Seconds()
+	if maxWait := l.Objective - l.MeanTime; maxWait > l.MeanTime {
+		share = l.MeanTime.Seconds() / maxWait.Seconds()
 	}
 	return served + share*float64(l.Waiting)
 }
@@ -70,8 +69,6 @@
 	samples []sample // oldest first
 }
 
-func (h *history) clear() { h.samples = h.samples[:0] }
-
 // add adds a measurement and drops those that are older than keep.
 func (h *history) add(now time.Time, demand float64, enough int, keep time.Duration) {
 	expired := 0
--- a/decide/scale/scale.go
+++ b/decide/scale/scale.go
@@ -42,8 +42,8 @@
 	// AsksPerSecond is the rate of new requests, including the refused ones.
 	AsksPerSecond float64
 	MeanTime      time.Duration // that a server takes for a request; 0: unknown
-	// MaxWait is how long callers can wait for a place; 0: unknown.
-	MaxWait time.Duration
+	// Objective is the time in which an answer is in time; 0: unknown.
+	Objective time.Duration
 }
 
 // Domain is a failure domain's part of a load.
@@ -132,7 +132,6 @@
 func (s *Service) restartAfterGap(now time.Time) {
 	if s.measuredAt.IsZero() || now.Sub(s.measuredAt) > maxGap {
 		s.holdSince = now
-		s.history.clear()
 	}
 	s.measuredAt = now
 }
--- a/decide/scale/scale_test.go
+++ b/decide/scale/scale_test.go
@@ -58,7 +58,7 @@
 
 // load returns the load of a demand in requests that run at a time; those without a place wait.
 func (f *fleet) load(demand float64) *scale.Load {
-	l := &scale.Load{Known: true, Domains: map[string]scale.Domain{}, AsksPerSecond: demand / mean.Seconds(), MeanTime: mean, MaxWait: time.Second}
+	l := &scale.Load{Known: true, Domains: map[string]scale.Domain{}, AsksPerSecond: demand / mean.Seconds(), MeanTime: mean, Objective: time.Second}
 	free := 0
 	for name, n := range f.ready {
 		if f.cut[name] {
--- a/gateway/scale/loads.go
+++ b/gateway/scale/loads.go
@@ -39,7 +39,7 @@
 	if snap.Table == nil || !l.IsFresh() {
 		return scale.Load{}, errors.New("the store's feeds are behind")
 	}
-	load := scale.Load{MaxWait: maxWait(snap.Table, service.Name), Domains: map[string]scale.Domain{}}
+	load := scale.Load{Objective: objective(snap.Table, service.Name), Domains: map[string]scale.Domain{}}
 	for _, server := range snap.Servers[service.Name] {
 		d := load.Domains[server.FailureDomain]
 		addServer(&d, server)
@@ -60,16 +60,16 @@
 	d.Places += server.Slots
 }
 
-// maxWait returns how long the least patient callers of a service can wait; 0: unknown.
-func maxWait(t *table.Table, service string) time.Duration {
+// objective returns the shortest time in which an answer of a service is in time; 0: unknown.
+func objective(t *table.Table, service string) time.Duration {
 	shortest := time.Duration(0)
 	for _, r := range t.Routes {
-		wait := r.LatencyObjective
+		inTime := r.LatencyObjective
 		if r.Kind == table.Batch {
-			wait = r.Due
+			inTime = r.Due
 		}
-		if wait > 0 && (shortest == 0 || wait < shortest) && targets(r, service) {
-			shortest = wait
+		if inTime > 0 && (shortest == 0 || inTime < shortest) && targets(r, service) {
+			shortest = inTime
 		}
 	}
 	return shortest
--- a/gateway/scale/loads_test.go
+++ b/gateway/scale/loads_test.go
@@ -76,7 +76,7 @@
 	require.NoError(t, err)
 	require.Equal(t, decide.Load{
 		Domains: map[string]decide.Domain{"x": {Ready: 2, Places: 12, Running: 7}, "y": {Leaving: 1, Running: 1}},
-		Waiting: 3, Refused: 1, AsksPerSecond: 40, MeanTime: 30 * time.Millisecond, MaxWait: 150 * time.Millisecond,
+		Waiting: 3, Refused: 1, AsksPerSecond: 40, MeanTime: 30 * time.Millisecond, Objective: 150 * time.Millisecond,
 	}, load)
 	for _, lost := range []*pb.ServiceLoadReply{nil, {Known: false}} {
 		brokers[1] = broker{reply: lost}
@@ -95,7 +95,7 @@
 	require.NoError(t, err)
 	require.Equal(t, decide.Load{
 		Domains: map[string]decide.Domain{"x": {Ready: 1, Places: 6, Running: 6}, "y": {Ready: 1, Leaving: 1, Places: 8, Running: 2}},
-		Waiting: 7, MaxWait: 7 * time.Second,
+		Waiting: 7, Objective: 7 * time.Second,
 	}, load)
 	loads.Items = items{}
 	_, err = loads.Load(t.Context(), engines)
--- a/gateway/scale/scaler.go
+++ b/gateway/scale/scaler.go
@@ -236,7 +236,7 @@
 	s.Log.Info("Number of servers changed.", zap.String("service", m.service.Name), zap.String("domain", target.Domain),
 		zap.Int("from", target.From), zap.Int("to", target.To), zap.String("why", target.Reason),
 		zap.Bool("load_known", plan.Known), zap.Float64("demand", plan.Demand), zap.Float64("forecast", plan.Forecast), zap.Int("needed", plan.Needed), zap.Strings("lost", plan.Lost),
-		zap.Int("waiting", load.Waiting), zap.Int("refused", load.Refused), zap.Float64("asks_per_s", load.AsksPerSecond), zap.Duration("mean", load.MeanTime), zap.Duration("max_wait", load.MaxWait),
+		zap.Int("waiting", load.Waiting), zap.Int("refused", load.Refused), zap.Float64("asks_per_s", load.AsksPerSecond), zap.Duration("mean", load.MeanTime), zap.Duration("objective", load.Objective),
 		zap.Int("ready", here.Ready), zap.Int("leaving", here.Leaving), zap.Int("places", here.Places), zap.Int("running", here.Running),
 		zap.Duration("load_age", s.Now()-m.at), zap.Uint64("token", s.term.Token))
 }
