--- a/gateway/scale/orders.go
+++ b/gateway/scale/orders.go
@@ -130,7 +130,7 @@
 		s.orders.retryDelay, s.orders.failing = 0, false
 		delete(s.orders.pending, subject)
 		return true
-	case isLapsed(err):
+	case errors.Is(err, platform.ErrDutyLapsed):
 		return false
 	case errors.Is(err, platform.ErrDutyRefused): // it would be refused again
 		ordersFailed.Add(1)
--- a/gateway/scale/scaler.go
+++ b/gateway/scale/scaler.go
@@ -11,7 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"dandelionsill.org/base/metrics"
@@ -126,7 +125,7 @@
 	if s.stopKeeper != nil {
 		return
 	}
-	s.Log.Info("Services have bounds for their servers.", zap.Int("services", len(s.boundedServices())))
+	s.Log.Info("The configuration bounds the servers of some services.")
 	ctx, cancel := context.WithCancel(ctx)
 	var loop sync.WaitGroup
 	loop.Go(func() { s.Keeper.Run(ctx) })
@@ -138,6 +137,7 @@
 	if s.stopKeeper == nil {
 		return
 	}
+	s.Log.Info("No servers are ordered any more: no service has bounds, or the process stops.")
 	s.stopKeeper()
 	s.stopKeeper = nil
 	s.endTerm()
@@ -245,6 +245,3 @@
 type subject struct{ service, domain string }
 
 func (s subject) String() string { return fmt.Sprintf("%s/%s", s.service, s.domain) }
-
-// isLapsed reports whether a call failed because this process no longer has the duty.
-func isLapsed(err error) bool { return errors.Is(err, platform.ErrDutyLapsed) }
