--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -97,12 +97,12 @@
 		forwarder.Usage = usage.counter
 	}
 	permits := newSharing(&cfg, self, writer.Incarnation, peers, v, logs.Part(log, "permits"))
-	if permits != nil {
-		forwarder.UsePermits(permits.client, cfg.Permits.MaxPatience)
-	}
+	permits.use(forwarder, cfg.Permits.MaxPatience)
+	scaling := newScaling(&cfg, lease.Holder(writer), store, v, index, permits.brokers(), processCount, log)
 	var loops sync.WaitGroup
 	usage.run(ctx, loops.Go)
 	permits.run(ctx, loops.Go)
+	scaling.run(ctx, loops.Go)
 	loops.Go(func() { peers.Run(ctx) })
 	loops.Go(func() { v.Run(ctx) })
 	loops.Go(func() { v.RunCopies(ctx, processCount) })
@@ -114,7 +114,7 @@
 		Servers: append(gatewayServers(cfg, handler, newPeerHandler(index.Texts, forwarder.Quarantine, followed), ready), permits.servers()...),
 		Ready: func(isReady bool) {
 			ready.serving.Store(isReady)
-			releaseWork(isReady, handler, runner, usage, permits)
+			releaseWork(isReady, handler, runner, usage, scaling, permits)
 		},
 		StopDelay:    time.Duration(serveShare * float64(cfg.Process.Grace)),
 		Drain:        func(ctx context.Context) error { return drain(ctx, handler, runner, usage, log) },
@@ -141,11 +141,12 @@
 
 // releaseWork releases this process's jobs, duties and brokers as soon as the process starts to
 // stop; ready is false then.
-func releaseWork(ready bool, handler *front.Front, runner *gatewayjobs.Runner, usage *reporting, permits *sharing) {
+func releaseWork(ready bool, handler *front.Front, runner *gatewayjobs.Runner, usage *reporting, scaling *scaling, permits *sharing) {
 	if ready {
 		return
 	}
 	usage.resign()
+	scaling.resign()
 	permits.leave()
 	handler.StartDrain()
 	runner.Drain()
--- a/gateway/server/permits.go
+++ b/gateway/server/permits.go
@@ -10,9 +10,11 @@
 	decide "dandelionsill.org/decide/fanout"
 	"dandelionsill.org/decide/members"
 	decidepermits "dandelionsill.org/decide/permits"
+	"dandelionsill.org/gateway/forward"
 	"dandelionsill.org/gateway/permits"
 	"dandelionsill.org/gateway/view"
 	"dandelionsill.org/platform/hosted"
+	"dandelionsill.org/wire/pb"
 )
 
 // newBroker returns the broker of a service.
@@ -57,6 +59,21 @@
 	return found
 }
 
+// use makes the forwarder ask for permits.
+func (s *sharing) use(f *forward.Forwarder, maxPatience float64) {
+	if s != nil {
+		f.UsePermits(s.client, maxPatience)
+	}
+}
+
+// brokers returns how the brokers of a service are found; nil: there are none.
+func (s *sharing) brokers() func(service string) []pb.PermitBrokerClient {
+	if s == nil {
+		return nil
+	}
+	return s.client.Brokers
+}
+
 // run starts the loops that end with ctx.
 func (s *sharing) run(ctx context.Context, loop func(func())) {
 	if s == nil {
