gateway/permits: while no broker answers, a process's own broker decides

The old path behind a lost broker had no queue and no limit: each gateway's retries met full servers at once. The same broker, with only this process's requests, finds by refusals how many a server takes beside those of others.

--- a/gateway/server/permits.go
+++ b/gateway/server/permits.go
@@ -6,6 +6,7 @@
 	"github.com/go-kratos/kratos/v2/transport"
 	"go.uber.org/zap"
 
+	"dandelionsill.org/base/logs"
 	"dandelionsill.org/decide/evidence"
 	decide "dandelionsill.org/decide/fanout"
 	"dandelionsill.org/decide/members"
@@ -28,6 +29,9 @@
 	addr   string
 	server *permits.Server
 	client *permits.Client
+	// ownServer and ownClient decide for this process alone while no broker answers.
+	ownServer *permits.Server
+	ownClient *permits.Client
 }
 
 // newSharing returns the parts for permits of a process; nil if they are disabled in the settings.
@@ -36,12 +40,17 @@
 		return nil
 	}
 	servers := func(service string) []members.Server { return v.Current().Servers[service] }
-	server := permits.NewServer(permits.ServerConfig{NewBroker: newBroker, Servers: servers, Logger: log})
-	client := permits.NewClient(permits.Config{
-		VM: self.VM, Incarnation: incarnation, FailureDomain: self.FailureDomain, Servers: servers, Local: server, Logger: log,
-		Members: func() []decidepermits.Member { return brokers(self, peers.Members()) },
-	})
-	return &sharing{addr: cfg.Permits.Listen, server: server, client: client}
+	newParts := func(members func() []decidepermits.Member, log *zap.Logger) (*permits.Server, *permits.Client) {
+		server := permits.NewServer(permits.ServerConfig{NewBroker: newBroker, Servers: servers, Logger: log})
+		return server, permits.NewClient(permits.Config{
+			VM: self.VM, Incarnation: incarnation, FailureDomain: self.FailureDomain, Servers: servers, Local: server, Members: members, Logger: log,
+		})
+	}
+	s := &sharing{addr: cfg.Permits.Listen}
+	s.ownServer, s.ownClient = newParts(func() []decidepermits.Member { return brokers(self, nil) }, logs.Part(log, "own"))
+	// Made last: the gauges are those of the newest server.
+	s.server, s.client = newParts(func() []decidepermits.Member { return brokers(self, peers.Members()) }, log)
+	return s
 }
 
 // brokers returns the gateways that serve brokers.
@@ -62,7 +71,7 @@
 // use makes the forwarder ask for permits.
 func (s *sharing) use(f *forward.Forwarder, maxPatience float64) {
 	if s != nil {
-		f.UsePermits(s.client, maxPatience)
+		f.UsePermits(&permits.Fallback{Fleet: s.client, Own: s.ownClient}, maxPatience)
 	}
 }
 
@@ -79,8 +88,12 @@
 	if s == nil {
 		return
 	}
-	loop(func() { s.server.Run(ctx) })
-	loop(func() { s.client.Run(ctx) })
+	for _, server := range []*permits.Server{s.server, s.ownServer} {
+		loop(func() { server.Run(ctx) })
+	}
+	for _, client := range []*permits.Client{s.client, s.ownClient} {
+		loop(func() { client.Run(ctx) })
+	}
 }
 
 // servers returns the listener for other gateways.
