--- a/decide/evidence/evidence_test.go
+++ b/decide/evidence/evidence_test.go
@@ -375,8 +375,8 @@
 // or slowly, may help out; one that answers nothing may not.
 func TestEjectedServersThatAnswerMayHelpOut(t *testing.T) {
 	p, now := evidence.New(evidence.Default), start
-	p.SetServers(now, servers(4))
-	for _, s := range []string{"s02", "s03"} {
+	p.SetServers(now, servers(6))
+	for _, s := range []string{"s02", "s03", "s04", "s05"} {
 		report(p, now, s, evidence.Answered, 8)
 	}
 	for range 4 {
@@ -390,4 +390,13 @@
 	require.Equal(t, slots, partial.LastResort)
 	require.Zero(t, dead.LastResort)
 	require.Zero(t, p.Standing(now, "s02", bystander).LastResort)
+
+	for range 8 {
+		for i := range 2 {
+			p.Record(now, evidence.Sample{Server: "s02", Reporter: gateway(i), Route: "book", Took: 20 * workTime, Outcome: evidence.Abandoned})
+		}
+	}
+	slow := p.Standing(now, "s02", bystander)
+	require.True(t, slow.Ejected)
+	require.Equal(t, slots, slow.LastResort, "it answers nobody in time, but some at all")
 }
--- a/decide/evidence/server.go
+++ b/decide/evidence/server.go
@@ -146,9 +146,9 @@
 		}
 	}
 	switch {
-	case sv.unreachable || total.samples == total.failures:
-		return 0
-	case total.share() > c.UsefulShare:
+	case sv.unreachable || total.failures > 0 && total.samples == total.failures:
+		return 0 // without results it is slow: its requests were given up
+	case total.failures > 0 && total.share() > c.UsefulShare:
 		return 1
 	}
 	return sv.slots
