--- a/decide/permits/broker.go
+++ b/decide/permits/broker.go
@@ -45,6 +45,9 @@
 	Server
 	inUse    int
 	standing evidence.Standing // what all gateways agree on, at Broker.now
+	// helpsOut means that the server is ejected and used all the same, for requests that may be
+	// repeated, since others are refused for lack of places.
+	helpsOut bool
 }
 
 // permit is a place in use.
@@ -155,6 +158,7 @@
 	if known && b.isTooLate(w, wait) {
 		if w.lane == laneCallers {
 			b.turnedAway = b.now
+			b.refresh(now) // ejected servers may help out now
 		}
 		return append(out, b.settle(w, DeadlineTooShort, wait, "the estimated wait is too long"))
 	}
@@ -285,14 +289,11 @@
 }
 
 // settle refuses an ask unless a place is free at which the answer, although late, would
-// be of use, or an ejected server may help out.
+// be of use.
 func (b *Broker) settle(w *waiter, why Refusal, wait time.Duration, reason string) Decision {
 	if i, place := b.pick(w, anyUse); i >= 0 {
 		return b.grant(w, i, place)
 	}
-	if i := b.pickEjected(w); i >= 0 {
-		return b.grant(w, i, "an ejected server, rather than a refusal")
-	}
 	return b.refuse(w, why, wait, reason)
 }
 
--- a/decide/permits/pick.go
+++ b/decide/permits/pick.go
@@ -49,6 +49,10 @@
 	for i := range b.servers {
 		s := &b.servers[i]
 		s.standing = b.standing(s, "")
+		s.helpsOut = s.standing.Ejected && s.standing.LastResort > 0 && b.isShort()
+		if s.helpsOut {
+			s.standing.Ejected, s.standing.Limit = false, s.standing.LastResort
+		}
 		if !s.Leaving && s.standing.Limit > 0 && !s.standing.Ejected {
 			c.ejectedOnly = false
 		}
@@ -137,35 +141,15 @@
 	return -1, ""
 }
 
-// pickEjected returns the ejected server that gets a request which would be refused
-// otherwise: if a service is short of places, a server that answers part of its requests is
-// better than none. It returns -1 if there is none, or if a failure would be final.
-func (b *Broker) pickEjected(w *waiter) int {
-	best := -1
-	if !w.Repeatable || w.NoWait {
-		return best
-	}
-	for i := range b.servers {
-		s := &b.servers[i]
-		if s.Leaving || !s.standing.Ejected || s.inUse >= s.standing.LastResort || slices.Contains(w.Avoid, s.ID) {
-			continue
-		}
-		if !b.isFastEnough(w, s.standing.Pace, anyUse) {
-			continue
-		}
-		if best < 0 || s.inUse < b.servers[best].inUse {
-			best = i
-		}
-	}
-	return best
-}
-
 // usable reports whether server i has a free place for the ask.
 func (b *Broker) usable(w *waiter, i int, u use) (evidence.Standing, bool) {
 	s := &b.servers[i]
 	if !b.capacity.counts(s) || s.inUse >= s.standing.Limit {
 		return evidence.Standing{}, false
 	}
+	if s.helpsOut {
+		return s.standing, w.Repeatable && !w.NoWait && b.isFastEnough(w, s.standing.Pace, u)
+	}
 	st := b.standing(s, w.ID.Gateway)
 	if s.inUse >= st.Limit || st.Ejected && b.hasOther(w.ID.Gateway) {
 		return st, false
@@ -181,7 +165,7 @@
 		if !b.capacity.counts(s) {
 			continue
 		}
-		if st := b.standing(s, gateway); st.Limit > 0 && !st.Ejected {
+		if st := b.standing(s, gateway); !s.helpsOut && st.Limit > 0 && !st.Ejected {
 			return true
 		}
 	}
