--- a/decide/evidence/evidence.go
+++ b/decide/evidence/evidence.go
@@ -48,8 +48,8 @@
 	Pace float64
 	// Ejected means that the server gets requests only if no other is left.
 	Ejected bool
-	// LastResort is how many requests an ejected server may have if they would be refused
-	// otherwise; 0: none.
+	// LastResort is how many requests a server that is ejected or on probation may have if
+	// they would be refused otherwise; 0: none.
 	LastResort int
 	// Reason says in a few words why the limit is lowered or the server is ejected.
 	Reason string
--- a/decide/evidence/pool.go
+++ b/decide/evidence/pool.go
@@ -175,7 +175,7 @@
 	}
 	limit, reason := sv.limitAt(now, p.cfg)
 	standing := Standing{Limit: limit, Pace: p.paceAt(now, sv), Ejected: sv.ejected(now), Reason: reason}
-	if standing.Ejected {
+	if standing.Ejected || sv.probation > 0 {
 		standing.LastResort = sv.lastResort(p.cfg)
 	}
 	if standing.Ejected || len(sv.views) == 0 {
--- a/decide/evidence/server.go
+++ b/decide/evidence/server.go
@@ -136,8 +136,8 @@
 	return sv.unreachable
 }
 
-// lastResort returns how many requests the server, which is ejected, may have if they would be
-// refused otherwise.
+// lastResort returns how many requests the server, which is ejected or on probation, may have if
+// they would be refused otherwise.
 func (sv *server) lastResort(c Config) int {
 	var total tally
 	for i := range sv.filled {
--- a/decide/permits/broker.go
+++ b/decide/permits/broker.go
@@ -45,8 +45,8 @@
 	Server
 	inUse    int
 	standing evidence.Standing // what all gateways agree on, at Broker.now
-	// helpsOut means that the server is ejected and used all the same, for requests that may be
-	// repeated, since others are refused for lack of places.
+	// helpsOut means that the server is ejected or on probation and used all the same, for
+	// requests that may be repeated, since others are refused for lack of places.
 	helpsOut bool
 }
 
--- a/decide/permits/pick.go
+++ b/decide/permits/pick.go
@@ -49,7 +49,7 @@
 	for i := range b.servers {
 		s := &b.servers[i]
 		s.standing = b.standing(s, "")
-		s.helpsOut = s.standing.Ejected && s.standing.LastResort > 0 && b.isShort()
+		s.helpsOut = s.standing.LastResort > 0 && b.isShort()
 		if s.helpsOut {
 			s.standing.Ejected, s.standing.Limit = false, s.standing.LastResort
 		}
