gateway/forward: tests of the join of permits with a real broker

The join had no tests of its own. They run a real client, gRPC server and broker beside the stand-ins of servers and store: granted, refused at once, no broker, broker lost while a request is queued, a granted server that is leaving or unknown, unsafe requests, callers that leave while queued, hedges and services that are not shared.

--- /dev/null
+++ b/gateway/forward/permits_test.go
@@ -0,0 +1,317 @@
+package forward_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"dandelionsill.org/decide/evidence"
+	"dandelionsill.org/decide/members"
+	decide "dandelionsill.org/decide/permits"
+	"dandelionsill.org/gateway/forward"
+	"dandelionsill.org/gateway/gatewaytest"
+	"dandelionsill.org/gateway/permits"
+	"dandelionsill.org/kinds"
+	"dandelionsill.org/platform/hosted/hostedtest"
+	"dandelionsill.org/wire/pb"
+)
+
+// The routes to the service plain have a timeout of ten objectives.
+const patience = 10
+
+// loadKnownAfter is longer than a broker runs before it states its load.
+const loadKnownAfter = 3 * time.Second
+
+// fixedEvidence says the same of all servers and routes.
+type fixedEvidence struct {
+	limit   int
+	typical time.Duration // 0: unknown, so that asks wait however long the queue is
+}
+
+func (fixedEvidence) SetServers(time.Time, []evidence.Server) {}
+func (fixedEvidence) Record(time.Time, evidence.Sample)       {}
+func (e fixedEvidence) TypicalTime(string) time.Duration      { return e.typical }
+func (e fixedEvidence) Standing(time.Time, string, string) evidence.Standing {
+	return evidence.Standing{Limit: e.limit, Pace: 1}
+}
+
+// counted counts the asks of a forwarder and their results.
+type counted struct {
+	forward.Permits
+	asks, refused, failed atomic.Int64
+}
+
+func (c *counted) Acquire(ctx context.Context, service string, ask decide.Ask) (*permits.Permit, *permits.Refusal, error) {
+	c.asks.Add(1)
+	permit, refusal, err := c.Permits.Acquire(ctx, service, ask)
+	if refusal != nil {
+		c.refused.Add(1)
+	}
+	if err != nil {
+		c.failed.Add(1)
+	}
+	return permit, refusal, err
+}
+
+// sharing is a gateway that asks the broker of another one for permits.
+type sharing struct {
+	t      *testing.T
+	proc   *gatewaytest.Process
+	broker *permits.Server
+	client *permits.Client
+	asks   *counted
+}
+
+// share starts a broker with this evidence and these servers, and a gateway that asks it.
+func share(t *testing.T, pf *gatewaytest.Platform, e decide.Evidence, servers func(*gatewaytest.Process) []members.Server) *sharing {
+	p := pf.NewProcess(t)
+	if servers == nil {
+		servers = func(p *gatewaytest.Process) []members.Server { return p.View.Current().Servers["plain"] }
+	}
+	listed := func(string) []members.Server { return servers(p) }
+	var ahead atomic.Int64 // of the broker's clock
+	broker := permits.NewServer(permits.ServerConfig{
+		Servers: listed, Logger: zap.NewNop(), Now: func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) },
+		NewBroker: func(string) permits.Broker { return decide.New(decide.DefaultConfig(), e) },
+	})
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := lis.Addr().String()
+	grpc := permits.NewGRPC(addr, broker)
+	go grpc.Serve(lis)
+	t.Cleanup(grpc.Server.Stop)
+	client := permits.NewClient(permits.Config{
+		VM: "a", Incarnation: "1", FailureDomain: "zone-a", Logger: zap.NewNop(), Servers: listed,
+		Members: func() []decide.Member { return []decide.Member{{VM: "b", Addr: addr}} },
+	})
+	p.Go(broker.Run)
+	p.Go(client.Run)
+	s := &sharing{t: t, proc: p, broker: broker, client: client, asks: &counted{Permits: client}}
+	p.Forward.UsePermits(s.asks, patience)
+	s.hold().Done(0, evidence.Unused)
+	ahead.Store(int64(loadKnownAfter))
+	s.await(0, 0)
+	return s
+}
+
+// hold takes a place for another request, once the broker can be reached.
+func (s *sharing) hold() *permits.Permit {
+	var permit *permits.Permit
+	require.Eventually(s.t, func() bool {
+		permit, _, _ = s.client.Acquire(s.t.Context(), "plain", decide.Ask{Objective: time.Second, Deadline: time.Minute, NoWait: true})
+		return permit != nil
+	}, gatewaytest.MaxWait, time.Millisecond)
+	return permit
+}
+
+// await waits until so many asks wait and so many permits are in use.
+func (s *sharing) await(waiting, inUse int) {
+	s.t.Helper()
+	require.Eventually(s.t, func() bool {
+		reply, err := s.broker.Load(s.t.Context(), &pb.ServiceLoadRequest{Service: "plain"})
+		running := 0
+		for _, d := range reply.GetDomains() {
+			running += int(d.Running)
+		}
+		return err == nil && reply.Known && int(reply.Waiting) == waiting && running == inUse
+	}, gatewaytest.MaxWait, time.Millisecond)
+}
+
+type answer struct {
+	reply *forward.Reply
+	err   *kinds.Error
+}
+
+// start sends a request in the background.
+func (s *sharing) start(ctx context.Context, path string) <-chan answer {
+	answers := make(chan answer, 1)
+	call := newCall(s.t, s.proc, "r", path)
+	go func() {
+		reply, err := s.proc.Forward.Send(ctx, call)
+		answers <- answer{reply, err}
+	}()
+	return answers
+}
+
+func TestSharedServiceIsAskedFor(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 2)
+	s := share(t, pf, evidence.New(evidence.Default), nil)
+	for _, path := range []string{"/score/x", "/write/x"} {
+		reply, err := s.proc.Forward.Send(t.Context(), newCall(t, s.proc, "r", path))
+		require.Nil(t, err)
+		require.Equal(t, "answer to r", string(reply.Body))
+	}
+	require.Equal(t, int64(2), s.asks.asks.Load())
+	require.Zero(t, s.asks.failed.Load())
+	require.Len(t, arrivals(pf.Servers), 2)
+	s.await(0, 0)
+}
+
+// Load: all places are taken by requests that take longer than a caller waits. The caller gets
+// "not run", which is true, and a time to return.
+func TestRequestWithoutPlaceIsRefusedAtOnce(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 1)
+	s := share(t, pf, fixedEvidence{limit: 1, typical: 10 * time.Second}, nil)
+	held := s.hold()
+	for _, path := range []string{"/score/x", "/write/x"} {
+		call := newCall(t, s.proc, "r", path)
+		_, err := s.proc.Forward.Send(t.Context(), call)
+		require.True(t, err.NotRun())
+		require.Equal(t, string(kinds.DeadlineTooShort), err.Kind())
+		require.Equal(t, 503, err.Answer().HTTP)
+		require.Positive(t, err.Answer().RetryAfter)
+		require.True(t, time.Now().Before(call.Deadline))
+	}
+	require.Empty(t, arrivals(pf.Servers))
+	held.Done(0, evidence.Unused)
+	s.await(0, 0)
+}
+
+// Guards against requests that depend on a broker: each gateway can decide by itself.
+func TestRequestIsSentWithoutBroker(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 2)
+	s := share(t, pf, fixedEvidence{limit: 1}, nil)
+	s.broker.Leave()
+	for range 3 {
+		reply, err := s.proc.Forward.Send(t.Context(), newCall(t, s.proc, "r", "/write/x"))
+		require.Nil(t, err)
+		require.Equal(t, 200, reply.Status)
+	}
+	require.Equal(t, int64(3), s.asks.failed.Load())
+	require.Len(t, arrivals(pf.Servers), 3)
+}
+
+// The broker's process ends while a request waits in its queue. The request is sent all the same,
+// once.
+func TestQueuedRequestOutlivesItsBroker(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 1)
+	s := share(t, pf, fixedEvidence{limit: 1}, nil)
+	s.hold()
+	answers := s.start(t.Context(), "/write/x")
+	s.await(1, 1)
+	require.Empty(t, arrivals(pf.Servers))
+	s.broker.Leave()
+	a := <-answers
+	require.Nil(t, a.err)
+	require.Equal(t, 200, a.reply.Status)
+	require.Len(t, arrivals(pf.Servers), 1)
+}
+
+// Guards against requests to servers that this gateway knows to leave, or does not know, on the
+// word of a broker with an older list.
+func TestPermitForLeavingOrUnknownServerIsNotUsed(t *testing.T) {
+	ghost := members.Server{ID: "ghost", Name: "ghost", Slots: 6, FailureDomain: "zone-a"}
+	for name, test := range map[string]struct {
+		listed  []string // real servers that the broker lists beside the ghost
+		leaving bool
+		want    int
+	}{
+		"unknown": {nil, false, 0}, "unknown, and another": {[]string{"p1"}, false, 1}, "leaving": {[]string{"p0"}, true, 0}, "leaving, and another": {[]string{"p0", "p1"}, true, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			pf := gatewaytest.NewPlatform(t, 0, 2)
+			list := []members.Server{ghost}
+			for _, id := range test.listed {
+				list = append(list, members.Server{ID: id, Name: id, Slots: 6, FailureDomain: "zone-a"})
+			}
+			s := share(t, pf, fixedEvidence{limit: 1}, func(*gatewaytest.Process) []members.Server { return list })
+			if test.leaving {
+				pf.Register(pf.Servers[0], "draining")
+				require.Eventually(t, func() bool {
+					known, _ := s.proc.View.Current().Server("plain", "p0")
+					return known.Leaving
+				}, gatewaytest.MaxWait, time.Millisecond)
+			}
+			reply, err := s.proc.Forward.Send(t.Context(), newCall(t, s.proc, "r", "/write/x"))
+			if test.want == 0 {
+				require.True(t, err.NotRun())
+				require.Equal(t, 503, err.Answer().HTTP)
+			} else {
+				require.Nil(t, err)
+				require.Equal(t, "p1", reply.Server)
+			}
+			require.Len(t, arrivals(pf.Servers), test.want)
+			s.await(0, 0)
+		})
+	}
+}
+
+// A write with a permit reaches a server that fails or never answers. It may have run, so that no
+// second permit may be used for it, and the answer must not say "not run".
+func TestUnsafeRequestWithPermitRunsOnce(t *testing.T) {
+	for name, fault := range map[string]hostedtest.ServerFaults{"fails": {Status: 500}, "no signature": {NoSeal: true}, "silent": {Unresponsive: true}} {
+		t.Run(name, func(t *testing.T) {
+			pf := gatewaytest.NewPlatform(t, 0, 3)
+			s := share(t, pf, fixedEvidence{limit: 4}, nil)
+			for _, server := range pf.Servers {
+				server.Fail(fault)
+			}
+			call := newCall(t, s.proc, "w", "/write/x")
+			call.Deadline = time.Now().Add(400 * time.Millisecond)
+			reply, err := s.proc.Forward.Send(t.Context(), call)
+			if err != nil {
+				require.False(t, err.NotRun())
+			} else {
+				require.Equal(t, 500, reply.Status)
+			}
+			require.Len(t, arrivals(pf.Servers), 1)
+			s.await(0, 0)
+		})
+	}
+}
+
+// A caller disconnects while its request waits for a permit. The request reaches no server, also
+// after a place has become free.
+func TestQueuedRequestOfLostCallerIsNotSent(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 1)
+	s := share(t, pf, fixedEvidence{limit: 1}, nil)
+	held := s.hold()
+	ctx, leave := context.WithCancel(t.Context())
+	answers := s.start(ctx, "/score/x")
+	s.await(1, 1)
+	leave()
+	require.Equal(t, string(kinds.Cancelled), (<-answers).err.Kind())
+	s.await(0, 1)
+	held.Done(0, evidence.Unused)
+	s.await(0, 0)
+	require.Empty(t, arrivals(pf.Servers))
+}
+
+// Load: a server is silent while the places of the others are taken. A second copy is sent only
+// once a place is free.
+func TestHedgeNeedsFreePlace(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 2)
+	pf.Servers[0].Fail(hostedtest.ServerFaults{Unresponsive: true})
+	s := share(t, pf, fixedEvidence{limit: 1}, nil)
+	silent, other := s.hold(), s.hold()
+	if silent.Server != "p0" {
+		silent, other = other, silent
+	}
+	silent.Done(0, evidence.Unused)
+	s.await(0, 1)
+	answers := s.start(t.Context(), "/score/x")
+	require.Eventually(t, func() bool { return s.asks.refused.Load() > 0 }, gatewaytest.MaxWait, time.Millisecond)
+	require.Empty(t, pf.Servers[1].Arrivals())
+	other.Done(0, evidence.Unused)
+	a := <-answers
+	require.Nil(t, a.err)
+	require.Equal(t, "p1", a.reply.Server)
+	require.Len(t, arrivals(pf.Servers), 2)
+	s.await(0, 0)
+}
+
+// Guards against delays for services whose callers have time.
+func TestServiceThatIsNotSharedAsksNobody(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 1)
+	s := share(t, pf, fixedEvidence{limit: 1}, nil)
+	s.proc.Forward.UsePermits(s.asks, patience-1)
+	reply, err := s.proc.Forward.Send(t.Context(), newCall(t, s.proc, "r", "/score/x"))
+	require.Nil(t, err)
+	require.Equal(t, 200, reply.Status)
+	require.Zero(t, s.asks.asks.Load())
+}
