gateway/forward: send nothing on a decision that arrives after the caller left

A decision of the broker and the end of the caller's context can be ready at once, and select then takes either. With the decision first, the request was started, and an idle connection carried it to a server for a caller that had gone: the pool does not look at the context before it writes. A request whose broker was lost went the same way.

The decision is now dropped, and its permit given back. Weighed: a check in the pool, which would cover this too but leave the count of attempts wrong, so that a request past its deadline was reported as maybe run.

The test hands a decision to a call whose caller has gone; it started an attempt before. 500 calls through Send with a context that had ended never showed it by chance, so the test calls the step itself.

--- a/gateway/forward/permits.go
+++ b/gateway/forward/permits.go
@@ -114,18 +114,28 @@
 		case s.permitAnswers <- a:
 		case <-ctx.Done():
 			if a.permit != nil {
-				permitsUnused.Add(1)
-				a.permit.Done(0, evidence.Unused)
+				returnUnused(a.permit)
 			}
 		}
 	}()
 }
 
+// returnUnused gives a permit back for which nothing was sent.
+func returnUnused(p *broker.Permit) {
+	permitsUnused.Add(1)
+	p.Done(0, evidence.Unused)
+}
+
 // handlePermitAnswer starts an attempt with a permit, or decides without one. It returns the
 // final answer or error and true, or false if an attempt is in flight or an ask is pending.
 func (s *callState) handlePermitAnswer(ctx context.Context, a permitAnswer) (*Reply, *kinds.Error, bool) {
 	s.asking--
 	switch {
+	case ctx.Err() != nil:
+		if a.permit != nil {
+			returnUnused(a.permit)
+		}
+		return nil, s.contextError(ctx), true
 	case a.permit != nil:
 		if s.usePermit(ctx, a) {
 			return nil, nil, false
@@ -159,8 +169,7 @@
 		s.startAttempt(ctx, c)
 		return true
 	}
-	permitsUnused.Add(1)
-	a.permit.Done(0, evidence.Unused)
+	returnUnused(a.permit)
 	s.forwarder.log.Info("Permit not used.", zap.String("id", s.call.ID), zap.String("server", a.permit.Server), zap.Bool("known", known), zap.Bool("leaving", server.Leaving))
 	s.asked = append(s.asked, a.permit.Server)
 	s.refusals++
--- a/gateway/forward/permits_test.go
+++ b/gateway/forward/permits_test.go
@@ -315,3 +315,15 @@
 	require.Equal(t, 200, reply.Status)
 	require.Zero(t, s.asks.asks.Load())
 }
+
+// A caller disconnects just before the decision on its request arrives. Guards against a request
+// that is sent for nobody, if the decision is noticed first.
+func TestDecisionAfterCallerLeftSendsNothing(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 1)
+	s := share(t, pf, fixedEvidence{limit: 1}, nil)
+	gone, leave := context.WithCancel(t.Context())
+	leave()
+	require.Zero(t, s.proc.Forward.Decide(gone, newCall(t, s.proc, "r", "/write/x"), s.hold(), nil))
+	s.await(0, 0)
+	require.Zero(t, s.proc.Forward.Decide(gone, newCall(t, s.proc, "r", "/write/x"), nil, permits.ErrNoBroker))
+}
