gateway/forward: no retry after the caller left

As with decisions of the broker: the outcome of an attempt and the end of the caller's context can be ready at once. With the outcome first, another server was sent the request, or the broker was asked, for a caller that had gone.

The test lets a call whose caller has gone get a server's refusal; it started an attempt before.

--- a/gateway/forward/export_test.go
+++ b/gateway/forward/export_test.go
@@ -2,19 +2,36 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	broker "dandelionsill.org/gateway/permits"
 )
 
-// Decide lets a new call get the answer to its ask, and returns the number of attempts that it starts.
+// Decide lets a new call get the answer to its ask, and returns the number of attempts and asks that
+// it starts.
 func (f *Forwarder) Decide(ctx context.Context, call Call, permit *broker.Permit, err error) int {
+	return f.step(call, func(s *callState) {
+		s.asking = 1
+		s.handlePermitAnswer(ctx, permitAnswer{permit: permit, err: err})
+	})
+}
+
+// Refuse lets a new call get the refusal of its first server, and returns the number of attempts and
+// asks that it starts.
+func (f *Forwarder) Refuse(ctx context.Context, call Call) int {
+	return f.step(call, func(s *callState) {
+		s.inFlight, s.mayHaveRun = 1, 1
+		s.handleOutcome(ctx, outcome{notRun: true, reply: &Reply{Status: http.StatusServiceUnavailable}})
+	})
+}
+
+func (f *Forwarder) step(call Call, do func(*callState)) int {
 	s := f.newCallState(call)
 	defer s.usage.Done()
 	s.outcomes = make(chan outcome, 1)
 	s.hedge = time.NewTimer(time.Hour)
 	defer s.hedge.Stop()
-	s.asking = 1
-	s.handlePermitAnswer(ctx, permitAnswer{permit: permit, err: err})
-	return s.inFlight
+	do(s)
+	return s.inFlight + s.asking
 }
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -301,7 +301,7 @@
 // retry starts another attempt and returns true, if one is allowed, there is time for
 // it, and a server can be picked.
 func (s *callState) retry(ctx context.Context) bool {
-	if !s.mayRepeat() || s.refusals > s.maxRefusals() || time.Until(s.call.Deadline) < minAttemptTime {
+	if ctx.Err() != nil || !s.mayRepeat() || s.refusals > s.maxRefusals() || time.Until(s.call.Deadline) < minAttemptTime {
 		return false
 	}
 	if (s.inFlight > 0 || s.asking > 0) && s.isSuspect() {
--- a/gateway/forward/permits_test.go
+++ b/gateway/forward/permits_test.go
@@ -327,3 +327,14 @@
 	s.await(0, 0)
 	require.Zero(t, s.proc.Forward.Decide(gone, newCall(t, s.proc, "r", "/write/x"), nil, permits.ErrNoBroker))
 }
+
+// A caller disconnects while a server refuses its request. Guards against a request that is sent to
+// the next server for nobody, if the refusal is noticed first.
+func TestRefusalAfterCallerLeftSendsNothing(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 1)
+	p := pf.NewProcess(t)
+	gone, leave := context.WithCancel(t.Context())
+	leave()
+	require.Zero(t, p.Forward.Refuse(gone, newCall(t, p, "r", "/write/x")))
+	require.Equal(t, 1, p.Forward.Refuse(t.Context(), newCall(t, p, "r", "/write/x")))
+}
