decide/permits: refused hedges are no demand

A gateway asks for a hedge each half objective until a place is free. Each such ask counted as a new request, and each refusal as a refused one. The load that scaling reads grew with the time that requests take, by the very storm in which hedges find no place; 100 refused hedges beside 6 requests read as 106 asks/s.

Asks that don't wait now count only if they are granted. Weighed: not to count them at all, but a granted hedge takes a place as any other request.

TestLoad took an ask that doesn't wait for its refused one, which was only a short way to a refusal; it now asks with a deadline that can't be met, and expects the same figures as before.

--- a/decide/permits/broker.go
+++ b/decide/permits/broker.go
@@ -137,7 +137,9 @@
 	if d, ok := b.repeated(a.ID); ok {
 		return append(out, d)
 	}
-	b.stats.asks.add(now, 1)
+	if !a.NoWait {
+		b.stats.asks.add(now, 1)
+	}
 	w := b.newWaiter(a)
 	switch {
 	case b.capacity.places == 0:
@@ -146,6 +148,9 @@
 		return append(out, b.refuse(w, DeadlineTooShort, 0, "the deadline has passed"))
 	}
 	if i, why := b.pick(w, inTime); i >= 0 {
+		if a.NoWait {
+			b.stats.asks.add(now, 1)
+		}
 		return append(out, b.grant(w, i, why))
 	}
 	if a.NoWait {
@@ -298,7 +303,9 @@
 
 // refuse returns the refusal of an ask that does not wait (any more).
 func (b *Broker) refuse(w *waiter, why Refusal, wait time.Duration, reason string) Decision {
-	b.stats.refused.add(b.now, 1)
+	if !w.NoWait {
+		b.stats.refused.add(b.now, 1)
+	}
 	return Decision{
 		ID: w.ID, Kind: Refused, Refusal: why,
 		RetryAfter: b.retryAfter(w), Wait: wait, Reason: reason,
--- a/decide/permits/broker_test.go
+++ b/decide/permits/broker_test.go
@@ -273,7 +273,7 @@
 func TestLoad(t *testing.T) {
 	b, _ := fleet(Config{}, times, 1, 1)
 	granted := fill(t, b, epoch)
-	b.Ask(epoch, ask(Ask{NoWait: true}))
+	require.Equal(t, Refused, last(b.Ask(epoch, ask(Ask{Objective: 10 * ms, Deadline: 20 * ms}))).Kind)
 	b.Report(epoch, done(granted[0]))
 	require.Equal(t, Load{
 		Refused: 1, AsksPerSecond: 13, Mean: 25 * ms,
--- a/decide/permits/load.go
+++ b/decide/permits/load.go
@@ -17,7 +17,8 @@
 	maxStretch = 4
 )
 
-// Load is the load of a service, as of the broker's last call.
+// Load is the load of a service, as of the broker's last call. Asks that do not wait count only
+// if they are granted: a gateway repeats one as long as its request runs.
 type Load struct {
 	Waiting       int           // queued asks
 	Refused       int           // asks refused within the last second
--- a/decide/permits/load_test.go
+++ b/decide/permits/load_test.go
@@ -107,3 +107,20 @@
 	require.GreaterOrEqual(t, float64(o.inTime), 0.9*0.5*5*24/0.025, "%+v", o)
 	require.GreaterOrEqual(t, float64(scores.answered), 0.9*0.5*5*24/0.2, "%+v", scores)
 }
+
+// Load: all places are taken, and gateways ask again and again for a place for a second copy of
+// what runs. Guards against an operator or a scaler that takes these for demand.
+func TestRefusedHedgesAreNoDemand(t *testing.T) {
+	b, _ := fleet(Config{}, times, 1)
+	granted := fill(t, b, epoch)
+	before := b.Load()
+	hedge := lookup
+	hedge.NoWait = true
+	for range 100 {
+		require.Equal(t, Refused, last(b.Ask(epoch, ask(hedge))).Kind)
+	}
+	require.Equal(t, before, b.Load())
+	b.Report(epoch, done(granted[0]))
+	require.Equal(t, Granted, last(b.Ask(epoch, ask(hedge))).Kind)
+	require.Equal(t, before.AsksPerSecond+1, b.Load().AsksPerSecond, "it runs")
+}
