gateway/forward: a request that was given up unsent is no evidence against its server

Any attempt that ended before a byte was sent was reported to the broker as a server that can't be reached: also if its caller had gone, if a hedge had won meanwhile, or if the request waited for room for its body within this process. Two gateways that do so under load take a healthy server for unreachable, and its limit falls to one.

A request that found no room is reported as unused, one that was given up while the connection was opened as abandoned, unless the connection had been tried for 50 ms. Ruled out: abandoned in every such case, since a hedge ends the attempts at a dark server long before the connection times out, and nobody would report it.

The test has a caller that leaves while its request waits for room; the report said unreachable before.

--- a/gateway/forward/bodies.go
+++ b/gateway/forward/bodies.go
@@ -6,11 +6,16 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/decide/route"
 	"dandelionsill.org/gateway/backend"
 )
 
+// errNoRoom means that this process did not use the server, which may be healthy.
+const errNoRoom = errors.ConstError("no room for a body")
+
 var bodyWaits = metrics.Counter("forward_body_waits_total")
 
 // ServerBodies bounds the bodies of this process's requests that one server holds at a time, because a
@@ -53,7 +58,7 @@
 		select {
 		case <-released:
 		case <-ctx.Done():
-			return fmt.Errorf("%w: no room for a body of %d bytes: %w", backend.ErrNotSent, n, ctx.Err())
+			return fmt.Errorf("%w: %w of %d bytes: %w", backend.ErrNotSent, errNoRoom, n, ctx.Err())
 		}
 	}
 }
--- a/gateway/forward/export_test.go
+++ b/gateway/forward/export_test.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"dandelionsill.org/decide/evidence"
+	"dandelionsill.org/gateway/backend"
 	broker "dandelionsill.org/gateway/permits"
 )
 
@@ -35,3 +37,8 @@
 	do(s)
 	return s.inFlight + s.asking
 }
+
+// UnsentOutcome returns the evidence of an attempt whose connection was not opened.
+func UnsentOutcome(ctxDone bool, took time.Duration) evidence.Outcome {
+	return outcomeOf(&outcome{err: backend.ErrNotSent, notRun: true, ctxDone: ctxDone, took: took})
+}
--- a/gateway/forward/permits.go
+++ b/gateway/forward/permits.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"dandelionsill.org/base/metrics"
@@ -21,6 +22,10 @@
 // while there is no broker. More would multiply the load on servers that are full.
 const maxUnsharedRefusals = 2
 
+// darkAfter is after which time without a connection a server counts as unreachable although the
+// request was given up: a machine that works accepts connections within a few milliseconds.
+const darkAfter = 50 * time.Millisecond
+
 var permitsUnused = metrics.Counter("forward_permits_unused_total")
 
 // Permits grants permits for requests to the servers of shared services.
@@ -194,8 +199,11 @@
 
 // outcomeOf returns how an attempt ended, as evidence on its server.
 func outcomeOf(o *outcome) evidence.Outcome {
+	isUnsent := o.err != nil && o.notRun
 	switch {
-	case o.err != nil && o.notRun:
+	case errors.Is(o.err, errNoRoom):
+		return evidence.Unused
+	case isUnsent && (!o.ctxDone || o.took >= darkAfter):
 		return evidence.Unreachable
 	case o.ctxDone:
 		return evidence.Abandoned
--- a/gateway/forward/permits_test.go
+++ b/gateway/forward/permits_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -40,6 +41,19 @@
 	return evidence.Standing{Limit: e.limit, Pace: 1}
 }
 
+// recordedEvidence records how requests ended.
+type recordedEvidence struct {
+	fixedEvidence
+	mu       sync.Mutex
+	outcomes []evidence.Outcome
+}
+
+func (e *recordedEvidence) Record(_ time.Time, s evidence.Sample) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.outcomes = append(e.outcomes, s.Outcome)
+}
+
 // counted counts the asks of a forwarder and their results.
 type counted struct {
 	forward.Permits
@@ -338,3 +352,29 @@
 	require.Zero(t, p.Forward.Refuse(gone, newCall(t, p, "r", "/write/x")))
 	require.Equal(t, 1, p.Forward.Refuse(t.Context(), newCall(t, p, "r", "/write/x")))
 }
+
+// Callers leave while their requests wait for room for their bodies, or for a connection. Guards
+// against healthy servers that all gateways take for unreachable.
+func TestUnsentRequestIsNoEvidenceAgainstItsServer(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 1)
+	e := &recordedEvidence{fixedEvidence: fixedEvidence{limit: 4}}
+	s := share(t, pf, e, nil)
+	s.proc.Forward.Bodies = forward.NewServerBodies(1)
+	pf.Servers[0].Fail(hostedtest.ServerFaults{Unresponsive: true})
+	ctx, leave := context.WithCancel(t.Context())
+	first := s.start(ctx, "/write/x")
+	require.Eventually(t, func() bool { return pf.Servers[0].InFlight() == 1 }, gatewaytest.MaxWait, time.Millisecond)
+	second := s.start(ctx, "/write/x")
+	s.await(0, 2)
+	leave()
+	<-first
+	<-second
+	s.await(0, 0)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	require.ElementsMatch(t, []evidence.Outcome{evidence.Unused, evidence.Unused, evidence.Abandoned}, e.outcomes, "the first is that of share")
+
+	require.Equal(t, evidence.Abandoned, forward.UnsentOutcome(true, time.Millisecond))
+	require.Equal(t, evidence.Unreachable, forward.UnsentOutcome(true, 100*time.Millisecond), "a dark server")
+	require.Equal(t, evidence.Unreachable, forward.UnsentOutcome(false, time.Millisecond), "it refuses connections")
+}
