gateway/forward: a suspect is at one server at a time with permits too

A request that crashes servers must not be at two at once. That was looked at when a permit was asked for, not when it was granted or its broker was lost: up to a whole wait in a queue later, while the verdict of the other processes arrived. Such a request got its second server while the first still had it.

The test has a request that became a suspect while it waited; with a permit and without a broker it was sent to a second server before.

--- a/gateway/forward/export_test.go
+++ b/gateway/forward/export_test.go
@@ -10,11 +10,11 @@
 	broker "dandelionsill.org/gateway/permits"
 )
 
-// Decide lets a new call get the answer to its ask, and returns the number of attempts and asks that
-// it starts.
-func (f *Forwarder) Decide(ctx context.Context, call Call, permit *broker.Permit, err error) int {
+// Decide lets a call that is at a number of servers get the answer to its ask, and returns the number
+// of its attempts and asks from then on.
+func (f *Forwarder) Decide(ctx context.Context, call Call, inFlight int, permit *broker.Permit, err error) int {
 	return f.step(call, func(s *callState) {
-		s.asking = 1
+		s.asking, s.inFlight, s.mayHaveRun = 1, inFlight, inFlight
 		s.handlePermitAnswer(ctx, permitAnswer{permit: permit, err: err})
 	})
 }
--- a/gateway/forward/permits.go
+++ b/gateway/forward/permits.go
@@ -148,7 +148,7 @@
 	case a.err != nil:
 		s.withoutBroker = true
 		s.forwarder.log.Info("No broker.", zap.String("id", s.call.ID), zap.String("service", s.service), zap.Duration("took", a.took), zap.Error(a.err))
-		if !a.noWait && s.mayRepeat() && s.launch(ctx) {
+		if !a.noWait && s.retry(ctx) {
 			return nil, nil, false
 		}
 	default:
@@ -166,10 +166,11 @@
 }
 
 // usePermit starts the attempt that a permit allows, or asks for another one if its server is
-// not known here or leaves. It returns false if neither is allowed.
+// not known here or leaves. It returns false if neither is allowed; a suspect is at one server
+// at a time.
 func (s *callState) usePermit(ctx context.Context, a permitAnswer) bool {
 	server, known := s.forwarder.View.Current().Server(s.service, a.permit.Server)
-	if known && !server.Leaving && s.mayRepeat() && !s.isQuarantined() {
+	if known && !server.Leaving && s.mayRepeat() && !s.isQuarantined() && (s.inFlight == 0 || !s.isSuspect()) {
 		c := choice{server: server, eligible: 1, listed: len(s.forwarder.View.Current().Servers[s.service]), reason: "permit: " + a.permit.Reason, permit: a.permit}
 		s.startAttempt(ctx, c)
 		return true
@@ -178,7 +179,7 @@
 	s.forwarder.log.Info("Permit not used.", zap.String("id", s.call.ID), zap.String("server", a.permit.Server), zap.Bool("known", known), zap.Bool("leaving", server.Leaving))
 	s.asked = append(s.asked, a.permit.Server)
 	s.refusals++
-	if a.noWait || s.refusals > maxRefusals || !s.mayRepeat() || s.isQuarantined() {
+	if a.noWait || s.refusals > maxRefusals || !s.mayRepeat() || s.isQuarantined() || s.inFlight > 0 && s.isSuspect() {
 		return false
 	}
 	s.acquire(ctx, false)
--- a/gateway/forward/permits_test.go
+++ b/gateway/forward/permits_test.go
@@ -14,6 +14,7 @@
 	"dandelionsill.org/decide/evidence"
 	"dandelionsill.org/decide/members"
 	decide "dandelionsill.org/decide/permits"
+	"dandelionsill.org/decide/poison"
 	"dandelionsill.org/gateway/forward"
 	"dandelionsill.org/gateway/gatewaytest"
 	"dandelionsill.org/gateway/permits"
@@ -337,9 +338,9 @@
 	s := share(t, pf, fixedEvidence{limit: 1}, nil)
 	gone, leave := context.WithCancel(t.Context())
 	leave()
-	require.Zero(t, s.proc.Forward.Decide(gone, newCall(t, s.proc, "r", "/write/x"), s.hold(), nil))
+	require.Zero(t, s.proc.Forward.Decide(gone, newCall(t, s.proc, "r", "/write/x"), 0, s.hold(), nil))
 	s.await(0, 0)
-	require.Zero(t, s.proc.Forward.Decide(gone, newCall(t, s.proc, "r", "/write/x"), nil, permits.ErrNoBroker))
+	require.Zero(t, s.proc.Forward.Decide(gone, newCall(t, s.proc, "r", "/write/x"), 0, nil, permits.ErrNoBroker))
 }
 
 // A caller disconnects while a server refuses its request. Guards against a request that is sent to
@@ -378,3 +379,20 @@
 	require.Equal(t, evidence.Unreachable, forward.UnsentOutcome(true, 100*time.Millisecond), "a dark server")
 	require.Equal(t, evidence.Unreachable, forward.UnsentOutcome(false, time.Millisecond), "it refuses connections")
 }
+
+// A request is found to crash servers while it is at one and waits for a permit for another. Guards
+// against a second server that crashes under it before the first has answered.
+func TestSuspectIsAtOneServerAtATime(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 1)
+	s := share(t, pf, fixedEvidence{limit: 1}, nil)
+	call := newCall(t, s.proc, "r", "/score/x")
+	content := poison.Content{Caller: poison.CallerFromHeader(call.Header), Method: call.Method, Host: call.Host, URI: call.URI, Body: call.Body}
+	for _, server := range []string{"s1", "s2"} {
+		s.proc.Forward.Quarantine.RecordCrash(content.Fingerprint(), server)
+	}
+	require.Equal(t, poison.Suspect, s.proc.Forward.Quarantine.Verdict(content.Fingerprint()))
+	require.Equal(t, 1, s.proc.Forward.Decide(t.Context(), call, 1, s.hold(), nil))
+	s.await(0, 0)
+	require.Equal(t, 1, s.proc.Forward.Decide(t.Context(), call, 1, nil, permits.ErrNoBroker))
+	require.Equal(t, 1, s.proc.Forward.Decide(t.Context(), call, 0, s.hold(), nil))
+}
