gateway/forward: the refusal of a hedge does not end a request that may be tried again

A suspect whose server failed while a permit for a hedge was asked for is not sent on before the answer to that ask. If that was a refusal, the request ended, although its route allowed another attempt; as a hedge is refused whenever no place is free, it did so under load. The refusal now leads to the retry that was put off.

The test refuses the hedge of a request whose server has failed: no attempt and no ask followed before.

--- a/gateway/forward/export_test.go
+++ b/gateway/forward/export_test.go
@@ -28,6 +28,15 @@
 	})
 }
 
+// RefuseHedge lets a call that its first server failed get the refusal of a permit for a hedge, and
+// returns the number of attempts and asks that it starts.
+func (f *Forwarder) RefuseHedge(ctx context.Context, call Call) int {
+	return f.step(call, func(s *callState) {
+		s.asking, s.mayHaveRun = 1, 1
+		s.handlePermitAnswer(ctx, permitAnswer{noWait: true, refusal: &broker.Refusal{}})
+	})
+}
+
 func (f *Forwarder) step(call Call, do func(*callState)) int {
 	s := f.newCallState(call)
 	defer s.usage.Done()
--- a/gateway/forward/permits.go
+++ b/gateway/forward/permits.go
@@ -162,6 +162,9 @@
 	if s.inFlight > 0 || s.asking > 0 {
 		return nil, nil, false
 	}
+	if a.noWait && s.retry(ctx) { // the attempt beside which it was asked for has failed meanwhile
+		return nil, nil, false
+	}
 	return s.finalFailure()
 }
 
--- a/gateway/forward/permits_test.go
+++ b/gateway/forward/permits_test.go
@@ -395,4 +395,5 @@
 	s.await(0, 0)
 	require.Equal(t, 1, s.proc.Forward.Decide(t.Context(), call, 1, nil, permits.ErrNoBroker))
 	require.Equal(t, 1, s.proc.Forward.Decide(t.Context(), call, 0, s.hold(), nil))
+	require.Equal(t, 1, s.proc.Forward.RefuseHedge(t.Context(), call), "its first server crashed, and a second attempt is allowed")
 }
