gateway/forward: a request whose broker is lost is hedged

The timer of the hedge starts with the request. If the request then waited for a permit for longer than until the hedge was due, and the broker was lost, it was sent by the old path without a timer: a silent server held it until its deadline. The timer now starts anew with the first attempt without a broker, as it does with a permit.

The test loses the broker of a queued request while all servers are silent: one server got it before, now two.

--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -399,7 +399,7 @@
 	s.inFlight++
 	s.mayHaveRun++
 	attempts.Add(1)
-	if c.permit != nil && s.inFlight == 1 {
+	if (c.permit != nil || s.withoutBroker) && s.inFlight == 1 { // it waited for its broker
 		s.hedge.Reset(s.hedgeDelay())
 	}
 	go func() { s.outcomes <- s.forwarder.attempt(ctx, s.call, s.service, c) }()
--- a/gateway/forward/permits_test.go
+++ b/gateway/forward/permits_test.go
@@ -397,3 +397,21 @@
 	require.Equal(t, 1, s.proc.Forward.Decide(t.Context(), call, 0, s.hold(), nil))
 	require.Equal(t, 1, s.proc.Forward.RefuseHedge(t.Context(), call), "its first server crashed, and a second attempt is allowed")
 }
+
+// A broker is lost after a request has waited for it for longer than until a hedge is due, and the
+// server that the request is sent to is silent. Guards against a request that is never hedged.
+func TestRequestIsHedgedAfterItsBrokerIsLost(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 2)
+	s := share(t, pf, fixedEvidence{limit: 1}, nil)
+	for _, server := range pf.Servers {
+		server.Fail(hostedtest.ServerFaults{Unresponsive: true})
+	}
+	s.hold()
+	s.hold()
+	answers := s.start(t.Context(), "/score/x")
+	s.await(1, 2)
+	time.Sleep(150 * time.Millisecond) // a hedge is due after 100 ms
+	s.broker.Leave()
+	require.False(t, (<-answers).err.NotRun())
+	require.Len(t, arrivals(pf.Servers), 2)
+}
