gateway/forward: count hedges that were sent, not asks for them

With permits forward_hedges_total counted each ask for a hedge, which is repeated until a place is free, so that the alarm in METRICS.md (hedges above a tenth) rang in each storm. It counts requests that are sent beside another again.

--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -242,7 +242,6 @@
 			hedges.Add(1)
 		}
 	case s.inFlight > 0 && s.asking == 0:
-		hedges.Add(1)
 		s.acquire(ctx, true)
 	}
 }
--- a/gateway/forward/permits.go
+++ b/gateway/forward/permits.go
@@ -175,6 +175,9 @@
 	server, known := s.forwarder.View.Current().Server(s.service, a.permit.Server)
 	if known && !server.Leaving && s.mayRepeat() && !s.isQuarantined() && (s.inFlight == 0 || !s.isSuspect()) {
 		c := choice{server: server, eligible: 1, listed: len(s.forwarder.View.Current().Servers[s.service]), reason: "permit: " + a.permit.Reason, permit: a.permit}
+		if s.inFlight > 0 {
+			hedges.Add(1)
+		}
 		s.startAttempt(ctx, c)
 		return true
 	}
--- a/gateway/forward/permits_test.go
+++ b/gateway/forward/permits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -309,6 +310,8 @@
 	}
 	silent.Done(0, evidence.Unused)
 	s.await(0, 1)
+	hedges := expvar.Get("forward_hedges_total").(*expvar.Int)
+	before := hedges.Value()
 	answers := s.start(t.Context(), "/score/x")
 	require.Eventually(t, func() bool { return s.asks.refused.Load() > 0 }, gatewaytest.MaxWait, time.Millisecond)
 	require.Empty(t, pf.Servers[1].Arrivals())
@@ -317,6 +320,7 @@
 	require.Nil(t, a.err)
 	require.Equal(t, "p1", a.reply.Server)
 	require.Len(t, arrivals(pf.Servers), 2)
+	require.Equal(t, int64(1), hedges.Value()-before, "asks that were refused are no hedges")
 	s.await(0, 0)
 }
 
