gateway/forward: a caller with a long time makes no others late

A gateway takes the longest time that a caller stated on a route for the time of first attempts, and who states less for one that returns. One caller that stated an hour made every other one of the route late, until the next configuration: their asks waited behind all others, and were refused while places were short. What is stated now counts up to the route's timeout, beyond which it has no effect on the request.

Not mended: where all usual callers state less than the timeout, one that states the timeout still makes them late by the difference.

The test has a caller that states an hour before one that states the timeout; the second had no time left before.

--- a/gateway/forward/permits.go
+++ b/gateway/forward/permits.go
@@ -75,22 +75,26 @@
 }
 
 // sinceFirstAttempt returns how long ago a caller made its first attempt: a caller states the
-// time that it has left, and states the same time at each first attempt.
-func (s *sharing) sinceFirstAttempt(t *table.Table, route string, stated time.Duration) time.Duration {
+// time that it has left, and states the same time at each first attempt. More than the route's
+// timeout has no effect on the request, and counts as that.
+func (s *sharing) sinceFirstAttempt(t *table.Table, r *table.Route, stated time.Duration) time.Duration {
 	if stated <= 0 {
 		return 0
 	}
+	if r.Timeout > 0 {
+		stated = min(stated, r.Timeout)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.update(t)
-	s.longest[route] = max(s.longest[route], stated)
-	return s.longest[route] - stated
+	s.longest[r.Name] = max(s.longest[r.Name], stated)
+	return s.longest[r.Name] - stated
 }
 
 // ask describes the call's request to the broker.
 func (s *callState) ask(noWait bool) permits.Ask {
 	c, sharing := &s.call, s.forwarder.sharing
-	elapsed := time.Since(s.start) + sharing.sinceFirstAttempt(s.forwarder.View.Current().Table, c.Route.Name, c.CallerTimeout)
+	elapsed := time.Since(s.start) + sharing.sinceFirstAttempt(s.forwarder.View.Current().Table, c.Route, c.CallerTimeout)
 	return permits.Ask{
 		Domain: s.forwarder.domain, Route: c.Route.Name, Organisation: c.Organisation, Internal: c.Internal, Priority: c.Priority,
 		Objective: max(0, c.Route.LatencyObjective-elapsed), Deadline: time.Until(c.Deadline), Repeatable: c.Route.Repeatable(), NoWait: noWait, Avoid: slices.Clone(s.asked),
--- a/gateway/forward/permits_test.go
+++ b/gateway/forward/permits_test.go
@@ -60,10 +60,12 @@
 type counted struct {
 	forward.Permits
 	asks, refused, failed atomic.Int64
+	objective             atomic.Int64 // of the last ask
 }
 
 func (c *counted) Acquire(ctx context.Context, service string, ask decide.Ask) (*permits.Permit, *permits.Refusal, error) {
 	c.asks.Add(1)
+	c.objective.Store(int64(ask.Objective))
 	permit, refusal, err := c.Permits.Acquire(ctx, service, ask)
 	if refusal != nil {
 		c.refused.Add(1)
@@ -419,3 +421,17 @@
 	require.False(t, (<-answers).err.NotRun())
 	require.Len(t, arrivals(pf.Servers), 2)
 }
+
+// One caller states a time that is far beyond the route's timeout. Guards against others that from
+// then on count as late, since they state less: a caller that returns is recognized by that.
+func TestTimeBeyondTimeoutMakesNobodyLate(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 1)
+	s := share(t, pf, fixedEvidence{limit: 4}, nil)
+	for _, stated := range []time.Duration{time.Hour, 2 * time.Second} {
+		call := newCall(t, s.proc, "r", "/score/x")
+		call.CallerTimeout = stated
+		_, err := s.proc.Forward.Send(t.Context(), call)
+		require.Nil(t, err)
+	}
+	require.Positive(t, s.asks.objective.Load())
+}
