--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -242,7 +242,6 @@
 			hedges.Add(1)
 		}
 	case s.inFlight > 0 && s.asking == 0:
-		hedges.Add(1)
 		s.acquire(ctx, true)
 	}
 }
@@ -301,7 +300,7 @@
 // retry starts another attempt and returns true, if one is allowed, there is time for
 // it, and a server can be picked.
 func (s *callState) retry(ctx context.Context) bool {
-	if !s.mayRepeat() || s.refusals > s.maxRefusals() || time.Until(s.call.Deadline) < minAttemptTime {
+	if ctx.Err() != nil || !s.mayRepeat() || s.refusals > s.maxRefusals() || time.Until(s.call.Deadline) < minAttemptTime {
 		return false
 	}
 	if (s.inFlight > 0 || s.asking > 0) && s.isSuspect() {
@@ -399,7 +398,7 @@
 	s.inFlight++
 	s.mayHaveRun++
 	attempts.Add(1)
-	if c.permit != nil && s.inFlight == 1 {
+	if (c.permit != nil || s.withoutBroker) && s.inFlight == 1 { // it waited for its broker
 		s.hedge.Reset(s.hedgeDelay())
 	}
 	go func() { s.outcomes <- s.forwarder.attempt(ctx, s.call, s.service, c) }()
--- a/gateway/forward/permits.go
+++ b/gateway/forward/permits.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"dandelionsill.org/base/metrics"
@@ -21,6 +22,10 @@
 // while there is no broker. More would multiply the load on servers that are full.
 const maxUnsharedRefusals = 2
 
+// darkAfter is after which time without a connection a server counts as unreachable although the
+// request was given up: a machine that works accepts connections within a few milliseconds.
+const darkAfter = 50 * time.Millisecond
+
 var permitsUnused = metrics.Counter("forward_permits_unused_total")
 
 // Permits grants permits for requests to the servers of shared services.
@@ -70,22 +75,26 @@
 }
 
 // sinceFirstAttempt returns how long ago a caller made its first attempt: a caller states the
-// time that it has left, and states the same time at each first attempt.
-func (s *sharing) sinceFirstAttempt(t *table.Table, route string, stated time.Duration) time.Duration {
+// time that it has left, and states the same time at each first attempt. More than the route's
+// timeout has no effect on the request, and counts as that.
+func (s *sharing) sinceFirstAttempt(t *table.Table, r *table.Route, stated time.Duration) time.Duration {
 	if stated <= 0 {
 		return 0
 	}
+	if r.Timeout > 0 {
+		stated = min(stated, r.Timeout)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.update(t)
-	s.longest[route] = max(s.longest[route], stated)
-	return s.longest[route] - stated
+	s.longest[r.Name] = max(s.longest[r.Name], stated)
+	return s.longest[r.Name] - stated
 }
 
 // ask describes the call's request to the broker.
 func (s *callState) ask(noWait bool) permits.Ask {
 	c, sharing := &s.call, s.forwarder.sharing
-	elapsed := time.Since(s.start) + sharing.sinceFirstAttempt(s.forwarder.View.Current().Table, c.Route.Name, c.CallerTimeout)
+	elapsed := time.Since(s.start) + sharing.sinceFirstAttempt(s.forwarder.View.Current().Table, c.Route, c.CallerTimeout)
 	return permits.Ask{
 		Domain: s.forwarder.domain, Route: c.Route.Name, Organisation: c.Organisation, Internal: c.Internal, Priority: c.Priority,
 		Objective: max(0, c.Route.LatencyObjective-elapsed), Deadline: time.Until(c.Deadline), Repeatable: c.Route.Repeatable(), NoWait: noWait, Avoid: slices.Clone(s.asked),
@@ -114,18 +123,28 @@
 		case s.permitAnswers <- a:
 		case <-ctx.Done():
 			if a.permit != nil {
-				permitsUnused.Add(1)
-				a.permit.Done(0, evidence.Unused)
+				returnUnused(a.permit)
 			}
 		}
 	}()
 }
 
+// returnUnused gives a permit back for which nothing was sent.
+func returnUnused(p *broker.Permit) {
+	permitsUnused.Add(1)
+	p.Done(0, evidence.Unused)
+}
+
 // handlePermitAnswer starts an attempt with a permit, or decides without one. It returns the
 // final answer or error and true, or false if an attempt is in flight or an ask is pending.
 func (s *callState) handlePermitAnswer(ctx context.Context, a permitAnswer) (*Reply, *kinds.Error, bool) {
 	s.asking--
 	switch {
+	case ctx.Err() != nil:
+		if a.permit != nil {
+			returnUnused(a.permit)
+		}
+		return nil, s.contextError(ctx), true
 	case a.permit != nil:
 		if s.usePermit(ctx, a) {
 			return nil, nil, false
@@ -133,7 +152,7 @@
 	case a.err != nil:
 		s.withoutBroker = true
 		s.forwarder.log.Info("No broker.", zap.String("id", s.call.ID), zap.String("service", s.service), zap.Duration("took", a.took), zap.Error(a.err))
-		if !a.noWait && s.mayRepeat() && s.launch(ctx) {
+		if !a.noWait && s.retry(ctx) {
 			return nil, nil, false
 		}
 	default:
@@ -147,24 +166,30 @@
 	if s.inFlight > 0 || s.asking > 0 {
 		return nil, nil, false
 	}
+	if a.noWait && s.retry(ctx) { // the attempt beside which it was asked for has failed meanwhile
+		return nil, nil, false
+	}
 	return s.finalFailure()
 }
 
 // usePermit starts the attempt that a permit allows, or asks for another one if its server is
-// not known here or leaves. It returns false if neither is allowed.
+// not known here or leaves. It returns false if neither is allowed; a suspect is at one server
+// at a time.
 func (s *callState) usePermit(ctx context.Context, a permitAnswer) bool {
 	server, known := s.forwarder.View.Current().Server(s.service, a.permit.Server)
-	if known && !server.Leaving && s.mayRepeat() && !s.isQuarantined() {
+	if known && !server.Leaving && s.mayRepeat() && !s.isQuarantined() && (s.inFlight == 0 || !s.isSuspect()) {
 		c := choice{server: server, eligible: 1, listed: len(s.forwarder.View.Current().Servers[s.service]), reason: "permit: " + a.permit.Reason, permit: a.permit}
+		if s.inFlight > 0 {
+			hedges.Add(1)
+		}
 		s.startAttempt(ctx, c)
 		return true
 	}
-	permitsUnused.Add(1)
-	a.permit.Done(0, evidence.Unused)
+	returnUnused(a.permit)
 	s.forwarder.log.Info("Permit not used.", zap.String("id", s.call.ID), zap.String("server", a.permit.Server), zap.Bool("known", known), zap.Bool("leaving", server.Leaving))
 	s.asked = append(s.asked, a.permit.Server)
 	s.refusals++
-	if a.noWait || s.refusals > maxRefusals || !s.mayRepeat() || s.isQuarantined() {
+	if a.noWait || s.refusals > maxRefusals || !s.mayRepeat() || s.isQuarantined() || s.inFlight > 0 && s.isSuspect() {
 		return false
 	}
 	s.acquire(ctx, false)
@@ -185,8 +210,11 @@
 
 // outcomeOf returns how an attempt ended, as evidence on its server.
 func outcomeOf(o *outcome) evidence.Outcome {
+	isUnsent := o.err != nil && o.notRun
 	switch {
-	case o.err != nil && o.notRun:
+	case errors.Is(o.err, errNoRoom):
+		return evidence.Unused
+	case isUnsent && (!o.ctxDone || o.took >= darkAfter):
 		return evidence.Unreachable
 	case o.ctxDone:
 		return evidence.Abandoned
