gateway/forward: a wait for a server's room is no evidence of its health

An attempt whose body found no room at its server by the deadline was recorded as a failure of that server, and as unreachable at its broker; the wait counted as the time that the server took. So a burst of large bodies ejected the servers that they filled.

Now the wait comes before the measured part; without room the permit ends unused and nothing is recorded. Weighed: to record it as a refusal; but the server was never asked.

TestWaitForRoomIsNoEvidence failed before (the full server was ejected after five waits).

--- a/gateway/forward/bodies.go
+++ b/gateway/forward/bodies.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dandelionsill.org/base/metrics"
+	"dandelionsill.org/decide/evidence"
 	"dandelionsill.org/decide/route"
 	"dandelionsill.org/gateway/backend"
 )
@@ -101,3 +102,14 @@
 		candidates[i].Full = !b.fits(candidates[i].Name, int64(n))
 	}
 }
+
+// endWithoutRoom ends an attempt whose server had no room for the body, which says nothing of the
+// server's health.
+func (f *Forwarder) endWithoutRoom(o outcome, start time.Time) outcome {
+	o.notRun, o.took = true, time.Since(start)
+	if o.permit != nil {
+		o.permit.Done(0, evidence.Unused)
+	}
+	f.serverStats.addInFlight(o.server.ID, -1)
+	return o
+}
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -433,7 +433,12 @@
 	defer span.End()
 	f.serverStats.attemptStarted(server.ID)
 	o := outcome{choice: c}
+	if o.err = f.Bodies.acquire(ctx, call.Deadline, server.ID, len(call.Body)); o.err != nil {
+		return f.endWithoutRoom(o, start)
+	}
+	start = time.Now()
 	o.reply, o.err = f.exchange(ctx, call, server)
+	f.Bodies.release(server.ID, len(call.Body))
 	o.took = time.Since(start)
 	o.notRun = errors.Is(o.err, backend.ErrNotSent) || o.err == nil && hosted.NotExecuted(o.reply.Status, o.reply.Header)
 	o.ctxDone = ctx.Err() != nil
@@ -454,10 +459,6 @@
 }
 
 func (f *Forwarder) exchange(ctx context.Context, call Call, server members.Server) (*Reply, error) {
-	if err := f.Bodies.acquire(ctx, call.Deadline, server.ID, len(call.Body)); err != nil {
-		return nil, err
-	}
-	defer f.Bodies.release(server.ID, len(call.Body))
 	answer, err := f.open(ctx, call, server)
 	if err != nil {
 		return nil, err
--- a/gateway/forward/room_test.go
+++ b/gateway/forward/room_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
+	"dandelionsill.org/decide/members"
 	"dandelionsill.org/decide/route"
 	"dandelionsill.org/gateway/backend"
 	"dandelionsill.org/gateway/view"
@@ -82,3 +83,28 @@
 		require.Empty(t, b.held)
 	})
 }
+
+// Guards against a healthy server that is ejected because requests waited in vain for its room, and against a
+// wait that counts as the time that the server took.
+func TestWaitForRoomIsNoEvidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New(&view.View{}, nil, "zone-a", zap.NewNop())
+		f.Bodies = NewServerBodies(100)
+		servers := []members.Server{{ID: "full"}, {ID: "a"}, {ID: "b"}, {ID: "c"}}
+		require.Nil(t, f.Bodies.tryAcquire("full", 100))
+		for range 5 {
+			call := Call{Body: make([]byte, 100), Deadline: time.Now().Add(time.Second)}
+			for _, healthy := range servers[1:] {
+				f.serverStats.attemptStarted(healthy.ID)
+				f.serverStats.attemptEnded("s", healthy.ID, time.Millisecond, false)
+			}
+			o := f.attempt(t.Context(), call, "s", choice{server: servers[0]})
+			require.True(t, o.notRun)
+			require.False(t, o.started())
+		}
+		for _, c := range f.serverStats.candidates("s", "zone-a", servers, time.Now()) {
+			require.False(t, c.Ejected, c.Name)
+			require.Zero(t, c.OwnLoad)
+		}
+	})
+}
