gateway/pace: steady readers are not cut off between two window updates

A reader's kernel tells that there is room only once a sixteenth of its buffer has been read, and on a loopback only in steps of a segment of 64 KB.

The pace stays what it was, 6.5 KB/s, but is measured over 30 s. A caller that reads nothing now holds its answer for 30 s instead of 5; its room is bounded, and others' answers are passed on without it. Weighed: a credit for earlier reading (a reader that starts to read slowly would still be cut off), and asking the kernel for the bytes in flight (it tells of the kernel's reader, not of the caller).

--- a/gateway/front/body_test.go
+++ b/gateway/front/body_test.go
@@ -30,6 +30,7 @@
 	pf.Store.Put(hostedtest.TopicOperator, "config", cfg)
 	require.Eventually(t, func() bool { return f.View.Current().Table.Version == 2 }, gatewaytest.MaxWait, time.Millisecond)
 	b := budget.New(total)
+	f.ReadTime = 5 * time.Second // enough for readers that read, and less than tests wait
 	f.Bodies, f.Forward.Answers = b.Share("bodies", total/4), b.Share("answers", total/4)
 	return f, url
 }
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -58,6 +58,8 @@
 	// Bodies bounds the bodies of requests that are held, and answers to callers that read too slowly are
 	// cut off; nil: neither.
 	Bodies *budget.Share
+	// ReadTime is the time that readers have for a part of an answer, pace.MinTime but for tests.
+	ReadTime time.Duration
 
 	inFlight atomic.Int64
 	draining atomic.Bool
@@ -83,7 +85,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if f.Bodies != nil {
-		paced := pace.NewWriter(w, hosted.AttemptID(r.Header), f.Log)
+		paced := pace.NewWriter(w, hosted.AttemptID(r.Header), f.ReadTime, f.Log)
 		defer paced.Finish()
 		w = paced
 	}
--- a/gateway/pace/pace.go
+++ b/gateway/pace/pace.go
@@ -15,16 +15,17 @@
 	"dandelionsill.org/base/metrics"
 )
 
-// The pace that a reader must keep while bytes wait for it: minBytes within minTime, 6.4 KB/s. No
-// caller that reads more slowly gets an answer of that size in time.
+// The pace that a reader must keep while bytes wait for it: minBytes within MinTime, 6.5 KB/s. No
+// caller that reads more slowly gets an answer of that size in time. MinTime is as long as a steady
+// reader of 16 KB/s may seem to stand still: a receiver's kernel with a buffer of several MB tells that
+// there is room only once a sixteenth of it has been read.
 const (
-	minBytes = 32 << 10
-	minTime  = 5 * time.Second
+	minBytes = 192 << 10
+	MinTime  = 30 * time.Second
 )
 
 // sendBufferBytes bounds the bytes of an answer that wait in the kernel for a slow reader. The
-// kernel doubles it and wakes a blocked writer once a third is free, which a steady reader of
-// 16 KB/s reaches in half of minTime. It is enough for 80 Mbit/s over a round trip of 6 ms.
+// kernel doubles it. It is enough for 80 Mbit/s over a round trip of 6 ms.
 const sendBufferBytes = 64 << 10
 
 var slowReaders = metrics.Counter("front_slow_readers_total")
@@ -44,20 +45,22 @@
 	http.ResponseWriter
 	id      string
 	log     *zap.Logger
+	minTime time.Duration
 	control *http.ResponseController
 	written int64
 	failed  bool
 }
 
-// NewWriter returns a writer of the answer to the request with the given id.
-func NewWriter(w http.ResponseWriter, id string, log *zap.Logger) *Writer {
-	return &Writer{ResponseWriter: w, id: id, log: log, control: http.NewResponseController(w)}
+// NewWriter returns a writer of the answer to the request with the given id. minTime is MinTime but for
+// tests.
+func NewWriter(w http.ResponseWriter, id string, minTime time.Duration, log *zap.Logger) *Writer {
+	return &Writer{ResponseWriter: w, id: id, log: log, minTime: minTime, control: http.NewResponseController(w)}
 }
 
 // Unwrap serves http.ResponseController.
 func (w *Writer) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
-// Write implements http.ResponseWriter. Each minBytes of p have minTime of their own.
+// Write implements http.ResponseWriter. Each minBytes of p have their own time.
 func (w *Writer) Write(p []byte) (int, error) {
 	written := 0
 	for {
@@ -81,9 +84,9 @@
 // Finish bounds the time in which the last bytes are sent after the handler has returned.
 func (w *Writer) Finish() { w.extend() }
 
-// extend gives the reader minTime from now on for what is written next.
+// extend gives the reader its time from now on for what is written next.
 func (w *Writer) extend() {
-	_ = w.control.SetWriteDeadline(time.Now().Add(minTime)) // fails only on connections that writes fail on as well
+	_ = w.control.SetWriteDeadline(time.Now().Add(w.minTime)) // fails only on connections that writes fail on as well
 }
 
 // check reports a write that failed because the reader was too slow.
@@ -92,7 +95,7 @@
 		w.failed = true
 		slowReaders.Add(1)
 		w.log.Info("Closing the connection of a caller that reads too slowly.", zap.String("id", w.id), zap.Int64("written", w.written),
-			zap.Int("min_bytes", minBytes), zap.Duration("min_time", minTime))
+			zap.Int("min_bytes", minBytes), zap.Duration("min_time", w.minTime))
 	}
 	return err
 }
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -88,7 +88,7 @@
 	ready := &readiness{view: v, index: index, quarantine: forwarder.Quarantine}
 	index.Texts.SetPeers(peers.Addr)
 	held := newHeldMemory(cfg.VM.MemoryMB)
-	handler.Bodies, forwarder.Answers = held.bodies, held.answers
+	handler.Bodies, forwarder.Answers, handler.ReadTime = held.bodies, held.answers, pace.MinTime
 	index.Texts.SetRoom(held.texts)
 	forwarder.Bodies = forward.NewServerBodies(int64(cfg.VM.ServerBodyMB * 1e6))
 	index.SetReadInterval(func() time.Duration { return followed.readInterval(1) })
