gateway/jobs: the texts of results leave the common room to requests

The cache of texts never gives room back by itself. On a VM of 144 MB it filled 8.4 MB, 3 MB of them of the room that is common to all uses, so that bodies and answers had that much less for good, for texts that can be read from the log again.

Now it fills its guaranteed part only, and fewer than before where memory is known; without memory_mb its bound is what it was. Weighed: to evict texts when others have no room, which needs a way back from the budget to its users.

TestTextCacheLeavesCommonRoom failed before: 80,000 of 100,000 bytes in use.

--- a/base/budget/budget.go
+++ b/base/budget/budget.go
@@ -84,6 +84,9 @@
 	s.inUse -= n
 }
 
+// Guaranteed returns the number of bytes that no other share can take.
+func (s *Share) Guaranteed() int64 { return s.guaranteed }
+
 // beyondGuarantee returns how many of the bytes in use come from the common rest.
 func (s *Share) beyondGuarantee(inUse int64) int64 { return max(0, inUse-s.guaranteed) }
 
--- a/gateway/jobs/queued_test.go
+++ b/gateway/jobs/queued_test.go
@@ -43,6 +43,20 @@
 	require.EqualValues(t, cache.size(), room.InUse())
 }
 
+// Guards against requests that are refused for lack of room because of texts that could be read again: the cache
+// leaves what is common to the others.
+func TestTextCacheLeavesCommonRoom(t *testing.T) {
+	b := budget.New(100_000)
+	room, bodies := b.Share("texts", 20_000), b.Share("bodies", 20_000)
+	cache := newTextCache(newReader(&textLog{}), zap.NewNop())
+	cache.SetRoom(room)
+	for i := range 30 {
+		cache.put(textKey{item: fmt.Sprint(i)}, fmt.Sprintf("%05000d", i))
+	}
+	require.EqualValues(t, 20_000, room.InUse())
+	require.True(t, bodies.Acquire(80_000))
+}
+
 // Guards against a text without any room that stays in the cache, or keeps others out of it.
 func TestTextWithoutRoomIsNotKept(t *testing.T) {
 	room := budget.New(10).Share("texts", 10)
--- a/gateway/jobs/text_cache.go
+++ b/gateway/jobs/text_cache.go
@@ -41,8 +41,8 @@
 	// unknown.
 	peerAddr func(node string) string
 
-	// room bounds the texts beside maxCacheBytes; nil: it does not.
-	room *budget.Share
+	room  *budget.Share // nil: of unknown size
+	limit int           // of bytes, but for a single text that is larger
 
 	mu    sync.Mutex
 	texts map[textKey]string
@@ -61,16 +61,21 @@
 
 func newTextCache(log *reader, zlog *zap.Logger) *TextCache {
 	c := &TextCache{
-		log: log, zlog: logs.Limited(zlog, retryLogInterval), texts: map[textKey]string{}, peerAddr: func(string) string { return "" },
+		log: log, zlog: logs.Limited(zlog, retryLogInterval), limit: maxCacheBytes, texts: map[textKey]string{}, peerAddr: func(string) string { return "" },
 		http: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: maxConcurrentCalls}},
 	}
 	metrics.Gauge("jobs_text_cache_bytes", func() any { return c.size() })
 	return c
 }
 
-// SetRoom sets the share of the process's memory for texts. It must be called before the first
-// use.
-func (c *TextCache) SetRoom(room *budget.Share) { c.room = room }
+// SetRoom sets the share of the process's memory for texts. Only its guaranteed part is filled, because
+// texts stay long and can be read again. It must be called before the first use.
+func (c *TextCache) SetRoom(room *budget.Share) {
+	c.room = room
+	if room != nil {
+		c.limit = min(maxCacheBytes, int(room.Guaranteed()))
+	}
+}
 
 // size returns the number of bytes of all texts.
 func (c *TextCache) size() int {
@@ -83,23 +88,20 @@
 // serves texts. It must be called before the first use.
 func (c *TextCache) SetPeers(addr func(node string) string) { c.peerAddr = addr }
 
-// put stores a text and removes the oldest ones beyond maxCacheBytes or the room for texts. They
-// can be read from the log again.
+// put stores a text and removes the oldest ones beyond the limit. They can be read from the log
+// again.
 func (c *TextCache) put(key textKey, text string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if _, known := c.texts[key]; known {
 		return
 	}
-	for c.bytes+len(text) > maxCacheBytes && len(c.order) > 0 {
+	for c.bytes+len(text) > c.limit && len(c.order) > 0 {
 		c.removeOldest()
 	}
-	for !c.room.Acquire(int64(len(text))) {
-		if len(c.order) == 0 {
-			c.zlog.Warn("The room for texts is smaller than one text.", zap.String("item", key.item), zap.Int("bytes", len(text)))
-			return
-		}
-		c.removeOldest()
+	if !c.room.Acquire(int64(len(text))) {
+		c.zlog.Warn("The room for texts is smaller than one text.", zap.String("item", key.item), zap.Int("bytes", len(text)))
+		return
 	}
 	c.texts[key] = text
 	c.order = append(c.order, key)
