gateway/front: the largest allowed body is served on the smallest VM

With 144 MB bodies could get 27 MB at most, since the rest is guaranteed to other uses. A body of 32 MB, which the default limit allows, was refused as overloaded with a Retry-After, at every try and on an idle gateway. One of unknown length was refused above half of that, because its room doubles.

Now a body that is larger than its share takes also what others leave of their guaranteed parts, as long as all together stay within the budget; others still get their part afterwards, by which the budget can be exceeded by half of what is guaranteed to them, 8 MB there. What is above that is too large (413). The room of a body of unknown length grows to the limit at most. Weighed: 413 for all above the share (clients within their limit don't try again after it), a larger guaranteed part (answers would lose theirs for good).

--- a/base/budget/budget.go
+++ b/base/budget/budget.go
@@ -4,6 +4,7 @@
 package budget
 
 import (
+	"math"
 	"sync"
 
 	"dandelionsill.org/base/metrics"
@@ -14,7 +15,7 @@
 	total int64
 
 	mu     sync.Mutex
-	common int64 // unused bytes that are not guaranteed to any share
+	common int64 // unused bytes that are not guaranteed to any share; negative: a large reservation has more
 	shares []*Share
 }
 
@@ -59,16 +60,63 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	fromCommon := s.beyondGuarantee(s.inUse+n) - s.beyondGuarantee(s.inUse)
-	if fromCommon > b.common {
+	if fromCommon > max(0, b.common) {
 		s.refused++
 		return false
 	}
-	b.common -= fromCommon
+	s.take(n, fromCommon)
+	return true
+}
+
+// take takes n bytes, some of them from the common rest; the budget's mutex is held.
+func (s *Share) take(n, fromCommon int64) {
+	s.budget.common -= fromCommon
 	s.inUse += n
 	s.peak = max(s.peak, s.inUse)
+}
+
+// acquireLarge takes n bytes for a reservation that has own bytes already. If that is more than the share
+// can ever get by Acquire, it takes what no share uses, guaranteed to others or not.
+func (s *Share) acquireLarge(n, own int64) bool {
+	if s == nil || own+n <= s.budget.total-s.guaranteedToOthers() {
+		return s.Acquire(n)
+	}
+	most := s.Most()
+	b := s.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	unused := b.total
+	for _, share := range b.shares {
+		unused -= share.inUse
+	}
+	if n > unused || s.inUse+n > most {
+		s.refused++
+		return false
+	}
+	s.take(n, s.beyondGuarantee(s.inUse+n)-s.beyondGuarantee(s.inUse))
 	return true
 }
 
+// Most returns the most that one reservation can have by GrowLarge: all but half of what is guaranteed to other
+// shares. By that half the budget can be exceeded, if they want their part meanwhile.
+func (s *Share) Most() int64 {
+	if s == nil {
+		return math.MaxInt64
+	}
+	return s.budget.total - (s.guaranteedToOthers()+1)/2
+}
+
+// guaranteedToOthers returns how many bytes this share can't get by Acquire.
+func (s *Share) guaranteedToOthers() int64 {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	others := -s.guaranteed
+	for _, share := range s.budget.shares {
+		others += share.guaranteed
+	}
+	return others
+}
+
 // Release returns n bytes, which must have been acquired.
 func (s *Share) Release(n int64) {
 	if s == nil {
@@ -119,6 +167,16 @@
 	return true
 }
 
+// GrowLarge is like Grow, but if the reservation becomes larger than its share can get, it takes also what is
+// guaranteed to other shares and not in use, up to Most.
+func (r *Reservation) GrowLarge(n int64) bool {
+	if !r.share.acquireLarge(n, r.bytes) {
+		return false
+	}
+	r.bytes += n
+	return true
+}
+
 // Release returns all bytes of the reservation to the share. Further calls do nothing.
 func (r *Reservation) Release() {
 	r.share.Release(r.bytes)
--- a/base/budget/budget_test.go
+++ b/base/budget/budget_test.go
@@ -56,6 +56,66 @@
 	})
 }
 
+// Guards against a request that is refused again and again though nothing else is held, because it is larger than its
+// share: it takes what others leave, and they still get what is guaranteed to them.
+func TestLargeReservationTakesWhatOthersLeave(t *testing.T) {
+	b := New(1000)
+	large, other := b.Share("large", 250), b.Share("other", 400)
+	require.EqualValues(t, 800, large.Most())
+	require.True(t, other.Acquire(201))
+	r := large.Reserve()
+	require.False(t, r.GrowLarge(800), "the other uses too much")
+	other.Release(1)
+	require.False(t, r.GrowLarge(801))
+	require.False(t, r.Grow(800))
+	require.True(t, r.GrowLarge(500))
+	require.True(t, r.GrowLarge(300))
+	require.True(t, other.Acquire(200), "guaranteed")
+	require.False(t, other.Acquire(1))
+	small := large.Reserve()
+	require.False(t, small.Grow(1))
+	require.False(t, small.GrowLarge(1))
+	r.Release()
+	require.True(t, small.Grow(600))
+	require.True(t, (&Reservation{}).GrowLarge(1<<40))
+}
+
+// Random reservations, large ones too: what is held stays within the total and half of what is guaranteed to others,
+// each use always gets its guaranteed part but where a large one of its own use has it, and afterwards nothing is in use.
+func TestLargeReservationsAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := New(1000)
+		shares := []*Share{b.Share("a", 250), b.Share("b", 250), b.Share("c", 125)}
+		held := make([]Reservation, 9)
+		for i := range held {
+			held[i] = shares[i%len(shares)].Reserve()
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			r := &held[rapid.IntRange(0, len(held)-1).Draw(t, "reservation")]
+			n := rapid.Int64Range(0, 900).Draw(t, "n")
+			switch rapid.IntRange(0, 2).Draw(t, "action") {
+			case 0:
+				r.Release()
+			case 1:
+				inUse := r.share.inUse
+				require.True(t, r.Grow(n) || inUse+n > r.share.guaranteed)
+			default:
+				r.GrowLarge(n)
+			}
+			sum := int64(0)
+			for _, s := range shares {
+				sum += s.inUse
+				require.LessOrEqual(t, s.inUse, s.Most())
+			}
+			require.LessOrEqual(t, sum, int64(1000+250))
+		}
+		for i := range held {
+			held[i].Release()
+		}
+		require.EqualValues(t, 375, b.common)
+	})
+}
+
 // A process without a budget holds whatever it is sent.
 func TestNilBudgetBoundsNothing(t *testing.T) {
 	var b *Budget
--- a/gateway/front/body.go
+++ b/gateway/front/body.go
@@ -23,8 +23,8 @@
 
 // readBody reads the request's body, which may have up to limit bytes; a limit of 0 or less means
 // defaultMaxBodyBytes. The bytes are taken from held, which the caller of readBody must release
-// once the body is no longer needed. A body for which there is no room, or that has not arrived by the
-// deadline, is refused and not read further.
+// once the body is no longer needed. A body that this process could never hold is too large. One for
+// which there is no room now, or that has not arrived by the deadline, is refused and not read further.
 func (f *Front) readBody(w http.ResponseWriter, r *http.Request, held *budget.Reservation, limit int64, deadline time.Time) ([]byte, *kinds.Error) {
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
@@ -35,6 +35,7 @@
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
+	limit = min(limit, f.Bodies.Most()-1) // a body of unknown length is known to be too large by one more byte
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(deadline) // without it, the body is waited for as if there was no budget
 	body, failed := readWithin(r, held, limit)
@@ -68,7 +69,7 @@
 	if r.ContentLength < 0 {
 		return readInSteps(r.Body, held, limit)
 	}
-	if !held.Grow(r.ContentLength) {
+	if !held.GrowLarge(r.ContentLength) {
 		return nil, noRoom()
 	}
 	body := make([]byte, r.ContentLength)
@@ -83,8 +84,8 @@
 	var body []byte
 	for {
 		if len(body) == cap(body) {
-			step := max(bodyStepBytes, int64(cap(body)))
-			if !held.Grow(step) {
+			step := min(max(bodyStepBytes, int64(cap(body))), limit+1-int64(cap(body)))
+			if !held.GrowLarge(step) {
 				return nil, noRoom()
 			}
 			larger := make([]byte, len(body), int64(cap(body))+step)
