gateway/duties: lasting conflicts are not hurried

A holder whose renewal meets a conflict reads and renews again after 40 ms on average. The first conflict is still followed by a renewal at once; with each further one in a row the pause doubles, up to the usual interval. Two holders of different duties meet for a few tries only, as before: TestRenewalsOfOtherDutiesCostNoTime.

--- a/gateway/duties/keeper.go
+++ b/gateway/duties/keeper.go
@@ -28,7 +28,8 @@
 )
 
 // conflictPause is the mean pause before a holder whose renewal met a conflict reads the
-// stream and renews again. A whole RenewInterval would take that much off its term.
+// stream and renews again. A whole RenewInterval would take that much off its term. It doubles, up to
+// that, with each further conflict in a row.
 const conflictPause = 40 * time.Millisecond
 
 // Config holds the settings of a Keeper.
@@ -74,6 +75,7 @@
 	caughtUp     bool   // the state contains all records up to nextOffset; the next step need not read
 	nextOffset   uint64 // end of the stream, as last read or written
 	readsFailing bool
+	conflicts    int           // conflicts of writes in a row
 	wake         chan struct{} // interrupts the pause of Run; written by all goroutines
 }
 
@@ -151,23 +153,33 @@
 		}
 	}
 	k.caughtUp = false
-	conflicted := false
-	if record, write := k.dueWrite(); write {
-		conflicted = k.write(ctx, record)
+	if record, write := k.dueWrite(); write && k.write(ctx, record) {
+		k.conflicts++
+	} else {
+		k.conflicts = 0
 	}
 	k.logChange()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.state.Holds() {
-		if conflicted { // often only with another duty's lease
-			return sleep.Jitter(conflictPause)
-		}
-		return k.cfg.RenewInterval
+		return k.renewPause()
 	}
 	k.caughtUp = false
 	return sleep.Jitter(k.cfg.PollInterval())
 }
 
+// renewPause returns the holder's pause until its next renewal.
+func (k *Keeper) renewPause() time.Duration {
+	if k.conflicts == 0 {
+		return k.cfg.RenewInterval
+	}
+	pause := conflictPause // the conflict is often only with another duty's lease
+	for i := 1; i < k.conflicts && pause < k.cfg.RenewInterval; i++ {
+		pause *= 2
+	}
+	return min(sleep.Jitter(pause), k.cfg.RenewInterval)
+}
+
 // dueWrite returns the record that has to be written now; false: there is none.
 func (k *Keeper) dueWrite() (lease.Record, bool) {
 	k.mu.Lock()
--- a/gateway/duties/keeper_test.go
+++ b/gateway/duties/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -74,3 +75,49 @@
 		loops.Wait()
 	})
 }
+
+// laggingStore refuses renewals as if its reads were behind for good.
+type laggingStore struct {
+	memoryStore
+	lags      atomic.Bool
+	conflicts atomic.Int64
+}
+
+func (s *laggingStore) PutAt(ctx context.Context, stream string, records []platform.KeyedRecord, offset uint64) (uint64, error) {
+	if s.lags.Load() {
+		s.conflicts.Add(1)
+		return 0, platform.ErrConflict
+	}
+	return s.memoryStore.PutAt(ctx, stream, records, offset)
+}
+
+// Guards against a holder that keeps the store busy with renewals that conflict every time: after a second it tries no
+// more often than it renews.
+func TestLastingConflictsAreNotHurried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, started := &laggingStore{}, time.Now()
+		ctx, cancel := context.WithCancel(t.Context())
+		k := duties.New(duties.Config{
+			Duty: "a", Self: lease.Holder{VM: "a", Incarnation: "1"}, Store: store, Logger: zap.NewNop(),
+			Timing:        lease.Timing{ValidFor: 2400 * time.Millisecond, TakeOverAfter: 3600 * time.Millisecond},
+			RenewInterval: 660 * time.Millisecond, PollInterval: func() time.Duration { return time.Second },
+			Now: func() time.Duration { return time.Since(started) },
+		})
+		var loop sync.WaitGroup
+		loop.Go(func() { k.Run(ctx) })
+		time.Sleep(10 * time.Second) // of virtual time, as below
+		_, held := k.Term()
+		require.True(t, held)
+		store.lags.Store(true)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		before := store.conflicts.Load()
+		time.Sleep(66 * time.Second)
+		synctest.Wait()
+		tries := store.conflicts.Load() - before
+		require.Positive(t, tries)
+		require.LessOrEqual(t, tries, int64(2*66*1000/660), "twice the renewals, for the jitter")
+		cancel()
+		loop.Wait()
+	})
+}
