decide/scale: the last server of a failure domain stays

Bounds may start at 0. Without demand all servers of a service went then; nothing measured its load any more, and a new holder knew of no failure domain to order servers in, so that the service stayed without (Scaling.Validate promises the opposite). Weighed: one server in all instead of one in each failure domain (its loss would be that state again), and to refuse bounds from 0 (the operator's configuration is valid).

TestLastServersStay failed before: 0 servers after 1,000 s.

--- a/decide/scale/scale.go
+++ b/decide/scale/scale.go
@@ -22,6 +22,9 @@
 	// maxStepShare is the share of a failure domain's servers that one step takes away, so
 	// that a wrong step leaves callers most of the servers.
 	maxStepShare = 0.25
+	// minServers is how many servers of a failure domain stay, even if the bounds allow none:
+	// a service without servers has no load to measure, and would stay without.
+	minServers = 1
 	// reduceMargin is the demand, relative to what was measured, for which a smaller number
 	// must have been enough. Demand that only varies would otherwise undo steps down.
 	reduceMargin = 1.1
@@ -247,7 +250,7 @@
 	if now.Sub(s.holdSince) < hold {
 		return
 	}
-	enough := min(max(s.history.maxEnough(), bounds.Min), bounds.Max)
+	enough := min(max(s.history.maxEnough(), bounds.Min, minServers), bounds.Max)
 	for name, d := range s.domains {
 		if d.lost {
 			continue
--- a/decide/scale/scale_test.go
+++ b/decide/scale/scale_test.go
@@ -204,6 +204,16 @@
 	require.Zero(t, f.short)
 }
 
+// Load: none for a long time, with bounds that allow no servers. Guards against a service that loses its last servers and
+// stays without: nobody measures its load then, and a new holder does not know where it ran.
+func TestLastServersStay(t *testing.T) {
+	f := newFleet(4, "a", "b")
+	f.bounds.Min = 0
+	f.play(1000, constant(0))
+	require.Equal(t, 1, f.target("a"))
+	require.Equal(t, 1, f.target("b"))
+}
+
 // Load: noise of a third around a constant demand. Guards against flapping.
 func TestNoiseDoesNotFlap(t *testing.T) {
 	f := newFleet(5, "a", "b", "c")
