decide/scale: a new holder awaits its predecessor's servers before it orders the minimum

Where fewer servers than the minimum were seen, the minimum was ordered at once, known load or not. A new holder that took over while the servers of a failure domain restarted so replaced its predecessor's order of ten by one of four, though a successor is to take nothing away for a hold time; callers would have paid with a boot time. The platform keeps to the bounds by itself, so nothing is lost by waiting.

Now such an order waits for a hold time where this process has ordered nothing yet. Demand that is known, and bounds that leave no choice, are still ordered at once. Left as it is: demand that needs fewer servers than were ordered before, in the first seconds.

TestNewHolderDoesNotOrderMinimumAtOnce failed before; no other test was changed.

--- a/decide/scale/scale.go
+++ b/decide/scale/scale.go
@@ -90,7 +90,8 @@
 // domain is a failure domain in which the service runs or has run.
 type domain struct {
 	target  int
-	ordered bool // this process has changed the target
+	ordered bool      // this process has changed the target
+	seenAt  time.Time // when this process first saw the domain
 	// emptySince is when the domain was first seen without a ready server; zero: it has one.
 	emptySince time.Time
 	seenReady  bool
@@ -112,7 +113,7 @@
 	for name, d := range s.domains {
 		before[name] = d.target
 	}
-	reasons := s.applyBounds(bounds)
+	reasons := s.applyBounds(now, bounds)
 	if load.Known {
 		s.restartAfterGap(now)
 	}
@@ -148,7 +149,7 @@
 	for name, seen := range load.Domains {
 		d := s.domains[name]
 		if d == nil {
-			d = &domain{target: seen.Ready}
+			d = &domain{target: seen.Ready, seenAt: now}
 			s.domains[name] = d
 		}
 		// Servers that an earlier holder has ordered may still appear.
@@ -182,10 +183,15 @@
 	d.lost = d.target > 0 && now.Sub(d.emptySince) >= limit
 }
 
-// applyBounds moves all targets into the bounds and returns the reasons of the changes.
-func (s *Service) applyBounds(bounds table.Scaling) map[string]string {
+// applyBounds moves all targets into the bounds and returns the reasons of the changes. Where an earlier
+// holder may have ordered more servers than are seen, they are awaited first; the platform itself keeps
+// to the bounds.
+func (s *Service) applyBounds(now time.Time, bounds table.Scaling) map[string]string {
 	reasons := map[string]string{}
 	for name, d := range s.domains {
+		if d.target < bounds.Min && bounds.Min < bounds.Max && !d.ordered && now.Sub(d.seenAt) < Hold(bounds) {
+			continue
+		}
 		if to := min(max(d.target, bounds.Min), bounds.Max); to != d.target {
 			d.target, d.ordered = to, true
 			reasons[name] = fmt.Sprintf("bounds %d to %d", bounds.Min, bounds.Max)
--- a/decide/scale/scale_test.go
+++ b/decide/scale/scale_test.go
@@ -269,6 +269,20 @@
 	require.Greater(t, f.target("a"), 7, "what is needed is ordered in the first second")
 }
 
+// Guards against a new holder that orders the minimum where its predecessor had ordered more, while the servers of a
+// failure domain restart and the load is not known yet.
+func TestNewHolderDoesNotOrderMinimumAtOnce(t *testing.T) {
+	s, bounds := scale.New(), table.Scaling{Min: 4, Max: 20, Boot: boot}
+	restarting := &scale.Load{Domains: map[string]scale.Domain{"a": {Ready: 1, Places: places}, "b": {Ready: 10, Places: 10 * places}}}
+	for second := range 28 {
+		for _, target := range s.Decide(time.Unix(int64(second), 0), restarting, bounds).Targets {
+			require.Equal(t, target.From, target.To, "second %d", second)
+		}
+	}
+	plan := s.Decide(time.Unix(40, 0), restarting, bounds)
+	require.Equal(t, scale.Target{Domain: "a", From: 1, To: 4, Reason: "bounds 4 to 20"}, plan.Targets[0])
+}
+
 // Guards against an operator who can't fix the number of servers, whatever the load.
 func TestEqualBoundsPinTheNumber(t *testing.T) {
 	f := newFleet(4, "a", "b")
