gateway/forward: an answer without room keeps its time to the deadline

An answer that is passed on, because it had no room, was broken off after any pause of its server of 5 s, though the same answer would have been waited for until its deadline if there had been room. The request has run, so that its answer was lost for lack of memory only.

Now a pause may last until the deadline; after it the 5 s hold, as nothing else would end the answer. TestPauseOfServerWithinDeadline failed before.

--- a/gateway/forward/reply.go
+++ b/gateway/forward/reply.go
@@ -22,8 +22,8 @@
 	// answerStepBytes is the first step in which an answer of unknown length is read; later steps
 	// double what was read.
 	answerStepBytes = 4 << 10
-	// maxRestGap bounds a server's pause within an answer that is passed on while it arrives. The
-	// deadline no longer ends such an answer, because a late one is still delivered.
+	// maxRestGap bounds a server's pause within an answer that is passed on while it arrives, after the
+	// deadline. That does not end such an answer, because a late one is still delivered.
 	maxRestGap = 5 * time.Second
 )
 
@@ -32,8 +32,9 @@
 // replyBody is the part of a Reply's body that has not been read from the server yet, and the room that the
 // rest takes.
 type replyBody struct {
-	room budget.Reservation
-	rest *backend.Answer // nil: Body is complete
+	room     budget.Reservation
+	rest     *backend.Answer // nil: Body is complete
+	deadline time.Time       // of the call
 	// onClose is called once the rest needs its server no more.
 	onClose func()
 }
@@ -60,17 +61,18 @@
 	r.Body = nil
 	r.room.Release()
 	defer context.AfterFunc(ctx, r.rest.Abort)()
-	return errors.Trace(copyRest(w, r.rest))
+	return errors.Trace(copyRest(w, r.rest.Body, r.rest.Abort, r.deadline))
 }
 
-// copyRest copies the rest of an answer to w. It ends the answer if its server pauses for longer than maxRestGap;
-// the time that w takes does not count.
-func copyRest(w io.Writer, rest *backend.Answer) error {
-	gap := time.AfterFunc(maxRestGap, rest.Abort)
+// copyRest copies the rest of an answer to w. It aborts the answer if its server pauses until the deadline, or after it for
+// longer than maxRestGap; the time that w takes does not count.
+func copyRest(w io.Writer, rest io.Reader, abort func(), deadline time.Time) error {
+	maxGap := func() time.Duration { return max(maxRestGap, time.Until(deadline)) }
+	gap := time.AfterFunc(maxGap(), abort)
 	defer gap.Stop()
 	buf := make([]byte, copyBufferBytes)
 	for {
-		n, err := rest.Body.Read(buf)
+		n, err := rest.Read(buf)
 		gap.Stop()
 		if n > 0 {
 			if _, err := w.Write(buf[:n]); err != nil {
@@ -83,7 +85,7 @@
 		if err != nil {
 			return fmt.Errorf("%w: %w", backend.ErrBroken, err)
 		}
-		gap.Reset(maxRestGap)
+		gap.Reset(maxGap())
 	}
 }
 
@@ -168,7 +170,7 @@
 
 // keepOpen leaves the rest of an answer at its server, which counts as a request in flight there.
 func (f *Forwarder) keepOpen(call *Call, server members.Server, reply *Reply, answer *backend.Answer) {
-	reply.rest = answer
+	reply.rest, reply.deadline = answer, call.Deadline
 	f.serverStats.addInFlight(server.ID, 1)
 	reply.onClose = func() { f.serverStats.addInFlight(server.ID, -1) }
 	unbuffered.Add(1)
--- a/gateway/forward/room_test.go
+++ b/gateway/forward/room_test.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -57,6 +59,31 @@
 	})
 }
 
+// Guards against an answer that breaks off before its deadline because there was no room for it and its server pauses,
+// and against a server that holds its caller for good afterwards.
+func TestPauseOfServerWithinDeadline(t *testing.T) {
+	for pause, whole := range map[time.Duration]bool{4 * maxRestGap: true, 7 * maxRestGap: false} {
+		synctest.Test(t, func(t *testing.T) {
+			rest, server := io.Pipe()
+			go func() {
+				_, _ = server.Write([]byte("first"))
+				time.Sleep(pause) // virtual
+				_, _ = server.Write([]byte("second"))
+				_ = server.Close()
+			}()
+			var got bytes.Buffer
+			err := copyRest(&got, rest, func() { _ = rest.Close() }, time.Now().Add(5*maxRestGap))
+			if whole {
+				require.NoError(t, err)
+				require.Equal(t, "firstsecond", got.String())
+			} else {
+				require.ErrorIs(t, err, backend.ErrBroken)
+			}
+			time.Sleep(pause) // virtual: the server ends
+		})
+	}
+}
+
 // Random bodies at random servers: no server holds more than the limit, but for one body that is larger by itself.
 func TestServerHoldsNoMoreThanLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
