gateway/forward: a caller that reads slowly does not break its stream

While an event waited for its caller to read, the timer for the server's next event went on. Since send buffers are bounded, a caller that reads slowly makes writes wait for longer than its 1 s: the server's stream was ended, counted as a failure of the server, and resumed at another one, until the attempts were used up and the caller's connection was aborted.

Where slow readers are cut off by their own pace, the timer now stands still during the write. Without memory_mb nothing changes: nothing else would keep a caller that does not read from holding its server. TestSlowCallerDoesNotBreakStream failed before.

--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -83,7 +83,9 @@
 	CallerTimeout time.Duration
 	// PassOn allows an answer without room to be returned before it is complete. The caller of Send must
 	// then use Reply.WriteBody in place of Reply.Body, and Reply.Close.
-	PassOn  bool
+	PassOn bool
+	// Paced means that writes to the caller fail if it reads too slowly.
+	Paced   bool
 	replies *replySet
 }
 
--- a/gateway/forward/room_test.go
+++ b/gateway/forward/room_test.go
@@ -5,6 +5,9 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +18,7 @@
 
 	"dandelionsill.org/decide/members"
 	"dandelionsill.org/decide/route"
+	"dandelionsill.org/decide/table"
 	"dandelionsill.org/gateway/backend"
 	"dandelionsill.org/gateway/view"
 )
@@ -84,6 +88,33 @@
 	}
 }
 
+// pausingWriter takes 3 gaps for each write.
+type pausingWriter struct{ *httptest.ResponseRecorder }
+
+func (w pausingWriter) Write(p []byte) (int, error) {
+	time.Sleep(3 * maxEventGap) // virtual
+	return w.ResponseRecorder.Write(p)
+}
+
+// Guards against a stream that breaks off, and is held against its server, because its caller reads slowly: only
+// the server's own pauses count.
+func TestSlowCallerDoesNotBreakStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		gapTimer := time.AfterFunc(maxEventGap, cancel)
+		defer gapTimer.Stop()
+		w := pausingWriter{httptest.NewRecorder()}
+		s := &streamState{callState: &callState{call: Call{Route: &table.Route{Resumable: true}, Paced: true}}, writer: w}
+		end, err := s.forwardAnswer(&backend.Answer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(events))}, gapTimer)
+		require.NoError(t, err)
+		require.Equal(t, streamDone, end)
+		require.Equal(t, events, w.Body.String())
+		require.NoError(t, ctx.Err())
+	})
+}
+
 // Random bodies at random servers: no server holds more than the limit, but for one body that is larger by itself.
 func TestServerHoldsNoMoreThanLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -196,7 +196,13 @@
 			// The server that resumes the stream has other weights than the one before.
 			raw = hosted.VersionLine(version) + raw
 		}
+		if s.call.Paced { // otherwise the timer keeps a caller that does not read from holding its server
+			gapTimer.Stop()
+		}
 		s.write([]byte(raw))
+		if s.call.Paced {
+			gapTimer.Reset(maxEventGap)
+		}
 		s.lastEvent, s.version = event.ID, version
 	}
 }
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -176,7 +176,7 @@
 		Header: forward.EndToEnd(r.Header), Body: body, Deadline: deadline, CallerTimeout: hosted.Deadline(r.Header),
 		Organisation: organisation.Name, Priority: organisation.PriorityOr(route.Priority),
 		// An HTTP/1.0 caller would take an answer of unknown length that breaks off for a complete one.
-		PassOn: r.ProtoAtLeast(1, 1),
+		PassOn: r.ProtoAtLeast(1, 1), Paced: f.Bodies != nil,
 	}
 	if route.Kind == table.Stream {
 		return f.Forward.Stream(r.Context(), call, w)
