--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -83,7 +83,9 @@
 	CallerTimeout time.Duration
 	// PassOn allows an answer without room to be returned before it is complete. The caller of Send must
 	// then use Reply.WriteBody in place of Reply.Body, and Reply.Close.
-	PassOn  bool
+	PassOn bool
+	// Paced means that writes to the caller fail if it reads too slowly.
+	Paced   bool
 	replies *replySet
 }
 
@@ -432,7 +434,12 @@
 	defer span.End()
 	f.serverStats.attemptStarted(server.ID)
 	o := outcome{choice: c}
+	if o.err = f.Bodies.acquire(ctx, call.Deadline, server.ID, len(call.Body)); o.err != nil {
+		return f.endWithoutRoom(o, start)
+	}
+	start = time.Now()
 	o.reply, o.err = f.exchange(ctx, call, server)
+	f.Bodies.release(server.ID, len(call.Body))
 	o.took = time.Since(start)
 	o.notRun = errors.Is(o.err, backend.ErrNotSent) || o.err == nil && hosted.NotExecuted(o.reply.Status, o.reply.Header)
 	o.ctxDone = ctx.Err() != nil
@@ -453,10 +460,6 @@
 }
 
 func (f *Forwarder) exchange(ctx context.Context, call Call, server members.Server) (*Reply, error) {
-	if err := f.Bodies.acquire(ctx, call.Deadline, server.ID, len(call.Body)); err != nil {
-		return nil, err
-	}
-	defer f.Bodies.release(server.ID, len(call.Body))
 	answer, err := f.open(ctx, call, server)
 	if err != nil {
 		return nil, err
--- a/gateway/forward/room_test.go
+++ b/gateway/forward/room_test.go
@@ -1,8 +1,13 @@
 package forward
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,7 +16,9 @@
 	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
+	"dandelionsill.org/decide/members"
 	"dandelionsill.org/decide/route"
+	"dandelionsill.org/decide/table"
 	"dandelionsill.org/gateway/backend"
 	"dandelionsill.org/gateway/view"
 )
@@ -56,6 +63,58 @@
 	})
 }
 
+// Guards against an answer that breaks off before its deadline because there was no room for it and its server pauses,
+// and against a server that holds its caller for good afterwards.
+func TestPauseOfServerWithinDeadline(t *testing.T) {
+	for pause, whole := range map[time.Duration]bool{4 * maxRestGap: true, 7 * maxRestGap: false} {
+		synctest.Test(t, func(t *testing.T) {
+			rest, server := io.Pipe()
+			go func() {
+				_, _ = server.Write([]byte("first"))
+				time.Sleep(pause) // virtual
+				_, _ = server.Write([]byte("second"))
+				_ = server.Close()
+			}()
+			var got bytes.Buffer
+			err := copyRest(&got, rest, func() { _ = rest.Close() }, time.Now().Add(5*maxRestGap))
+			if whole {
+				require.NoError(t, err)
+				require.Equal(t, "firstsecond", got.String())
+			} else {
+				require.ErrorIs(t, err, backend.ErrBroken)
+			}
+			time.Sleep(pause) // virtual: the server ends
+		})
+	}
+}
+
+// pausingWriter takes 3 gaps for each write.
+type pausingWriter struct{ *httptest.ResponseRecorder }
+
+func (w pausingWriter) Write(p []byte) (int, error) {
+	time.Sleep(3 * maxEventGap) // virtual
+	return w.ResponseRecorder.Write(p)
+}
+
+// Guards against a stream that breaks off, and is held against its server, because its caller reads slowly: only
+// the server's own pauses count.
+func TestSlowCallerDoesNotBreakStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		gapTimer := time.AfterFunc(maxEventGap, cancel)
+		defer gapTimer.Stop()
+		w := pausingWriter{httptest.NewRecorder()}
+		s := &streamState{callState: &callState{call: Call{Route: &table.Route{Resumable: true}, Paced: true}}, writer: w}
+		end, err := s.forwardAnswer(&backend.Answer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(events))}, gapTimer)
+		require.NoError(t, err)
+		require.Equal(t, streamDone, end)
+		require.Equal(t, events, w.Body.String())
+		require.NoError(t, ctx.Err())
+	})
+}
+
 // Random bodies at random servers: no server holds more than the limit, but for one body that is larger by itself.
 func TestServerHoldsNoMoreThanLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -82,3 +141,28 @@
 		require.Empty(t, b.held)
 	})
 }
+
+// Guards against a healthy server that is ejected because requests waited in vain for its room, and against a
+// wait that counts as the time that the server took.
+func TestWaitForRoomIsNoEvidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New(&view.View{}, nil, "zone-a", zap.NewNop())
+		f.Bodies = NewServerBodies(100)
+		servers := []members.Server{{ID: "full"}, {ID: "a"}, {ID: "b"}, {ID: "c"}}
+		require.Nil(t, f.Bodies.tryAcquire("full", 100))
+		for range 5 {
+			call := Call{Body: make([]byte, 100), Deadline: time.Now().Add(time.Second)}
+			for _, healthy := range servers[1:] {
+				f.serverStats.attemptStarted(healthy.ID)
+				f.serverStats.attemptEnded("s", healthy.ID, time.Millisecond, false)
+			}
+			o := f.attempt(t.Context(), call, "s", choice{server: servers[0]})
+			require.True(t, o.notRun)
+			require.False(t, o.started())
+		}
+		for _, c := range f.serverStats.candidates("s", "zone-a", servers, time.Now()) {
+			require.False(t, c.Ejected, c.Name)
+			require.Zero(t, c.OwnLoad)
+		}
+	})
+}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -58,6 +58,8 @@
 	// Bodies bounds the bodies of requests that are held, and answers to callers that read too slowly are
 	// cut off; nil: neither.
 	Bodies *budget.Share
+	// ReadTime is the time that readers have for a part of an answer, pace.MinTime but for tests.
+	ReadTime time.Duration
 
 	inFlight atomic.Int64
 	draining atomic.Bool
@@ -83,7 +85,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if f.Bodies != nil {
-		paced := pace.NewWriter(w, hosted.AttemptID(r.Header), f.Log)
+		paced := pace.NewWriter(w, hosted.AttemptID(r.Header), f.ReadTime, f.Log)
 		defer paced.Finish()
 		w = paced
 	}
@@ -174,7 +176,7 @@
 		Header: forward.EndToEnd(r.Header), Body: body, Deadline: deadline, CallerTimeout: hosted.Deadline(r.Header),
 		Organisation: organisation.Name, Priority: organisation.PriorityOr(route.Priority),
 		// An HTTP/1.0 caller would take an answer of unknown length that breaks off for a complete one.
-		PassOn: r.ProtoAtLeast(1, 1),
+		PassOn: r.ProtoAtLeast(1, 1), Paced: f.Bodies != nil,
 	}
 	if route.Kind == table.Stream {
 		return f.Forward.Stream(r.Context(), call, w)
