soak: bursts of callers, broken brokers and bounded memory

The soak did not reach permits: gateways had no [permits] listen, servers had no limit, and one organisation sent a few requests. Now a large and three small organisations send more than the servers can take, first while the broker of permits is killed and suspended and servers are slow or fail, then, without faults of processes, at one slow, one failing and one leaving server. The second burst is judged by what servers receive: arrivals per call, requests turned away, nothing at the leaving server, answers for each organisation. The promise "not run" is now checked for all requests and for 408 and 421 as well; before, for unsafe ones with 429 and 503. Gateways are told their memory, get large bodies and slow readers, and must not have exceeded it.

The second injector has random numbers of its own. Ending a process checks and marks in one step, since two injectors may pick the same one.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -24,10 +24,19 @@
 	Score    string   `json:"score"`
 }
 
-// outcome is the answer that a caller got to a request that may run at most once.
+// outcome is the answer that a caller got to a request.
 type outcome struct {
-	status      int // HTTP status; 0: no answer
-	notExecuted bool
+	status     int // HTTP status; 0: no answer
+	atMostOnce bool
+}
+
+// isNotRun reports whether the status promises that the request has not run and never will.
+func (o outcome) isNotRun() bool {
+	switch o.status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
 }
 
 // record collects what the callers observed and the violations that were found.
@@ -35,14 +44,14 @@
 	mu         sync.Mutex
 	results    map[string][]result // by job
 	accepted   map[string]bool
-	refused    map[string]bool // jobs whose every attempt was answered "not run"
-	writes     map[string]outcome
+	refused    map[string]bool    // jobs whose every attempt was answered "not run"
+	outcomes   map[string]outcome // by request
 	violations []string
 	served     int
 }
 
 func newRecord() *record {
-	return &record{results: map[string][]result{}, accepted: map[string]bool{}, refused: map[string]bool{}, writes: map[string]outcome{}}
+	return &record{results: map[string][]result{}, accepted: map[string]bool{}, refused: map[string]bool{}, outcomes: map[string]outcome{}}
 }
 
 func (r *record) reportViolation(format string, args ...any) {
@@ -51,6 +60,15 @@
 	r.violations = append(r.violations, fmt.Sprintf(format, args...))
 }
 
+func (r *record) addOutcome(id string, o outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outcomes[id] = o
+	if o.status == http.StatusOK {
+		r.served++
+	}
+}
+
 // checkResults compares results with those that were read before and stores the new
 // ones. The first of the results is at position after in the job.
 func (r *record) checkResults(job, gateway string, after int, results []result) {
@@ -76,10 +94,13 @@
 	rec  *record
 	http *http.Client
 	rng  *rand.Rand
+	org  string // whose key is sent
+	// faultless is set while no faults are injected from outside.
+	faultless bool
 }
 
 func newClient(sys *system, rec *record, seed, id uint64) *client {
-	return &client{sys: sys, rec: rec, rng: rand.New(rand.NewPCG(seed, id)), http: &http.Client{
+	return &client{sys: sys, rec: rec, rng: rand.New(rand.NewPCG(seed, id)), org: organisation, http: &http.Client{
 		Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true},
 	}}
 }
@@ -87,7 +108,7 @@
 // ask sends a request with the organisation's current key to a gateway. The
 // status is 0 if there was no complete answer.
 func (c *client) ask(ctx context.Context, gateway *process, method, path, id string, body []byte) (int, http.Header, []byte) {
-	status, header, data := c.askAs(ctx, gateway, method, path, id, body, http.Header{hostedtest.HeaderKey: {c.sys.currentKey()}})
+	status, header, data := c.askAs(ctx, gateway, method, path, id, body, http.Header{hostedtest.HeaderKey: {c.key()}})
 	if status == http.StatusUnauthorized {
 		c.rec.reportViolation("request %s was refused at %s for a key that every configuration contains", id, gateway.name)
 	}
@@ -102,7 +123,9 @@
 	}
 	r.Host, r.Header = "app.example", header
 	r.Header.Set(hostedtest.HeaderAttempt, id)
-	r.Header.Set(hostedtest.HeaderDeadline, "3000")
+	if r.Header.Get(hostedtest.HeaderDeadline) == "" {
+		r.Header.Set(hostedtest.HeaderDeadline, "3000")
+	}
 	resp, err := c.http.Do(r)
 	if err != nil {
 		return 0, nil, nil
@@ -129,19 +152,7 @@
 			path = "/write/x"
 		}
 		status, header, body := c.ask(ctx, c.randomGateway(), http.MethodPost, path, id, []byte("b"))
-		if status == http.StatusOK {
-			c.rec.mu.Lock()
-			c.rec.served++
-			c.rec.mu.Unlock()
-			if string(body) != "answer to "+id || header.Get(hostedtest.HeaderSeal) != "seal-"+id {
-				c.rec.reportViolation("request %s got %q with seal %q", id, body, header.Get(hostedtest.HeaderSeal))
-			}
-		}
-		if atMostOnce {
-			c.rec.mu.Lock()
-			c.rec.writes[id] = outcome{status, status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests}
-			c.rec.mu.Unlock()
-		}
+		c.checkAnswer(id, atMostOnce, 0, status, header, body)
 		select {
 		case <-ctx.Done():
 		case <-time.After(time.Duration(5+c.rng.IntN(30)) * time.Millisecond):
@@ -149,6 +160,15 @@
 	}
 }
 
+// checkAnswer records the answer to a request and checks that it is the servers' own, with so
+// many bytes of filler.
+func (c *client) checkAnswer(id string, atMostOnce bool, filler, status int, header http.Header, body []byte) {
+	c.rec.addOutcome(id, outcome{status, atMostOnce})
+	if status == http.StatusOK && (string(body) != hostedtest.AnswerData(id, filler) || header.Get(hostedtest.HeaderSeal) != "seal-"+id) {
+		c.rec.reportViolation("request %s got %d bytes %.80q with seal %q", id, len(body), body, header.Get(hostedtest.HeaderSeal))
+	}
+}
+
 // runTrainer submits one step after the other and reads its results until ctx
 // ends.
 func (c *client) runTrainer(ctx context.Context, number int) {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -29,6 +29,37 @@
 	in.active.Wait()
 }
 
+// runPermitFaults injects a fault of the broker of permits or of a server whose places it grants
+// every 0.3 to 1.5 s until ctx ends, and waits until all of them have been repaired.
+func (in *injector) runPermitFaults(ctx context.Context) {
+	for ctx.Err() == nil {
+		in.sleepRandom(ctx, 300*time.Millisecond, 1500*time.Millisecond)
+		in.injectPermitFault()
+	}
+	in.active.Wait()
+}
+
+func (in *injector) injectPermitFault() {
+	duration := in.randomDuration(200*time.Millisecond, 2*time.Second)
+	broker, s := in.sys.broker(), in.sys.services[in.rng.IntN(len(in.sys.services))]
+	switch in.rng.IntN(4) {
+	case 0:
+		in.restart(broker, syscall.SIGKILL, duration/2)
+	case 1:
+		in.suspend(broker, duration)
+	case 2:
+		in.failServer(s, hostedtest.ServerFaults{FailEvery: 2}, duration)
+	default:
+		in.failServer(s, hostedtest.ServerFaults{Slowdown: 5}, duration)
+	}
+}
+
+func (in *injector) failServer(s *hostedtest.Server, f hostedtest.ServerFaults, duration time.Duration) {
+	in.log("server %s %+v for %v", s.ID, f, duration)
+	s.Fail(f)
+	in.repairAfter(duration, func() { s.Fail(hostedtest.ServerFaults{}) })
+}
+
 func (in *injector) randomDuration(low, high time.Duration) time.Duration {
 	return low + time.Duration(in.rng.Int64N(int64(high-low)))
 }
@@ -53,12 +84,7 @@
 	case 2:
 		in.restart(p, syscall.SIGTERM, duration/4)
 	case 3:
-		in.log("suspend %s for %v", p.name, duration)
-		p.signal(syscall.SIGSTOP, false)
-		in.repairAfter(duration, func() {
-			in.sys.duties.Excuse(p.name, resumeSlack)
-			p.signal(syscall.SIGCONT, false)
-		})
+		in.suspend(p, duration)
 	case 4:
 		in.log("SIGHUP to %s", p.name)
 		p.hangUp()
@@ -71,22 +97,25 @@
 		l.reset()
 	case 9:
 		faults := []hostedtest.ServerFaults{{Refuse: true}, {StallAfter: 3}, {BreakAfter: 4}, {Unresponsive: true}}
-		f := faults[in.rng.IntN(len(faults))]
-		in.log("engine %s %+v for %v", e.ID, f, duration)
-		e.Fail(f)
-		in.repairAfter(duration, func() { e.Fail(hostedtest.ServerFaults{}) })
+		in.failServer(e, faults[in.rng.IntN(len(faults))], duration)
 	case 10:
 		faults := []hostedtest.ServerFaults{{Refuse: true}, {Unresponsive: true}, {NoSeal: true}}
-		f := faults[in.rng.IntN(len(faults))]
-		in.log("server %s %+v for %v", s.ID, f, duration)
-		s.Fail(f)
-		in.repairAfter(duration, func() { s.Fail(hostedtest.ServerFaults{}) })
+		in.failServer(s, faults[in.rng.IntN(len(faults))], duration)
 	default:
 		in.log("configuration %d", in.sys.applyNextConfig())
 		in.sys.heartbeat()
 	}
 }
 
+func (in *injector) suspend(p *process, duration time.Duration) {
+	in.log("suspend %s for %v", p.name, duration)
+	p.signal(syscall.SIGSTOP, false)
+	in.repairAfter(duration, func() {
+		in.sys.duties.Excuse(p.name, resumeSlack)
+		p.signal(syscall.SIGCONT, false)
+	})
+}
+
 // resumeSlack is how long after a process was resumed the platform's stand-in tolerates
 // calls that would be violations: the process may have decided on such a call before it
 // was suspended.
@@ -102,14 +131,10 @@
 // restart stops a process with a signal, kills it if it does not end in time, and
 // starts it again after the time down, as the platform does.
 func (in *injector) restart(p *process, sig syscall.Signal, down time.Duration) {
-	p.mu.Lock()
-	ending := p.endExpected
-	p.mu.Unlock()
-	if ending {
+	if !p.end(sig) {
 		return
 	}
 	in.log("%v %s, down for %v", sig, p.name, down)
-	p.signal(sig, true)
 	in.active.Go(func() {
 		select {
 		case <-p.exited():
--- a/soak/organisations_test.go
+++ b/soak/organisations_test.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// organisation is the organisation of all clients except sendWithInvalidKey.
+	// organisation is the large organisation, to which most clients belong.
 	organisation = "shop"
 	// keysPerConfig is the number of keys in a configuration. Each new configuration
 	// adds a key and drops the oldest one.
@@ -26,6 +26,9 @@
 	minHolderGap = 1500 * time.Millisecond
 )
 
+// smallOrganisations have one caller each in a burst, and one key for good.
+var smallOrganisations = []string{"small-1", "small-2", "small-3"}
+
 // configWithKeys returns a configuration that contains the key of its version and
 // those of the versions before.
 func configWithKeys(version int) map[string]any {
@@ -33,7 +36,11 @@
 	for i := range keysPerConfig {
 		keys = append(keys, keyForVersion(version-i))
 	}
-	return hostedtest.Organisations(hostedtest.Config(version), map[string][]string{organisation: keys, "other": {"key-other"}})
+	all := map[string][]string{organisation: keys}
+	for _, name := range smallOrganisations {
+		all[name] = []string{"key-" + name}
+	}
+	return hostedtest.Organisations(hostedtest.Config(version), all)
 }
 
 func keyForVersion(version int) string { return fmt.Sprintf("key-%d", version) }
@@ -49,6 +56,14 @@
 // currentKey returns the key that clients send now.
 func (sys *system) currentKey() string { return keyForVersion(int(sys.config.Load()) - 1) }
 
+// key returns the key that the client sends now.
+func (c *client) key() string {
+	if c.org == organisation {
+		return c.sys.currentKey()
+	}
+	return "key-" + c.org
+}
+
 // dutySettings returns settings with which a gateway reports usage through its own
 // link.
 func (sys *system) dutySettings(name string) string {
@@ -132,8 +147,8 @@
 	if len(a.Header.Values(hostedtest.HeaderKey)) > 0 {
 		rec.reportViolation("request %s: a server got the caller's key", a.ID)
 	}
-	name := a.Header.Get(hostedtest.HeaderOrganisation)
-	if a.URI == "/write/x" && name != organisation || name != "" && name != organisation {
+	name, sender := a.Header.Get(hostedtest.HeaderOrganisation), senderOf(a.ID)
+	if a.URI == "/write/x" && name != sender || name != "" && name != sender {
 		rec.reportViolation("request %s: a server received the organisation %q", a.ID, name)
 	}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -87,8 +87,11 @@
 	rec := newRecord()
 	sys.waitServing(rec, seed)
 	var faults []string
+	var faultsMu sync.Mutex
 	started := time.Now()
 	logFault := func(format string, args ...any) {
+		faultsMu.Lock()
+		defer faultsMu.Unlock()
 		faults = append(faults, fmt.Sprintf("%6.2f %s", time.Since(started).Seconds(), fmt.Sprintf(format, args...)))
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), *faultTime)
@@ -106,20 +109,28 @@
 	}
 	actors.Go(func() { newClient(sys, rec, seed, 30).sendWithInvalidKey(ctx) })
 	actors.Go(func() { sys.crashing.run(ctx) })
+	actors.Go(func() { sys.sendBursts(ctx, rec, seed) })
+	actors.Go(func() { newClient(sys, rec, seed, 40).sendLarge(ctx, "large") })
+	permitFaults := &injector{sys: sys, rng: rand.New(rand.NewPCG(seed, 98)), log: logFault}
+	actors.Go(func() { permitFaults.runPermitFaults(ctx) })
 	in := &injector{sys: sys, rng: rand.New(rand.NewPCG(seed, 99)), log: logFault}
 	in.run(ctx)
 	actors.Wait()
 	sys.clearFaults()
+	sys.startLeaving()
 	sys.waitForResults(rec, seed)
 	sys.crashing.verifyQuarantine(rec, seed, uris)
+	sys.waitServing(rec, seed)
+	overload := sys.verifyOverload(rec, seed)
 	sys.waitForKeys(rec, seed)
 	sys.verifyUsage(rec)
 	sys.verifyRecord(rec)
+	sys.verifyMemory(rec)
 	sys.stopAll()
 	if len(rec.violations) > 0 {
 		t.Errorf("seed %d:\n%s\nfaults:\n%s", seed, strings.Join(rec.violations, "\n"), strings.Join(faults, "\n"))
 	}
-	t.Logf("seed %d: %d faults, %d jobs, %d requests served, %d writes, servers crashed by requests: %v", seed, len(faults), len(rec.accepted), rec.served, len(rec.writes), sys.crashing.crashes)
+	t.Logf("seed %d: %d faults, %d jobs, %d requests served, %d sent, servers crashed by requests: %v; %s", seed, len(faults), len(rec.accepted), rec.served, len(rec.outcomes), sys.crashing.crashes, overload)
 }
 
 // waitServing waits until every gateway has served a request.
@@ -127,8 +138,9 @@
 	c := newClient(sys, rec, seed, 1000)
 	for i, g := range sys.gatewayProcs {
 		require.Eventually(sys.t, func() bool {
-			status, _, _ := c.ask(context.Background(), g, "POST", "/score/x", fmt.Sprintf("warm-%d", i), nil)
-			return status == 200
+			safe, _, _ := c.ask(context.Background(), g, "POST", "/score/x", fmt.Sprintf("warm-%d", i), nil)
+			unsafe, _, _ := c.ask(context.Background(), g, "POST", "/write/x", fmt.Sprintf("warm-write-%d", i), nil)
+			return safe == 200 && unsafe == 200
 		}, 20*time.Second, 20*time.Millisecond, "%s does not serve", g.name)
 	}
 }
@@ -177,22 +189,7 @@
 			sys.checkResult(rec, job, floor, r)
 		}
 	}
-	runs := map[string]int{}
-	for _, s := range sys.services {
-		for _, a := range s.Arrivals() {
-			if a.Executed {
-				runs[a.ID]++
-			}
-		}
-	}
-	for id, o := range rec.writes {
-		if runs[id] > 1 {
-			rec.reportViolation("write %s ran %d times", id, runs[id])
-		}
-		if o.notExecuted && runs[id] > 0 {
-			rec.reportViolation("write %s was answered %d (not run) but has run", id, o.status)
-		}
-	}
+	sys.verifyOutcomes(rec)
 	for _, e := range sys.engines {
 		for _, a := range e.Arrivals() {
 			job, _, _ := strings.Cut(a.ID, "-i")
@@ -210,6 +207,26 @@
 	}
 }
 
+// verifyOutcomes compares the answers to requests with the servers' runs.
+func (sys *system) verifyOutcomes(rec *record) {
+	runs := map[string]int{}
+	for _, s := range sys.services {
+		for _, a := range s.Arrivals() {
+			if a.Executed {
+				runs[a.ID]++
+			}
+		}
+	}
+	for id, o := range rec.outcomes {
+		if o.atMostOnce && runs[id] > 1 {
+			rec.reportViolation("write %s ran %d times", id, runs[id])
+		}
+		if o.isNotRun() && runs[id] > 0 {
+			rec.reportViolation("request %s was answered %d (not run) but has run", id, o.status)
+		}
+	}
+}
+
 // stopAll stops all processes with SIGTERM. Each must end within its grace period.
 func (sys *system) stopAll() {
 	for _, p := range sys.processes() {
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -24,7 +24,7 @@
 const (
 	gatewayCount = 3
 	engineCount  = 4
-	serviceCount = 2
+	serviceCount = 3
 	modelName    = "m"
 )
 
@@ -71,7 +71,8 @@
 		sys.addServer(e)
 	}
 	for i := range serviceCount {
-		s := hostedtest.NewServer(fmt.Sprintf("p%d", i), "plain")
+		s := hostedtest.NewServer(fmt.Sprintf("p%d", i), plainService)
+		s.Slots, s.MaxQueue, s.WorkTime = serviceSlots, serviceQueue, serviceWorkTime
 		sys.services = append(sys.services, s)
 		sys.addServer(s)
 	}
@@ -148,7 +149,7 @@
 
 func (sys *system) newGateway(name string) *process {
 	callers := freeAddr(sys.t)
-	p := sys.newProcess("dandelion-gateway", name, fmt.Sprintf("parts = 3\n[listen]\ncallers = %s\nready = %s\npeers = %s\n", callers, freeAddr(sys.t), freeAddr(sys.t))+sys.dutySettings(name))
+	p := sys.newProcess("dandelion-gateway", name, fmt.Sprintf("parts = 3\n[listen]\ncallers = %s\nready = %s\npeers = %s\n[permits]\nlisten = %s\n[vm]\nmemory_mb = %d\n", callers, freeAddr(sys.t), freeAddr(sys.t), freeAddr(sys.t), gatewayMemoryMB)+sys.dutySettings(name))
 	p.listen = callers
 	return p
 }
@@ -229,6 +230,18 @@
 	_ = p.cmd.Process.Signal(sig) // the process may have ended already
 }
 
+// end sends a signal that ends the process, and returns false if one was sent before.
+func (p *process) end(sig syscall.Signal) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.endExpected {
+		return false
+	}
+	p.endExpected = true
+	_ = p.cmd.Process.Signal(sig) // the process may have ended already
+	return true
+}
+
 func (p *process) exited() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
