--- a/decide/evidence/report.go
+++ b/decide/evidence/report.go
@@ -10,6 +10,7 @@
 type ServerReport struct {
 	Server  string // incarnation
 	Name    string
+	Slots   int
 	Limit   int // requests at once
 	Pace    float64
 	Reason  string // why the limit is lowered or the server is ejected
@@ -20,6 +21,8 @@
 	EjectedSince, EjectedUntil time.Time
 	// EjectedFor is for how many single gateways the server is ejected.
 	EjectedFor int
+	// Probation is how many answers it needs until it is trusted again; 0: it is trusted.
+	Probation int
 }
 
 // Report returns the state of all servers, by id.
@@ -33,7 +36,7 @@
 }
 
 func (p *Pool) reportOf(now time.Time, sv *server) ServerReport {
-	r := ServerReport{Server: sv.id, Name: sv.name, Pace: p.paceAt(now, sv)}
+	r := ServerReport{Server: sv.id, Name: sv.name, Slots: sv.slots, Pace: p.paceAt(now, sv), Probation: sv.probation}
 	r.Limit, r.Reason = sv.limitAt(now, p.cfg)
 	if sv.ejected(now) {
 		r.EjectedSince, r.EjectedUntil = sv.ejection.since, sv.ejection.until
