decide/permits: an overview of a broker for operators

A broker told its load for scaling, but not who waits, for how long, and why asks are refused. Overview holds that in a size that does not grow with asks or organisations; a permit now knows its organisation. Refusals of asks that may not wait are counted apart: they are no loss. The evidence's report is passed on.

Ruled out: counts kept per organisation, which would have to be bounded themselves; the overview is asked for once a second and walks the asks and permits that there are.

--- a/decide/permits/broker.go
+++ b/decide/permits/broker.go
@@ -49,12 +49,14 @@
 
 // permit is a place in use.
 type permit struct {
-	server    string
-	internal  bool
-	takenOver bool
-	cost      float64 // typical seconds
-	deadline  time.Time
-	expires   time.Time
+	server string
+	// organisation is empty for internal calls and for permits of an earlier broker.
+	organisation string
+	internal     bool
+	takenOver    bool
+	cost         float64 // typical seconds
+	deadline     time.Time
+	expires      time.Time
 }
 
 // Broker grants the permits of one service. It is not safe for concurrent use.
@@ -77,6 +79,7 @@
 	drain         drain
 	returns       returns
 	stats         stats
+	refusals      refusals
 	turnedAway    time.Time // when a caller's ask that could be in time was last refused
 }
 
@@ -277,7 +280,7 @@
 // grant gives the ask, which does not wait (any more), a place at server i.
 func (b *Broker) grant(w *waiter, i int, why string) Decision {
 	b.hold(w.ID, &permit{
-		server: b.servers[i].ID, internal: w.Internal, cost: w.cost,
+		server: b.servers[i].ID, organisation: w.ticket().Caller, internal: w.Internal, cost: w.cost,
 		deadline: w.deadline, expires: w.deadline.Add(expiryGrace),
 	})
 	b.capacity.take(&b.servers[i])
@@ -299,6 +302,7 @@
 // refuse returns the refusal of an ask that does not wait (any more).
 func (b *Broker) refuse(w *waiter, why Refusal, wait time.Duration, reason string) Decision {
 	b.stats.refused.add(b.now, 1)
+	b.refusals.add(b.now, w, why)
 	return Decision{
 		ID: w.ID, Kind: Refused, Refusal: why,
 		RetryAfter: b.retryAfter(w), Wait: wait, Reason: reason,
--- a/decide/permits/permits.go
+++ b/decide/permits/permits.go
@@ -97,4 +97,6 @@
 	// TypicalTime returns the time that a typical server takes for a request of the
 	// route; 0: unknown.
 	TypicalTime(route string) time.Duration
+	// Report returns the state of all servers, by id.
+	Report(now time.Time) []evidence.ServerReport
 }
--- a/decide/permits/replay_test.go
+++ b/decide/permits/replay_test.go
@@ -27,6 +27,9 @@
 func (f *fakeEvidence) SetServers(time.Time, []evidence.Server) {}
 func (f *fakeEvidence) Record(time.Time, evidence.Sample)       { f.recorded++ }
 func (f *fakeEvidence) TypicalTime(route string) time.Duration  { return f.typical[route] }
+func (f *fakeEvidence) Report(time.Time) []evidence.ServerReport {
+	return nil
+}
 func (f *fakeEvidence) Standing(_ time.Time, server, gateway string) evidence.Standing {
 	st := f.standings[server]
 	st.Ejected = st.Ejected || f.alone[gateway] == server
