gateway/permits: log changes of belief on servers and the load of a service

A broker decided for the whole fleet and logged only that it was one. It now writes a line when it ejects a server, puts it on probation, trusts it again, or lowers its limit below its slots, with the samples and gateways behind it, and one line a second while asks wait or are refused: places, who waits, refusals by reason, the three organisations with the most. Lines are written by the loop that lets time pass, outside the broker's lock.

The reason of a refusal and the VM of the broker now reach who asked; the reason travelled already and was dropped. The forwarder's lines on attempts and refusals carry them, so that the trace of a request says whom it asked, how long, and why it was refused or sent there.

Ruled out: a line for each granted ask, which would double the lines of a request.

--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -152,6 +152,7 @@
 	reason          string         // why the policy picked the server
 	skippedEjection bool           // the policy had to skip the filter of ejected servers
 	permit          *broker.Permit // nil: the server was picked without a broker
+	asked           time.Duration  // how long its broker was asked for it
 }
 
 // outcome is the result of one attempt.
@@ -486,8 +487,9 @@
 	if o.err != nil || status >= http.StatusMultipleChoices {
 		message = "Try failed."
 	}
-	f.log.Info(message, zap.String("id", call.ID), zap.String("service", service), zap.String("server", o.server.ID),
+	fields := []zap.Field{zap.String("id", call.ID), zap.String("service", service), zap.String("server", o.server.ID),
 		zap.Uint64("config", f.View.Current().Table.Version), zap.Int("listed", o.listed), zap.Int("left", o.eligible), zap.Int("load", o.load),
 		zap.String("picked", o.reason), zap.Bool("outliers_too", o.skippedEjection), zap.Int("status", status), zap.Bool("not_run", o.notRun),
-		zap.Duration("took", o.took), zap.Error(o.err))
+		zap.Duration("took", o.took), zap.Error(o.err)}
+	f.log.Info(message, append(fields, permitFields(&o.choice)...)...)
 }
--- a/gateway/forward/permits.go
+++ b/gateway/forward/permits.go
@@ -138,7 +138,8 @@
 		}
 	default:
 		s.forwarder.log.Info("Permit refused.", zap.String("id", s.call.ID), zap.String("service", s.service), zap.String("organisation", s.call.Organisation),
-			zap.String("why", string(a.refusal.Kind)), zap.Duration("retry_after", a.refusal.RetryAfter), zap.Duration("wait", a.refusal.Wait), zap.Bool("hedge", a.noWait), zap.Duration("took", a.took))
+			zap.String("why", string(a.refusal.Kind)), zap.String("reason", a.refusal.Reason), zap.String("broker", a.refusal.Broker),
+			zap.Duration("retry_after", a.refusal.RetryAfter), zap.Duration("wait", a.refusal.Wait), zap.Bool("hedge", a.noWait), zap.Duration("took", a.took))
 		s.refusal = a.refusal
 	}
 	if a.noWait && s.inFlight > 0 {
@@ -155,7 +156,7 @@
 func (s *callState) usePermit(ctx context.Context, a permitAnswer) bool {
 	server, known := s.forwarder.View.Current().Server(s.service, a.permit.Server)
 	if known && !server.Leaving && s.mayRepeat() && !s.isQuarantined() {
-		c := choice{server: server, eligible: 1, listed: len(s.forwarder.View.Current().Servers[s.service]), reason: "permit: " + a.permit.Reason, permit: a.permit}
+		c := choice{server: server, eligible: 1, listed: len(s.forwarder.View.Current().Servers[s.service]), reason: "permit: " + a.permit.Reason, permit: a.permit, asked: a.took}
 		s.startAttempt(ctx, c)
 		return true
 	}
@@ -183,6 +184,15 @@
 	return s.refuse(kind, "no place at a server in time; wait "+s.refusal.Wait.Round(time.Millisecond).String()).WithRetryAfter(max(s.refusal.RetryAfter, time.Millisecond))
 }
 
+// permitFields returns the fields of a log line on an attempt: which broker granted its permit
+// and how long that took.
+func permitFields(c *choice) []zap.Field {
+	if c.permit == nil {
+		return nil
+	}
+	return []zap.Field{zap.String("broker", c.permit.Broker), zap.Duration("waited", c.asked)}
+}
+
 // outcomeOf returns how an attempt ended, as evidence on its server.
 func outcomeOf(o *outcome) evidence.Outcome {
 	switch {
--- a/gateway/permits/broker.go
+++ b/gateway/permits/broker.go
@@ -26,6 +26,8 @@
 	cfg       ServerConfig
 	startedAt time.Time
 
+	observer observer
+
 	// streams and unusedSince are guarded by Server.mu.
 	streams     int
 	unusedSince time.Time
@@ -48,7 +50,10 @@
 }
 
 func newBroker(key shardKey, cfg ServerConfig) *broker {
-	return &broker{key: key, cfg: cfg, startedAt: cfg.Now(), decider: cfg.NewBroker(key.String()), gateways: map[string]*gateway{}}
+	return &broker{
+		key: key, cfg: cfg, startedAt: cfg.Now(), decider: cfg.NewBroker(key.String()), gateways: map[string]*gateway{},
+		observer: observer{log: cfg.Logger.With(zap.Stringer("service", key))},
+	}
 }
 
 // open registers a gateway's stream, which replaces an earlier one, by its first message.
--- a/gateway/permits/fakes_test.go
+++ b/gateway/permits/fakes_test.go
@@ -71,7 +71,7 @@
 		return append(decisions, decide.Decision{ID: ask.ID, Kind: decide.Refused, Refusal: decide.NoServer})
 	case ask.NoWait || len(f.queue) > f.maxQueue:
 		f.queue = slices.Delete(f.queue, at, at+1)
-		return append(decisions, decide.Decision{ID: ask.ID, Kind: decide.Refused, Refusal: decide.Overloaded, RetryAfter: fakeRetryAfter})
+		return append(decisions, decide.Decision{ID: ask.ID, Kind: decide.Refused, Refusal: decide.Overloaded, RetryAfter: fakeRetryAfter, Reason: "full"})
 	}
 	return append(decisions, decide.Decision{ID: ask.ID, Kind: decide.Queued, Wait: time.Second})
 }
@@ -126,6 +126,13 @@
 	return decide.Load{Waiting: waiting}
 }
 
+func (f *fakeBroker) Overview(time.Time, int) decide.Overview {
+	waiting, used := f.counts()
+	return decide.Overview{InUse: used, Waiting: decide.Waiting{Callers: waiting}}
+}
+
+func (f *fakeBroker) ServerReports(time.Time) []evidence.ServerReport { return nil }
+
 func (f *fakeBroker) serveQueue() (decisions []decide.Decision) {
 	for len(f.queue) > 0 {
 		free := f.freeServer()
--- a/gateway/permits/permits.go
+++ b/gateway/permits/permits.go
@@ -39,12 +39,17 @@
 	Forget(now time.Time, gateway string) []decide.Decision
 	Tick(now time.Time) []decide.Decision
 	Load() decide.Load
+	// Overview returns what operators are told, with at most that many organisations.
+	Overview(now time.Time, organisations int) decide.Overview
+	// ServerReports returns what is known of the servers, by id.
+	ServerReports(now time.Time) []evidence.ServerReport
 }
 
 // Permit is the right to have one request at one server. It holds until Done is called.
 type Permit struct {
 	Server string // incarnation
 	Reason string // why this server, for logs
+	Broker string // VM of the gateway that granted it
 
 	id    uint64
 	route string
@@ -62,4 +67,6 @@
 	Kind       decide.Refusal
 	RetryAfter time.Duration // when an ask is likely to be granted
 	Wait       time.Duration // the estimated wait
+	Reason     string        // why, for logs
+	Broker     string        // VM of the gateway that refused
 }
--- a/gateway/permits/permits_test.go
+++ b/gateway/permits/permits_test.go
@@ -28,7 +28,7 @@
 		c := f.client("a")
 		first, second := mustAcquire(t, c), mustAcquire(t, c)
 		require.Equal(t, "server-0", first.Server)
-		require.Equal(t, "free", first.Reason)
+		require.Equal(t, []string{"free", f.members[0].VM}, []string{first.Reason, first.Broker})
 
 		waiting := start(t.Context(), c, decide.Ask{Route: "r", Organisation: "o", Priority: 2, Repeatable: true, Objective: 3 * time.Second, Deadline: time.Minute, Avoid: []string{"x"}})
 		settle(t, f.ranked(0), 1, 2)
@@ -40,7 +40,7 @@
 		require.Empty(t, waiting)
 
 		o := acquire(t.Context(), c, decide.Ask{Deadline: time.Minute})
-		require.Equal(t, &Refusal{Kind: decide.Overloaded, RetryAfter: fakeRetryAfter}, o.refusal)
+		require.Equal(t, &Refusal{Kind: decide.Overloaded, RetryAfter: fakeRetryAfter, Reason: "full", Broker: f.members[0].VM}, o.refusal)
 		require.NoError(t, o.err)
 
 		first.Done(time.Second, evidence.Answered)
--- a/gateway/permits/server.go
+++ b/gateway/permits/server.go
@@ -95,6 +95,7 @@
 	brokers := s.all()
 	for _, b := range brokers {
 		b.tick(now)
+		b.observe(now)
 		s.drop(b, now)
 	}
 	return len(brokers) > 0
--- a/gateway/permits/session.go
+++ b/gateway/permits/session.go
@@ -210,12 +210,12 @@
 		return
 	}
 	if waits {
-		w.results <- result{refusal: &Refusal{Kind: d.Refusal, RetryAfter: d.RetryAfter, Wait: d.Wait}, at: now}
+		w.results <- result{refusal: &Refusal{Kind: d.Refusal, RetryAfter: d.RetryAfter, Wait: d.Wait, Reason: d.Reason, Broker: n.member.VM}, at: now}
 	}
 }
 
 func (n *session) grant(w *waiter, d decide.Decision, now time.Duration) {
-	permit := &Permit{Server: d.Server, Reason: d.Reason, id: d.ID.Number, shard: n.shard}
+	permit := &Permit{Server: d.Server, Reason: d.Reason, Broker: n.member.VM, id: d.ID.Number, shard: n.shard}
 	if w == nil {
 		n.report(permit, 0, evidence.Unused)
 		return
