decide/evidence, gateway/permits: tell when a distrusted server is gone

A reader of the log could not tell an ejected server from one that was replaced: no line followed. Now one does.

Tests: the table of changes has the case; it was asserted before that a trusted server that is gone is no change, which stays.

--- a/decide/evidence/changes.go
+++ b/decide/evidence/changes.go
@@ -16,39 +16,52 @@
 	NowLimited
 	// NowUnlimited means that it has as many requests as slots again.
 	NowUnlimited
+	// NowGone means that a server which was ejected or on probation is no longer listed.
+	NowGone
 )
 
 // ServerChange is a change of one server.
 type ServerChange struct {
 	Change Change
 	ServerReport
-	// Before is the earlier report, zero for a new server.
+	// Before is the earlier report, without a name for a new server. ServerReport is the same
+	// for one that is gone.
 	Before ServerReport
 }
 
 // Changes compares two reports of one pool, both by id. It returns at most one change a
-// server, the gravest. Servers that are gone are no change.
+// server, the gravest.
 func Changes(before, after []ServerReport) []ServerChange {
 	var changes []ServerChange
-	i := 0
-	for _, now := range after {
-		for i < len(before) && before[i].Server < now.Server {
-			i++
-		}
-		earlier := ServerReport{Slots: now.Slots, Limit: now.Slots}
-		if i < len(before) && before[i].Server == now.Server {
-			earlier = before[i]
-		}
-		if c := changeOf(&earlier, &now); c != 0 {
-			changes = append(changes, ServerChange{Change: c, ServerReport: now, Before: earlier})
+	for len(before)+len(after) > 0 {
+		switch {
+		case len(after) == 0 || len(before) > 0 && before[0].Server < after[0].Server:
+			if before[0].isDistrusted() {
+				changes = append(changes, ServerChange{Change: NowGone, ServerReport: before[0], Before: before[0]})
+			}
+			before = before[1:]
+			continue
+		case len(before) == 0 || after[0].Server < before[0].Server:
+			added := ServerReport{Slots: after[0].Slots, Limit: after[0].Slots}
+			changes = appendChange(changes, added, after[0])
+		default:
+			changes = appendChange(changes, before[0], after[0])
+			before = before[1:]
 		}
+		after = after[1:]
+	}
+	return changes
+}
+
+func appendChange(changes []ServerChange, before, now ServerReport) []ServerChange {
+	if c := changeOf(&before, &now); c != 0 {
+		changes = append(changes, ServerChange{Change: c, ServerReport: now, Before: before})
 	}
 	return changes
 }
 
 // changeOf returns the gravest change between two reports of a server; 0: none.
 func changeOf(before, now *ServerReport) Change {
-	wasDistrusted := before.isEjected() || before.Probation > 0
 	switch {
 	case now.isEjected():
 		if now.EjectedSince.Equal(before.EjectedSince) {
@@ -60,7 +73,7 @@
 			return 0
 		}
 		return NowOnProbation
-	case wasDistrusted:
+	case before.isDistrusted():
 		return NowTrusted
 	case now.EjectedFor > 0 && before.EjectedFor == 0:
 		return NowEjectedForSome
@@ -74,4 +87,6 @@
 
 func (r *ServerReport) isEjected() bool { return !r.EjectedSince.IsZero() }
 
+func (r *ServerReport) isDistrusted() bool { return r.isEjected() || r.Probation > 0 }
+
 func (r *ServerReport) isLimited() bool { return r.Limit < r.Slots }
--- a/decide/evidence/changes_test.go
+++ b/decide/evidence/changes_test.go
@@ -69,4 +69,7 @@
 	}
 	require.Len(t, Changes(nil, []ServerReport{probation}), 1, "a new incarnation on probation")
 	require.Empty(t, Changes([]ServerReport{full}, nil), "a server that is gone")
+	gone := Changes([]ServerReport{{Server: "r", Probation: 1}, full}, []ServerReport{full, {Server: "t", Slots: 1, Limit: 1}})
+	require.Len(t, gone, 1)
+	require.Equal(t, []any{NowGone, "r"}, []any{gone[0].Change, gone[0].Server})
 }
--- a/gateway/permits/observe.go
+++ b/gateway/permits/observe.go
@@ -118,6 +118,8 @@
 		o.log.Info("A server is on probation.", append(fields, zap.Int("answers_left", c.Probation))...)
 	case evidence.NowTrusted:
 		o.log.Info("A server is trusted again.", fields...)
+	case evidence.NowGone:
+		o.log.Info("A server that was not trusted is gone.", fields...)
 	case evidence.NowEjectedForSome:
 		o.log.Info("A server is ejected for single gateways.", append(fields, zap.Int("gateways", c.EjectedFor))...)
 	case evidence.NowLimited:
