ctl: show who waits for places, and count what is lost for lack of them

losses counted a request that got no place as 'refused by servers' or 'not told', though no server was asked. It now tells: no place in time; no place while a server of the service is ejected; no broker; the gateway's memory full; a caller that reads too slowly. A refused second copy is no cause. permits prints the last state of each broker, its peak, and the servers that are not trusted.

Weighed: asking gateways at /debug/vars, which shows the present only and needs an address for each; hosted gateways are read through their logs as trace and losses do.

--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -438,3 +438,21 @@
 	code, _, _ = b.run("losses", b.file("x", "")+"-is-not-there")
 	require.Equal(t, ExitUsage, code)
 }
+
+// The command permits shows who waits at a broker and which servers it has ejected.
+func TestPermits(t *testing.T) {
+	b := newHarness(t)
+	line := func(message, fields string) string {
+		return `{"ts":"2026-01-02T07:00:00.000Z","msg":"gateway: permits: ` + message + `","service":"ledger",` + fields + "}\n"
+	}
+	file := b.file("vm-1.log", line("Load of a service.", `"places":6,"in_use":5,"waiting":88,"refused":7,"oldest_wait":"50ms","top":"o 86/4, p 2/1"`)+
+		line("A server is ejected.", `"server":"i-1","why":"failing","age":"250ms"`))
+	code, out, errs := b.run("permits", file)
+	require.Zero(t, code, errs)
+	for _, want := range []string{"ledger", "vm-1", "5 of 6", "88", "50ms", "o 86/4, p 2/1", "i-1", "ejected", "failing", "250ms"} {
+		require.Contains(t, out, want)
+	}
+	code, out, errs = b.run("permits", "--json", file)
+	require.Zero(t, code, errs)
+	require.Contains(t, out, `"most_waiting":88`)
+}
--- a/ctl/logscan/line.go
+++ b/ctl/logscan/line.go
@@ -53,6 +53,16 @@
 	Waited   duration `json:"waited"`
 	Streamed duration `json:"streamed"`
 	Scored   duration `json:"scored"`
+
+	// Of brokers of permits.
+	Places        int      `json:"places"`
+	InUse         int      `json:"in_use"`
+	Refused       int      `json:"refused"`
+	Organisations int      `json:"organisations"`
+	Top           string   `json:"top"`
+	OldestWait    duration `json:"oldest_wait"`
+	Age           duration `json:"age"`
+	Hedge         bool     `json:"hedge"`
 }
 
 // duration is a time.Duration in the format of the logs ("1.5s").
--- a/ctl/logscan/losses.go
+++ b/ctl/logscan/losses.go
@@ -26,6 +26,11 @@
 	CauseSlotWait           Cause = "waited for a place"
 	CauseLongText           Cause = "long text"
 	CauseRefused            Cause = "refused by servers"
+	CauseNoPlace            Cause = "no place in time"
+	CauseEjectedServers     Cause = "no place, servers ejected"
+	CauseNoBroker           Cause = "no broker of places"
+	CauseMemory             Cause = "memory of the gateway full"
+	CauseSlowReader         Cause = "caller reads too slowly"
 	CauseNoServer           Cause = "no server"
 	CausePoisonRequest      Cause = "crashes servers"
 	CauseStarting           Cause = "process starting"
@@ -86,6 +91,7 @@
 	lastFailures   map[string]*list.Element // values are *failedAttempt, by request id
 	recentFailures *list.List               // of *failedAttempt, newest first
 	withoutLog     map[string]bool          // processes that can't read the log
+	places         *Places
 	// Dropped counts the log lines of samples and the losses that were ignored
 	// because a limit was reached.
 	Dropped int
@@ -93,7 +99,7 @@
 
 // NewLosses returns an empty table.
 func NewLosses() *Losses {
-	return &Losses{rows: map[lossKey]*Loss{}, jobs: map[string]*job{}, lastFailures: map[string]*list.Element{}, recentFailures: list.New(), withoutLog: map[string]bool{}}
+	return &Losses{rows: map[lossKey]*Loss{}, jobs: map[string]*job{}, lastFailures: map[string]*list.Element{}, recentFailures: list.New(), withoutLog: map[string]bool{}, places: NewPlaces()}
 }
 
 // job is a batch job that is unfinished, or has ended and is still kept (see
@@ -125,6 +131,7 @@
 // releases, so they are kept as they are.
 func (s *Losses) Add(l *Line) {
 	s.Timeline.second(l.At)
+	s.places.Add(l)
 	switch l.Message {
 	case "Batch job.":
 		s.jobAccepted(l)
@@ -146,6 +153,12 @@
 		s.sampleDone(l)
 	case "Try failed.":
 		s.attemptFailed(l)
+	case "Permit refused.":
+		s.permitRefused(l)
+	case "No broker.":
+		s.brokerMissing(l)
+	case "Closing the connection of a caller that reads too slowly.":
+		s.slowReader(l)
 	case "Request failed.":
 		s.requestFailed(l)
 	case "Lost the log.":
@@ -325,6 +338,21 @@
 	case l.Error != "":
 		cause = CauseConnectionBroken
 	}
+	if cause == CauseRefused && s.lastFailure(l.ID) == CauseNoBroker {
+		return // servers refuse more where nobody shares out their places
+	}
+	s.setLastFailure(l, cause)
+}
+
+// lastFailure returns the cause of a request's last failed attempt; empty: none is known.
+func (s *Losses) lastFailure(id string) Cause {
+	if e := s.lastFailures[id]; e != nil {
+		return e.Value.(*failedAttempt).cause
+	}
+	return ""
+}
+
+func (s *Losses) setLastFailure(l *Line, cause Cause) {
 	if e := s.lastFailures[l.ID]; e != nil {
 		e.Value.(*failedAttempt).cause = cause
 		s.recentFailures.MoveToFront(e)
@@ -340,6 +368,9 @@
 
 func (s *Losses) requestFailed(l *Line) {
 	cause := s.requestCause(l)
+	if cause == CauseSlowReader {
+		return // counted already
+	}
 	outcome := OutcomeFailed
 	if l.NotRun {
 		outcome = OutcomeRefused
@@ -356,6 +387,10 @@
 }
 
 func (s *Losses) requestCause(l *Line) Cause {
+	last := s.lastFailure(l.ID)
+	if last == CauseSlowReader {
+		return last
+	}
 	switch l.Kind {
 	case "cancelled":
 		return CauseCallerGone
@@ -371,12 +406,12 @@
 	case "quarantined":
 		return CausePoisonRequest
 	case "overloaded":
-		return CauseRefused
+		return overloadCause(l, last)
 	case "not_found", "bad_request", "too_large":
 		return CauseConfiguration
 	}
-	if e := s.lastFailures[l.ID]; e != nil {
-		return e.Value.(*failedAttempt).cause
+	if last != "" {
+		return last
 	}
 	if l.Kind == "deadline_exceeded" {
 		return CauseServerUnresponsive
--- /dev/null
+++ b/ctl/permits.go
@@ -0,0 +1,61 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"dandelionsill.org/ctl/logscan"
+)
+
+func (t *tool) permitsCommand() *ffcli.Command {
+	set := t.flagSet("permits")
+	asJSON := set.Bool("json", false, "print JSON")
+	return t.command(set, "LOGS…", "show who waits for places at services' servers and which servers are ejected, out of log files, folders or - for standard input", 0, maxPaths,
+		func(_ context.Context, args []string) error {
+			places := logscan.NewPlaces()
+			stats, err := t.scan(args, places.Add)
+			if err != nil {
+				return err
+			}
+			if places.Dropped > 0 {
+				fmt.Fprintf(t.stderr, "%d lines found no room and are left out\n", places.Dropped)
+			}
+			if *asJSON {
+				return t.printJSON(struct {
+					Services []logscan.ServicePlaces `json:"services"`
+					Ejected  []logscan.EjectedServer `json:"ejected"`
+					Read     logscan.Stats           `json:"read"`
+				}{places.Services(), places.Ejected(), stats})
+			}
+			return t.printPlaces(places)
+		})
+}
+
+func (t *tool) printPlaces(places *logscan.Places) error {
+	const clock = "15:04:05.000"
+	var rows [][]string
+	for _, s := range places.Services() {
+		rows = append(rows, []string{
+			s.Service, s.Broker, s.At.UTC().Format(clock), fmt.Sprintf("%d of %d", s.InUse, s.Places), strconv.Itoa(s.Waiting), strconv.Itoa(s.MostWaiting),
+			s.OldestWait.String(), strconv.Itoa(s.Refused), strconv.Itoa(s.TotalRefused), s.Top,
+		})
+	}
+	header := []string{"SERVICE", "BROKER", "LAST", "PLACES IN USE", "WAITING", "MOST", "OLDEST", "REFUSED", "TOTAL", "ORGANISATIONS WAITING/IN USE"}
+	if err := t.printTable(header, rows); err != nil {
+		return err
+	}
+	ejected := places.Ejected()
+	if len(ejected) == 0 {
+		return nil
+	}
+	rows = rows[:0]
+	for _, s := range ejected {
+		rows = append(rows, []string{s.Service, s.Server, s.State, s.Why, s.Age.Round(time.Millisecond).String(), s.Broker})
+	}
+	fmt.Fprintln(t.stdout)
+	return t.printTable([]string{"SERVICE", "SERVER", "STATE", "WHY", "FOR", "BROKER"}, rows)
+}
