--- a/ctl/permits.go
+++ b/ctl/permits.go
@@ -41,7 +41,7 @@
 	for _, s := range places.Services() {
 		rows = append(rows, []string{
 			s.Service, s.Broker, s.At.UTC().Format(clock), fmt.Sprintf("%d of %d", s.InUse, s.Places), strconv.Itoa(s.Waiting), strconv.Itoa(s.MostWaiting),
-			s.OldestWait.String(), strconv.Itoa(s.Refused), strconv.Itoa(s.TotalRefused), s.Top,
+			s.OldestWait.Round(time.Millisecond).String(), strconv.Itoa(s.Refused), strconv.Itoa(s.TotalRefused), s.Top,
 		})
 	}
 	header := []string{"SERVICE", "BROKER", "LAST", "PLACES IN USE", "WAITING", "MOST", "OLDEST", "REFUSED", "TOTAL", "ORGANISATIONS WAITING/IN USE"}
