gateway/forward: say that a request waited for a place until its deadline

Such a request left either no line on its permit, and losses took it as refused by servers, or 'No broker.' with the error of its context, as if no broker had answered, and was then sent by the old path with a deadline that was over. It now ends as its deadline does in any other place, with one line, 'No permit in time.', which losses counts as no place in time.

Tests: a request that is never answered by its broker, twenty times, since either of two branches may see the end first.

--- a/ctl/logscan/losses.go
+++ b/ctl/logscan/losses.go
@@ -153,10 +153,10 @@
 		s.sampleDone(l)
 	case "Try failed.":
 		s.attemptFailed(l)
-	case "Permit refused.":
+	case "Permit refused.", "No permit in time.":
 		s.permitRefused(l)
 	case "No broker.":
-		s.brokerMissing(l)
+		s.setLastFailure(l, CauseNoBroker)
 	case "Closing the connection of a caller that reads too slowly.":
 		s.slowReader(l)
 	case "Request failed.":
--- a/ctl/logscan/permits.go
+++ b/ctl/logscan/permits.go
@@ -19,16 +19,6 @@
 	s.setLastFailure(l, cause)
 }
 
-// brokerMissing records that a request was sent without a permit. If its time ended while it
-// was queued, the line says so by its error.
-func (s *Losses) brokerMissing(l *Line) {
-	cause := CauseNoBroker
-	if strings.HasPrefix(l.Error, "context ") {
-		cause = CauseNoPlace
-	}
-	s.setLastFailure(l, cause)
-}
-
 func (s *Losses) slowReader(l *Line) {
 	s.addLoss(l.At, slowAnswers, OutcomeFailed, CauseSlowReader, l.ID)
 	s.setLastFailure(l, CauseSlowReader)
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -228,6 +228,7 @@
 		case <-s.hedge.C:
 			s.startHedge(ctx)
 		case <-ctx.Done():
+			s.logNoPermit(s.asking)
 			return nil, s.contextError(ctx)
 		}
 	}
--- a/gateway/forward/permits.go
+++ b/gateway/forward/permits.go
@@ -130,6 +130,9 @@
 		if s.usePermit(ctx, a) {
 			return nil, nil, false
 		}
+	case a.err != nil && ctx.Err() != nil:
+		s.logNoPermit(s.asking + 1)
+		return nil, s.contextError(ctx), true
 	case a.err != nil:
 		s.withoutBroker = true
 		s.forwarder.log.Info("No broker.", zap.String("id", s.call.ID), zap.String("service", s.service), zap.Duration("took", a.took), zap.Error(a.err))
@@ -151,6 +154,16 @@
 	return s.finalFailure()
 }
 
+// logNoPermit logs that the call ended while it waited for the answers to some asks. A call with
+// an attempt in flight waited for a second one, which says nothing.
+func (s *callState) logNoPermit(asks int) {
+	if asks == 0 || s.inFlight > 0 {
+		return
+	}
+	s.forwarder.log.Info("No permit in time.", zap.String("id", s.call.ID), zap.String("service", s.service), zap.String("organisation", s.call.Organisation),
+		zap.Int("refusals", s.refusals), zap.Duration("took", time.Since(s.start)))
+}
+
 // usePermit starts the attempt that a permit allows, or asks for another one if its server is
 // not known here or leaves. It returns false if neither is allowed.
 func (s *callState) usePermit(ctx context.Context, a permitAnswer) bool {
--- a/gateway/forward/permits_test.go
+++ b/gateway/forward/permits_test.go
@@ -56,6 +56,32 @@
 	}, fields)
 }
 
+// waiter answers no ask.
+type waiter struct{}
+
+func (waiter) Acquire(ctx context.Context, _ string, _ decide.Ask) (*permits.Permit, *permits.Refusal, error) {
+	<-ctx.Done()
+	return nil, nil, ctx.Err()
+}
+
+// Load: a request waits for a place until its deadline. One line tells it, and none tells of a
+// broker that is away.
+func TestLineOnAWaitUntilTheDeadline(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 2)
+	p := pf.NewProcess(t)
+	f, lines := newSharing(p, waiter{})
+	for i := range 20 {
+		call := newCall(t, p, "r", "/score/x")
+		call.Deadline = time.Now().Add(5 * time.Millisecond)
+		_, err := f.Send(t.Context(), call)
+		require.NotNil(t, err)
+		require.True(t, err.NotRun())
+		require.Equal(t, i+1, lines.Len())
+		require.Equal(t, "No permit in time.", lines.All()[i].Message)
+	}
+	require.Empty(t, arrivals(pf.Servers))
+}
+
 // Guards against attempts whose lines don't tell which broker chose their server.
 func TestLineOnAnAttemptTellsItsPermit(t *testing.T) {
 	pf := gatewaytest.NewPlatform(t, 0, 2)
