--- a/gateway/forward/permits.go
+++ b/gateway/forward/permits.go
@@ -149,6 +149,9 @@
 		if s.usePermit(ctx, a) {
 			return nil, nil, false
 		}
+	case a.err != nil && ctx.Err() != nil:
+		s.logNoPermit(s.asking + 1)
+		return nil, s.contextError(ctx), true
 	case a.err != nil:
 		s.withoutBroker = true
 		s.forwarder.log.Info("No broker.", zap.String("id", s.call.ID), zap.String("service", s.service), zap.Duration("took", a.took), zap.Error(a.err))
@@ -157,7 +160,8 @@
 		}
 	default:
 		s.forwarder.log.Info("Permit refused.", zap.String("id", s.call.ID), zap.String("service", s.service), zap.String("organisation", s.call.Organisation),
-			zap.String("why", string(a.refusal.Kind)), zap.Duration("retry_after", a.refusal.RetryAfter), zap.Duration("wait", a.refusal.Wait), zap.Bool("hedge", a.noWait), zap.Duration("took", a.took))
+			zap.String("why", string(a.refusal.Kind)), zap.String("reason", a.refusal.Reason), zap.String("broker", a.refusal.Broker),
+			zap.Duration("retry_after", a.refusal.RetryAfter), zap.Duration("wait", a.refusal.Wait), zap.Bool("hedge", a.noWait), zap.Duration("took", a.took))
 		s.refusal = a.refusal
 	}
 	if a.noWait && s.inFlight > 0 {
@@ -172,13 +176,23 @@
 	return s.finalFailure()
 }
 
+// logNoPermit logs that the call ended while it waited for the answers to some asks. A call with
+// an attempt in flight waited for a second one, which says nothing.
+func (s *callState) logNoPermit(asks int) {
+	if asks == 0 || s.inFlight > 0 {
+		return
+	}
+	s.forwarder.log.Info("No permit in time.", zap.String("id", s.call.ID), zap.String("service", s.service), zap.String("organisation", s.call.Organisation),
+		zap.Int("refusals", s.refusals), zap.Duration("took", time.Since(s.start)))
+}
+
 // usePermit starts the attempt that a permit allows, or asks for another one if its server is
 // not known here or leaves. It returns false if neither is allowed; a suspect is at one server
 // at a time.
 func (s *callState) usePermit(ctx context.Context, a permitAnswer) bool {
 	server, known := s.forwarder.View.Current().Server(s.service, a.permit.Server)
 	if known && !server.Leaving && s.mayRepeat() && !s.isQuarantined() && (s.inFlight == 0 || !s.isSuspect()) {
-		c := choice{server: server, eligible: 1, listed: len(s.forwarder.View.Current().Servers[s.service]), reason: "permit: " + a.permit.Reason, permit: a.permit}
+		c := choice{server: server, eligible: 1, listed: len(s.forwarder.View.Current().Servers[s.service]), reason: "permit: " + a.permit.Reason, permit: a.permit, asked: a.took}
 		if s.inFlight > 0 {
 			hedges.Add(1)
 		}
@@ -208,6 +222,15 @@
 	return s.refuse(kind, "no place at a server in time; wait "+s.refusal.Wait.Round(time.Millisecond).String()).WithRetryAfter(max(s.refusal.RetryAfter, time.Millisecond))
 }
 
+// permitFields returns the fields of a log line on an attempt: which broker granted its permit
+// and how long that took.
+func permitFields(c *choice) []zap.Field {
+	if c.permit == nil {
+		return nil
+	}
+	return []zap.Field{zap.String("broker", c.permit.Broker), zap.Duration("waited", c.asked)}
+}
+
 // outcomeOf returns how an attempt ended, as evidence on its server.
 func outcomeOf(o *outcome) evidence.Outcome {
 	isUnsent := o.err != nil && o.notRun
--- a/gateway/forward/permits_test.go
+++ b/gateway/forward/permits_test.go
@@ -36,9 +36,10 @@
 	typical time.Duration // 0: unknown, so that asks wait however long the queue is
 }
 
-func (fixedEvidence) SetServers(time.Time, []evidence.Server) {}
-func (fixedEvidence) Record(time.Time, evidence.Sample)       {}
-func (e fixedEvidence) TypicalTime(string) time.Duration      { return e.typical }
+func (fixedEvidence) SetServers(time.Time, []evidence.Server)  {}
+func (fixedEvidence) Record(time.Time, evidence.Sample)        {}
+func (e fixedEvidence) TypicalTime(string) time.Duration       { return e.typical }
+func (fixedEvidence) Report(time.Time) []evidence.ServerReport { return nil }
 func (e fixedEvidence) Standing(time.Time, string, string) evidence.Standing {
 	return evidence.Standing{Limit: e.limit, Pace: 1}
 }
