decide/permits: half of the work for each group, and scores at slow servers while places are short

With half of the work they had their share of fast places, though nobody waits for a score but a step of seconds, and callers were refused for it.

Work is counted by pace. While callers are refused, calls of samples take slow servers first and have until their deadline.

--- a/decide/permits/broker.go
+++ b/decide/permits/broker.go
@@ -18,6 +18,8 @@
 	maxDeadline = time.Hour
 	// maxPriority bounds the number of priority classes that the queue keeps.
 	maxPriority = 15
+	// wholePlace is the share of a place at a typical server.
+	wholePlace = 1000
 	// maxTakenOver bounds the permits of earlier brokers.
 	maxTakenOver = 1 << 14
 )
@@ -58,6 +60,7 @@
 	internal     bool
 	takenOver    bool
 	cost         float64 // typical seconds
+	share        int     // of a typical server's place, in thousandths: less at a slow server
 	deadline     time.Time
 	expires      time.Time
 }
@@ -76,8 +79,8 @@
 	waiters   map[AskID]*waiter
 	lanes     lanes
 
-	internalInUse int
-	callersInUse  int
+	internalShare int // sums over the permits in use
+	callersShare  int
 	capacity      capacity
 	drain         drain
 	returns       returns
@@ -290,7 +293,7 @@
 func (b *Broker) grant(w *waiter, i int, why string) Decision {
 	b.hold(w.ID, &permit{
 		server: b.servers[i].ID, organisation: w.ticket().Caller, internal: w.Internal, cost: w.cost,
-		deadline: w.deadline, expires: w.deadline.Add(expiryGrace),
+		share: int(wholePlace / b.servers[i].standing.Pace), deadline: w.deadline, expires: w.deadline.Add(expiryGrace),
 	})
 	b.capacity.take(&b.servers[i])
 	return Decision{ID: w.ID, Kind: Granted, Server: b.servers[i].ID, Wait: b.now.Sub(w.arrived), Reason: why}
@@ -353,8 +356,8 @@
 	case p.takenOver:
 		b.takenOver += n
 	case p.internal:
-		b.internalInUse += n
+		b.internalShare += n * p.share
 	default:
-		b.callersInUse += n
+		b.callersShare += n * p.share
 	}
 }
--- a/decide/permits/broker_test.go
+++ b/decide/permits/broker_test.go
@@ -305,7 +305,7 @@
 		m.b.Tick(m.now)
 		require.Empty(t, m.b.permits)
 		require.Empty(t, m.b.orphans)
-		require.Zero(t, m.b.callersInUse+m.b.internalInUse+m.b.takenOver)
+		require.Zero(t, m.b.callersShare+m.b.internalShare+m.b.takenOver)
 		for _, s := range m.b.servers {
 			require.Zero(t, s.inUse)
 		}
--- a/decide/permits/load_test.go
+++ b/decide/permits/load_test.go
@@ -108,6 +108,23 @@
 	require.GreaterOrEqual(t, float64(scores.answered), 0.9*0.5*5*24/0.2, "%+v", scores)
 }
 
+// Load: a burst of callers beyond what the servers can do, while ten of sixteen are six times
+// slower, too slow for callers. Samples may have half of what the servers do, not of their places:
+// with their calls at slow servers only, steps would never get their scores. With their calls at
+// fast servers first, callers would be refused for scores for which there is time.
+func TestInternalCallsHaveHalfOfTheWork(t *testing.T) {
+	b, e := fleet(Config{}, times, paces(16, 10, 6)...)
+	r := newReplay(t, b, e)
+	r.offer(120*12, 10*second, lookup)
+	r.offer(88, 10*second, score)
+	r.run(10 * second)
+	o, scores := r.outcome(callers), r.outcome(internal)
+	t.Logf("%+v %+v", o, scores)
+	require.GreaterOrEqual(t, float64(scores.answered), 0.98*float64(scores.calls), "%+v", scores)
+	const beside = 10 * (6*slots - 88*0.2) / 0.025 // callers' answers beside all scores at fast servers
+	require.GreaterOrEqual(t, float64(o.inTime), 1.2*beside, "%+v", o)
+}
+
 // Load: all places are taken, and gateways ask again and again for a place for a second copy of
 // what runs. Guards against an operator or a scaler that takes these for demand.
 func TestRefusedHedgesAreNoDemand(t *testing.T) {
--- a/decide/permits/pick.go
+++ b/decide/permits/pick.go
@@ -181,6 +181,9 @@
 	if u == anyUse || b.missesObjective(w) {
 		return !b.now.Add(scale(w.typical, pace)).After(w.deadline)
 	}
+	if w.Internal && b.hasTimeToSpare(w, pace) {
+		return true
+	}
 	return !b.now.Add(scale(b.timeAt(w, pace), estimateMargin)).After(w.objective)
 }
 
@@ -205,10 +208,15 @@
 	return len(b.waiters) > 0 || 2*b.capacity.fastUse > b.capacity.fastPlaces
 }
 
-// hasTimeToSpare reports whether the request's objective is long for a server of this
-// pace.
+// hasTimeToSpare reports whether the request's objective is long for a server of this pace. While
+// callers are refused for lack of places, an internal request has until its deadline: nobody
+// waits for it but a step, which takes several times as long.
 func (b *Broker) hasTimeToSpare(w *waiter, pace float64) bool {
-	return w.typical > 0 && !b.now.Add(spareFactor*b.timeAt(w, pace)).After(w.objective)
+	until := w.objective
+	if w.Internal && b.isShort() {
+		until = w.deadline
+	}
+	return w.typical > 0 && !b.now.Add(spareFactor*b.timeAt(w, pace)).After(until)
 }
 
 // usefulShare returns which share of the servers' work is done by those that will still
--- a/decide/permits/queue.go
+++ b/decide/permits/queue.go
@@ -275,11 +275,11 @@
 }
 
 // grantNext grants a place to the first queued ask that can use one. Of internal calls
-// and callers the group with fewer places in use comes first, so that each has half
+// and callers the group for which less work is done comes first, so that each has half
 // while both wait.
 func (b *Broker) grantNext() (Decision, bool) {
 	order := [laneCount]lane{laneInternal, laneCallers, laneLate}
-	if b.callersInUse < b.internalInUse {
+	if b.callersShare < b.internalShare {
 		order = [laneCount]lane{laneCallers, laneInternal, laneLate}
 	}
 	for _, l := range order {
