gateway/front: the refusal of a body reaches callers that send all first

A body without room was refused at once and not read further. net/http closes such a connection 0.5 s later, which resets it if bytes are still coming: a caller that reads only after it has sent everything got a broken connection and could not know that its request had not run. Without memory_mb the body is read to its end, so that only the prepared machines were concerned.

Now the refusal is sent at once, as before, and what still arrives is discarded without room, until the caller pauses for 0.5 s, 10 s at most. Weighed: to read on before the refusal (it would come late for callers that read meanwhile). The request counts as in flight, and in the latency metric, until then.

TestCallerThatSendsAllFirstGetsItsRefusal failed before (broken pipe).

--- a/gateway/front/body.go
+++ b/gateway/front/body.go
@@ -19,6 +19,10 @@
 	// bodyRetryAfter is the retry delay suggested to callers whose body had no room. Most
 	// requests that hold a body are answered in this time.
 	bodyRetryAfter = 250 * time.Millisecond
+	// maxDiscardPause and maxDiscardTime bound how long the rest of a refused body is read: until
+	// its caller seems to have stopped, and no longer than requests are waited for by default.
+	maxDiscardPause = 500 * time.Millisecond
+	maxDiscardTime  = defaultDeadline
 )
 
 // readBody reads the request's body, which may have up to limit bytes; a limit of 0 or less means
@@ -49,6 +53,26 @@
 	return body, nil
 }
 
+// refuseBody writes the error of a body that was not read and returns the status. Then it discards what still arrives,
+// since a caller that reads only after it has sent everything would get a broken connection in place of the refusal.
+func (f *Front) refuseBody(w http.ResponseWriter, r *http.Request, refusal *kinds.Error, start time.Time) int {
+	status := f.writeError(w, r, refusal, start)
+	control := http.NewResponseController(w)
+	if f.Bodies == nil || r.Header.Get("Expect") != "" || control.Flush() != nil {
+		return status
+	}
+	buf := make([]byte, bodyStepBytes)
+	for end := time.Now().Add(maxDiscardTime); time.Now().Before(end); {
+		if control.SetReadDeadline(time.Now().Add(maxDiscardPause)) != nil {
+			break
+		}
+		if _, err := r.Body.Read(buf); err != nil {
+			break
+		}
+	}
+	return status
+}
+
 // readUnbounded reads a body of up to limit bytes.
 func readUnbounded(r *http.Request, limit int64) ([]byte, *kinds.Error) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
--- a/gateway/front/body_test.go
+++ b/gateway/front/body_test.go
@@ -197,3 +197,38 @@
 	}
 	waitEmpty(t, f)
 }
+
+// Guards against a refusal that is lost, so that the caller can't know that its request did not run: a caller that reads
+// only once it has sent all of its body gets the refusal as well.
+func TestCallerThatSendsAllFirstGetsItsRefusal(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 1)
+	f, url := newBoundedFront(t, pf, 1<<20)
+	require.True(t, f.Bodies.Acquire(1))
+	const length = 1 << 20 * 3 / 4
+	for _, chunked := range []bool{false, true} {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+		require.NoError(t, err)
+		require.NoError(t, conn.(*net.TCPConn).SetWriteBuffer(4096))
+		r, err := http.NewRequest(http.MethodPost, "http://app.example/write/x", io.LimitReader(slowZeros{}, length))
+		require.NoError(t, err)
+		r.Header.Set(hostedtest.HeaderAttempt, "r")
+		if !chunked {
+			r.ContentLength = length
+		}
+		require.NoError(t, r.Write(conn))
+		resp, err := http.ReadResponse(bufio.NewReader(conn), r)
+		require.NoError(t, err)
+		requireNotRun(t, resp)
+		require.NoError(t, conn.Close())
+	}
+	f.Bodies.Release(1)
+	waitEmpty(t, f)
+}
+
+// slowZeros is a source that takes 40 ms for each piece, for a body longer than net/http waits after an answer.
+type slowZeros struct{}
+
+func (slowZeros) Read(p []byte) (int, error) {
+	time.Sleep(40 * time.Millisecond)
+	return len(p), nil
+}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -142,7 +142,8 @@
 	defer room.Release()
 	body, failed := f.readBody(w, r, &room, snap.Table.Limits.BodyBytes, deadline)
 	if failed != nil {
-		return 0, failed
+		room.Release()
+		return f.refuseBody(w, r, failed, start), nil
 	}
 	if route.Kind == table.Batch {
 		return f.submitJob(w, r, route, organisation.Name, body, start)
