decide/permits: callers before calls of samples that have time left

They keep half of the work once half of their objective has passed, or a third of their deadline while places are short.

--- a/decide/permits/queue.go
+++ b/decide/permits/queue.go
@@ -274,28 +274,43 @@
 	return out
 }
 
-// grantNext grants a place to the first queued ask that can use one. Of internal calls
-// and callers the group for which less work is done comes first, so that each has half
-// while both wait.
+// grantNext grants a place to the first queued ask that can use one. Callers come first, since
+// they have little time, but internal calls whose time is running out have half of the work.
 func (b *Broker) grantNext() (Decision, bool) {
-	order := [laneCount]lane{laneInternal, laneCallers, laneLate}
-	if b.callersShare < b.internalShare {
-		order = [laneCount]lane{laneCallers, laneInternal, laneLate}
+	if b.internalShare <= b.callersShare {
+		if w, i, why := b.takeFrom(laneInternal, b.isUrgent); w != nil {
+			return b.grant(w, i, why), true
+		}
 	}
-	for _, l := range order {
-		if w, i, why := b.takeFrom(l); w != nil {
+	for _, l := range [laneCount]lane{laneCallers, laneInternal, laneLate} {
+		if w, i, why := b.takeFrom(l, anyWaiter); w != nil {
 			return b.grant(w, i, why), true
 		}
 	}
 	return Decision{}, false
 }
 
-// takeFrom takes the first ask of a lane that can use a free place, and returns the
-// place's server.
-func (b *Broker) takeFrom(l lane) (w *waiter, i int, why string) {
+func anyWaiter(*waiter) bool { return true }
+
+// isUrgent reports whether an internal ask has waited for half of its objective, or for a third of
+// its deadline while places are short. The rest is enough for the request and a second attempt.
+func (b *Broker) isUrgent(w *waiter) bool {
+	patience := w.Objective / 2
+	if b.isShort() {
+		patience = max(patience, w.Deadline/3)
+	}
+	return b.now.Sub(w.arrived) >= patience
+}
+
+// takeFrom takes the first ask of a lane that matches and can use a free place, and returns
+// the place's server.
+func (b *Broker) takeFrom(l lane, matches func(*waiter) bool) (w *waiter, i int, why string) {
 	var late []*waiter
 	it := b.lanes[l].Take(func(it *admit.Item) bool {
 		w := it.Tag.(*waiter)
+		if !matches(w) {
+			return false
+		}
 		if l == laneCallers && b.missesObjective(w) {
 			late = append(late, w)
 			return false
