decide/permits: a gateway gets servers that it is connected to

The broker prefers servers to which the gateway has an idle connection, by a cost as the old path's.

--- a/decide/permits/broker.go
+++ b/decide/permits/broker.go
@@ -78,6 +78,8 @@
 	takenOver int
 	waiters   map[AskID]*waiter
 	lanes     lanes
+	// connections are those of the gateways to the servers.
+	connections connections
 
 	internalShare int // sums over the permits in use
 	callersShare  int
@@ -105,6 +107,8 @@
 		orphans:  make(map[AskID]*permit),
 		waiters:  make(map[AskID]*waiter),
 		lanes:    newLanes(cfg),
+
+		connections: connections{},
 	}
 }
 
@@ -213,6 +217,7 @@
 		})
 	}
 	if r.Outcome == evidence.Answered {
+		b.connections.released(now, r.ID.Gateway, r.Server)
 		b.stats.observe(r.Took)
 		b.observeTime(r)
 	}
@@ -284,6 +289,7 @@
 			}
 		}
 	}
+	b.connections.expire(now)
 	b.refresh(now)
 	out := b.dispatch(nil)
 	return b.dispatch(append(out, b.sweep()...))
@@ -296,6 +302,7 @@
 		share: int(wholePlace / b.servers[i].standing.Pace), deadline: w.deadline, expires: w.deadline.Add(expiryGrace),
 	})
 	b.capacity.take(&b.servers[i])
+	b.connections.taken(w.ID.Gateway, b.servers[i].ID)
 	return Decision{ID: w.ID, Kind: Granted, Server: b.servers[i].ID, Wait: b.now.Sub(w.arrived), Reason: why}
 }
 
--- a/decide/permits/pick.go
+++ b/decide/permits/pick.go
@@ -196,6 +196,9 @@
 	if s.Domain != w.Domain {
 		load += otherDomainCost
 	}
+	if !b.connections.has(b.now, w.ID.Gateway, s.ID) {
+		load += connectCost
+	}
 	took := st.Pace * (1 + load)
 	if st.Pace > b.capacity.slow && b.isContended() && b.hasTimeToSpare(w, st.Pace) {
 		return -1 / took
