--- a/gateway/backend/backend.go
+++ b/gateway/backend/backend.go
@@ -92,7 +92,8 @@
 // Pool keeps connections to any number of servers. It is safe for concurrent use.
 type Pool struct {
 	requestID RequestIDFunc
-	dial      func(ctx context.Context, addr string) (net.Conn, error)
+	// Dial opens a connection to addr (IP:port). It is set before the first use.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by server address, the newest last
@@ -103,7 +104,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Pool{
 		requestID: requestID,
-		dial: func(ctx context.Context, addr string) (net.Conn, error) {
+		Dial: func(ctx context.Context, addr string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", addr)
 		},
 		idle: map[string][]*conn{},
@@ -206,7 +207,7 @@
 		}
 		_ = c.Close()
 	}
-	raw, err := p.dial(ctx, addr)
+	raw, err := p.Dial(ctx, addr)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -255,7 +256,7 @@
 func (p *Pool) ServerEnded(ctx context.Context, addr string) bool {
 	ctx, cancel := context.WithTimeout(ctx, endedCheckTimeout)
 	defer cancel()
-	raw, err := p.dial(ctx, addr)
+	raw, err := p.Dial(ctx, addr)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		serversEnded.Add(1)
