--- a/soak/burst_test.go
+++ b/soak/burst_test.go
@@ -211,8 +211,10 @@
 	return arrivals, turnedAway
 }
 
-// verifyMemory checks the most memory that each gateway had since its start.
-func (sys *system) verifyMemory(rec *record) {
+// verifyMemory checks the most memory that each gateway had since its start, and returns the
+// highest, kB.
+func (sys *system) verifyMemory(rec *record) int {
+	peak := 0
 	for _, g := range sys.gatewayProcs {
 		g.mu.Lock()
 		pid := g.cmd.Process.Pid
@@ -225,5 +227,7 @@
 		if kB > gatewayMemoryMB*1000 {
 			rec.reportViolation("%s had %d kB of memory", g.name, kB)
 		}
+		peak = max(peak, kB)
 	}
+	return peak
 }
--- a/soak/crashing_test.go
+++ b/soak/crashing_test.go
@@ -122,6 +122,7 @@
 		}
 		id := fmt.Sprintf("%s-%d", uri, n)
 		status, _, body := c.ask(ctx, c.randomGateway(), http.MethodPost, path, id, []byte("b"))
+		c.rec.addOutcome(id, outcome{status: status})
 		if status == http.StatusOK && (path == uri || string(body) != "answer to "+id) {
 			c.rec.reportViolation("request %s of %s got %q", id, path, body)
 		}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -42,13 +42,16 @@
 func (in *injector) injectPermitFault() {
 	duration := in.randomDuration(200*time.Millisecond, 2*time.Second)
 	broker, s := in.sys.broker(), in.sys.services[in.rng.IntN(len(in.sys.services))]
-	switch in.rng.IntN(4) {
+	switch in.rng.IntN(5) {
 	case 0:
 		in.restart(broker, syscall.SIGKILL, duration/2)
 	case 1:
 		in.suspend(broker, duration)
 	case 2:
 		in.failServer(s, hostedtest.ServerFaults{FailEvery: 2}, duration)
+	case 3: // requests that run lose their answers
+		in.log("reset %s", s.ID)
+		in.sys.linkTo(s).reset()
 	default:
 		in.failServer(s, hostedtest.ServerFaults{Slowdown: 5}, duration)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -125,12 +125,12 @@
 	sys.waitForKeys(rec, seed)
 	sys.verifyUsage(rec)
 	sys.verifyRecord(rec)
-	sys.verifyMemory(rec)
+	peak := sys.verifyMemory(rec)
 	sys.stopAll()
 	if len(rec.violations) > 0 {
 		t.Errorf("seed %d:\n%s\nfaults:\n%s", seed, strings.Join(rec.violations, "\n"), strings.Join(faults, "\n"))
 	}
-	t.Logf("seed %d: %d faults, %d jobs, %d requests served, %d sent, servers crashed by requests: %v; %s", seed, len(faults), len(rec.accepted), rec.served, len(rec.outcomes), sys.crashing.crashes, overload)
+	t.Logf("seed %d: %d faults, %d jobs, %d requests served, %d sent, servers crashed by requests: %v; %s; memory up to %d kB", seed, len(faults), len(rec.accepted), rec.served, len(rec.outcomes), sys.crashing.crashes, overload, peak)
 }
 
 // waitServing waits until every gateway has served a request.
@@ -210,7 +210,7 @@
 // verifyOutcomes compares the answers to requests with the servers' runs.
 func (sys *system) verifyOutcomes(rec *record) {
 	runs := map[string]int{}
-	for _, s := range sys.services {
+	for _, s := range append(sys.crashing.allEverStarted(), sys.services...) {
 		for _, a := range s.Arrivals() {
 			if a.Executed {
 				runs[a.ID]++
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -102,6 +103,11 @@
 	sys.store.Put(hostedtest.TopicServers, s.ID, s.Entry("ready"))
 }
 
+// linkTo returns the link to a server.
+func (sys *system) linkTo(s *hostedtest.Server) *link {
+	return sys.links[slices.IndexFunc(sys.links, func(l *link) bool { return l.name == s.ID })]
+}
+
 // heartbeat writes the servers' entries again, as real servers do regularly.
 func (sys *system) heartbeat() {
 	for _, s := range append(append([]*hostedtest.Server(nil), sys.engines...), sys.services...) {
