gateway/forward: one line for a call that ended while it waited; hedges elsewhere as before

Two mends of the same race stood one behind the other, so that the line on the permit was never written. The bound on refusals before a hedge applies to shared services only, as hedges of others fire once.

--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -240,12 +240,12 @@
 // service it does so only if a place is free.
 func (s *callState) startHedge(ctx context.Context) {
 	switch {
-	case !s.mayRepeat() || s.isSuspect() || s.refusals > s.maxRefusals():
+	case !s.mayRepeat() || s.isSuspect():
 	case !s.isShared():
 		if s.launch(ctx) {
 			hedges.Add(1)
 		}
-	case s.inFlight > 0 && s.asking == 0:
+	case s.inFlight > 0 && s.asking == 0 && s.refusals <= maxRefusals:
 		s.acquire(ctx, true)
 	}
 }
--- a/gateway/forward/permits.go
+++ b/gateway/forward/permits.go
@@ -144,14 +144,12 @@
 		if a.permit != nil {
 			returnUnused(a.permit)
 		}
+		s.logNoPermit(s.asking + 1)
 		return nil, s.contextError(ctx), true
 	case a.permit != nil:
 		if s.usePermit(ctx, a) {
 			return nil, nil, false
 		}
-	case a.err != nil && ctx.Err() != nil:
-		s.logNoPermit(s.asking + 1)
-		return nil, s.contextError(ctx), true
 	case a.err != nil:
 		s.withoutBroker = true
 		s.forwarder.log.Info("No broker.", zap.String("id", s.call.ID), zap.String("service", s.service), zap.Duration("took", a.took), zap.Error(a.err))
