--- a/gateway/backend/backend_test.go
+++ b/gateway/backend/backend_test.go
@@ -69,8 +69,13 @@
 	return &Request{Method: "POST", URI: "/a?b=c", Host: "h", Header: http.Header{"X-Id": {id}}, Body: []byte("body"), ID: id}
 }
 
+// newPool returns a pool that waits for connections for as long as the test: none of the tests is
+// about the time that a connection takes, which is long on a busy machine.
 func newPool(t *testing.T) *Pool {
 	p := NewPool(requestID)
+	p.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	}
 	t.Cleanup(func() { p.Retain(nil) })
 	return p
 }
