gateway/forward: which services are shared is read without a lock

Each request took a mutex to learn whether its service is shared, on all deployments with permits.listen set. What is derived from a routing table is published whole now and swapped with it; only the times that callers state still have a lock, and only requests to shared services take it. Behaviour stays: tests unchanged.

--- a/gateway/forward/permits.go
+++ b/gateway/forward/permits.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -38,10 +39,15 @@
 type sharing struct {
 	permits     Permits
 	maxPatience float64
+	current     atomic.Pointer[sharedServices] // nil before the first request
+}
+
+// sharedServices is what one version of the routing table says of shared services.
+type sharedServices struct {
+	table  *table.Table
+	shared map[string]bool
 
 	mu      sync.Mutex
-	table   *table.Table // for which the following fields are valid
-	shared  map[string]bool
 	longest map[string]time.Duration // longest time that a caller stated, by route
 }
 
@@ -58,20 +64,17 @@
 
 // isShared reports whether the service is shared according to the table; never if s is nil.
 func (s *sharing) isShared(t *table.Table, service string) bool {
-	if s == nil || t == nil {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.update(t)
-	return s.shared[service]
+	return s != nil && t != nil && s.servicesOf(t).shared[service]
 }
 
-// update derives what depends on the table; s.mu is held.
-func (s *sharing) update(t *table.Table) {
-	if s.table != t {
-		s.table, s.shared, s.longest = t, permits.SharedServices(t, s.maxPatience), map[string]time.Duration{}
+// servicesOf returns what the table says, which is derived once for each table.
+func (s *sharing) servicesOf(t *table.Table) *sharedServices {
+	if current := s.current.Load(); current != nil && current.table == t {
+		return current
 	}
+	derived := &sharedServices{table: t, shared: permits.SharedServices(t, s.maxPatience), longest: map[string]time.Duration{}}
+	s.current.Store(derived)
+	return derived
 }
 
 // sinceFirstAttempt returns how long ago a caller made its first attempt: a caller states the
@@ -84,11 +87,11 @@
 	if r.Timeout > 0 {
 		stated = min(stated, r.Timeout)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.update(t)
-	s.longest[r.Name] = max(s.longest[r.Name], stated)
-	return s.longest[r.Name] - stated
+	services := s.servicesOf(t)
+	services.mu.Lock()
+	defer services.mu.Unlock()
+	services.longest[r.Name] = max(services.longest[r.Name], stated)
+	return services.longest[r.Name] - stated
 }
 
 // ask describes the call's request to the broker.
