--- a/decide/permits/queue.go
+++ b/decide/permits/queue.go
@@ -181,7 +181,10 @@
 	if w.lane == laneLate {
 		return nil
 	}
-	other := laneInternal + laneCallers - w.lane
+	other := laneCallers
+	if w.lane == laneCallers {
+		other = laneInternal
+	}
 	half := b.cfg.MaxQueue / 2
 	from := laneLate
 	if b.lanes[laneLate].Waiting() == 0 {
