--- a/ctl/logs.go
+++ b/ctl/logs.go
@@ -18,6 +18,13 @@
 // maxPaths is the maximum number of arguments of the commands that read logs.
 const maxPaths = 10_000
 
+// reportDropped says how many of what was read were left out for lack of room.
+func (t *tool) reportDropped(what string, n int) {
+	if n > 0 {
+		fmt.Fprintf(t.stderr, "%d %s found no room and are left out\n", n, what)
+	}
+}
+
 func (t *tool) traceCommand() *ffcli.Command {
 	set := t.flagSet("trace")
 	asJSON := set.Bool("json", false, "print JSON")
@@ -28,9 +35,7 @@
 			if err != nil {
 				return err
 			}
-			if tracer.Dropped > 0 {
-				fmt.Fprintf(t.stderr, "%d lines found no room and are left out\n", tracer.Dropped)
-			}
+			t.reportDropped("lines", tracer.Dropped)
 			if *asJSON {
 				return t.printJSON(struct {
 					ID        string             `json:"id"`
@@ -61,9 +66,7 @@
 					return errors.Trace(err)
 				}
 			}
-			if losses.Dropped > 0 {
-				fmt.Fprintf(t.stderr, "%d samples or rows found no room and are left out\n", losses.Dropped)
-			}
+			t.reportDropped("samples or rows", losses.Dropped)
 			if *asJSON {
 				return t.printJSON(struct {
 					Losses   []logscan.Loss   `json:"losses"`
--- a/ctl/permits.go
+++ b/ctl/permits.go
@@ -21,9 +21,7 @@
 			if err != nil {
 				return err
 			}
-			if places.Dropped > 0 {
-				fmt.Fprintf(t.stderr, "%d lines found no room and are left out\n", places.Dropped)
-			}
+			t.reportDropped("lines", places.Dropped)
 			if *asJSON {
 				return t.printJSON(struct {
 					Services []logscan.ServicePlaces `json:"services"`
