View of places: regions, evacuations and cold servers reach all senders

Now the view keeps, by failure domain, the newest record and its offset: records of older lists, copies and parents change nothing, and the complete list ends what it lacks, because a missed removal would keep a failure domain out of use for good. A list that stands in for changes (more was written than one read returns) is marked as a list, since it carries no removals.

--- a/decide/members/members.go
+++ b/decide/members/members.go
@@ -24,11 +24,23 @@
 	FailureDomain string
 	Slots         int
 	Leaving       bool
+	// Region is the region of FailureDomain; empty: unknown.
+	Region string
+	// Evacuated means that the operator evacuates FailureDomain: nothing new may be sent
+	// to the server. What runs there may end.
+	Evacuated bool
+	// ColdLeft is how much longer the server is cold, as of its entry; ColdUntil is when that
+	// ends by the clock of this process, zero if it was not cold. A server may become cold again at any moment.
+	ColdLeft  time.Duration
+	ColdUntil time.Time
 	// Versions is the weight version of each model that the server has
 	// loaded, as of its last entry; empty for services that are not engines.
 	Versions map[string]uint64
 }
 
+// TakesWork reports whether new work may be sent to the server.
+func (s *Server) TakesWork() bool { return !s.Leaving && !s.Evacuated }
+
 // DefaultGracePeriod is how long after an outage of the store a server
 // whose entry lapsed in the outage may take to write it again: about two seconds,
 // as the requirements state, and the jitter of a heartbeat.
--- a/decide/permits/permits.go
+++ b/decide/permits/permits.go
@@ -82,7 +82,7 @@
 	Name    string // may stay the same across restarts
 	Domain  string // failure domain
 	Slots   int
-	Leaving bool
+	Leaving bool // it takes no new work: it leaves, or its failure domain is evacuated
 }
 
 // Evidence is what is known of the servers. *evidence.Pool implements it.
--- a/decide/route/route.go
+++ b/decide/route/route.go
@@ -28,7 +28,7 @@
 	FailureDomain string
 	Distance      Distance
 	Ready         bool
-	Leaving       bool
+	Leaving       bool // it takes no new work: it leaves, or its failure domain is evacuated
 	Ejected       bool
 	Version       uint64 // weight version; 0: none
 	Slots         int
--- a/decide/table/organisations.go
+++ b/decide/table/organisations.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"strings"
 	"unicode"
+
+	"dandelionsill.org/decide/residency"
 )
 
 // KeyHash is the digest of a caller's key. The keys themselves are not stored.
@@ -27,6 +29,8 @@
 	// Priority overrides the priority of the route; nil: the organisation has none.
 	Priority *int
 	Keys     []KeyHash
+	// Regions are the regions in which the organisation's requests may be served.
+	Regions residency.Regions
 }
 
 // PriorityOr returns the organisation's priority, or the route's if it has none.
--- a/decide/table/table.go
+++ b/decide/table/table.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"dandelionsill.org/decide/residency"
 )
 
 // Kind is the kind of a route's requests; it determines which of them may be repeated.
@@ -47,6 +49,8 @@
 	LatencyObjective time.Duration // an answer that takes longer is worth less to the caller
 	Priority         int           // 0 is the most urgent
 	Public           bool          // callers need no key
+	// Regions are the regions in which the route's requests may be served.
+	Regions residency.Regions
 
 	Resumable     bool          // a broken stream may be resumed at another server
 	SingleVersion bool          // all of a sample is made with the same weight version
@@ -91,6 +95,15 @@
 	// Scaling bounds the number of servers that this system may order; nil: the number
 	// is not changed.
 	Scaling *Scaling
+	// Cold describes servers that have just started; nil: they need no care.
+	Cold *Cold
+}
+
+// Cold bounds what a server takes that is cold: one that has just started, or has lost what it had
+// warmed up. It ends at a much higher rate.
+type Cold struct {
+	Duration time.Duration // for which a server is cold after its start
+	Rate     float64       // requests a second that a cold server takes, of all processes together
 }
 
 // Scaling bounds the number of a service's servers. Min equal to Max fixes it.
--- a/gateway/forward/permits.go
+++ b/gateway/forward/permits.go
@@ -192,7 +192,7 @@
 // at a time.
 func (s *callState) usePermit(ctx context.Context, a permitAnswer) bool {
 	server, known := s.forwarder.View.Current().Server(s.service, a.permit.Server)
-	if known && !server.Leaving && s.mayRepeat() && !s.isQuarantined() && (s.inFlight == 0 || !s.isSuspect()) {
+	if known && server.TakesWork() && s.mayRepeat() && !s.isQuarantined() && (s.inFlight == 0 || !s.isSuspect()) {
 		c := choice{server: server, eligible: 1, listed: len(s.forwarder.View.Current().Servers[s.service]), reason: "permit: " + a.permit.Reason, permit: a.permit, asked: a.took}
 		if s.inFlight > 0 {
 			hedges.Add(1)
@@ -201,7 +201,7 @@
 		return true
 	}
 	returnUnused(a.permit)
-	s.forwarder.log.Info("Permit not used.", zap.String("id", s.call.ID), zap.String("server", a.permit.Server), zap.Bool("known", known), zap.Bool("leaving", server.Leaving))
+	s.forwarder.log.Info("Permit not used.", zap.String("id", s.call.ID), zap.String("server", a.permit.Server), zap.Bool("known", known), zap.Bool("leaving", server.Leaving), zap.Bool("evacuated", server.Evacuated))
 	s.asked = append(s.asked, a.permit.Server)
 	s.refusals++
 	if a.noWait || s.refusals > maxRefusals || !s.mayRepeat() || s.isQuarantined() || s.inFlight > 0 && s.isSuspect() {
--- a/gateway/forward/stats.go
+++ b/gateway/forward/stats.go
@@ -46,7 +46,7 @@
 			FailureDomain: s.FailureDomain,
 			Distance:      distance(domain, s.FailureDomain),
 			Ready:         true,
-			Leaving:       s.Leaving,
+			Leaving:       !s.TakesWork(),
 			Ejected:       ejected[s.ID],
 			Slots:         s.Slots,
 			OwnLoad:       st.inFlight[s.ID],
--- a/gateway/jobs/placing.go
+++ b/gateway/jobs/placing.go
@@ -189,7 +189,7 @@
 	out := make([]place.Engine, 0, len(servers))
 	usable := make(map[string]members.Server, len(servers))
 	for _, s := range servers {
-		if s.Leaving || now.Before(r.excludedUntil[s.ID]) {
+		if !s.TakesWork() || now.Before(r.excludedUntil[s.ID]) {
 			continue
 		}
 		usable[s.ID] = s
--- a/gateway/permits/broker.go
+++ b/gateway/permits/broker.go
@@ -239,7 +239,7 @@
 	var own []decide.Server
 	for _, s := range servers {
 		if b.key.has(s) {
-			own = append(own, decide.Server{ID: s.ID, Name: s.Name, Domain: s.FailureDomain, Slots: s.Slots, Leaving: s.Leaving})
+			own = append(own, decide.Server{ID: s.ID, Name: s.Name, Domain: s.FailureDomain, Slots: s.Slots, Leaving: !s.TakesWork()})
 		}
 	}
 	b.deliver(now, b.decider.SetServers(now, own))
--- a/gateway/server/follow.go
+++ b/gateway/server/follow.go
@@ -9,6 +9,7 @@
 	"dandelionsill.org/base/boottime"
 	"dandelionsill.org/base/logs"
 	decide "dandelionsill.org/decide/fanout"
+	"dandelionsill.org/decide/topology"
 	"dandelionsill.org/gateway/fanout"
 	gatewayjobs "dandelionsill.org/gateway/jobs"
 	"dandelionsill.org/gateway/view"
@@ -59,8 +60,9 @@
 }
 
 // newView returns a view of the store's feeds.
-func (s *followedStore) newView(log *zap.Logger) *view.View {
+func (s *followedStore) newView(topology *topology.Topology, log *zap.Logger) *view.View {
 	v := view.New(hosted.NewFeeds(s.Store, s.tail), logs.Part(log, "view"))
+	v.Topology = topology
 	v.MinReadInterval = func() time.Duration { return s.readInterval(processesPerGateway) }
 	v.SnapshotInterval = func() time.Duration {
 		if s.tail.Mode() == fanout.ModeAll {
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -73,7 +73,7 @@
 	peers := newPeers(store, self, log)
 	processCount := func() int { return len(peers.Addrs()) + 1 }
 	followed := newFollowedStore(store, peers, self, cfg.Store.ReadsPerS, log)
-	v := followed.newView(log)
+	v := followed.newView(cfg.Topology.parse(), log)
 	v.UseCopies = true
 	pool := backend.NewPool(hosted.AttemptID)
 	forwarder := forward.New(v, pool, cfg.Process.FailureDomain, logs.Part(log, "forward"))
--- a/gateway/server/settings.go
+++ b/gateway/server/settings.go
@@ -10,14 +10,30 @@
 
 	"dandelionsill.org/base/settings"
 	"dandelionsill.org/base/trace"
+	"dandelionsill.org/decide/topology"
 	"dandelionsill.org/platform/hosted"
 )
 
 // Common holds the settings of both processes.
 type Common struct {
-	Process Process
-	Store   Store
-	Trace   trace.Config
+	Process  Process
+	Store    Store
+	Topology Topology
+	Trace    trace.Config
+}
+
+// Topology holds where the deployment's failure domains are.
+type Topology struct {
+	Regions []string `ini:"topology.regions" help:"region of each failure domain, as FAILURE_DOMAIN:REGION; empty: not told, and distances between regions are not considered"`
+}
+
+// parse returns the topology. The settings have been validated.
+func (t *Topology) parse() *topology.Topology {
+	parsed, err := topology.Parse(t.Regions)
+	if err != nil {
+		return nil
+	}
+	return parsed
 }
 
 // Process holds the identity of the process and its general settings.
@@ -45,6 +61,9 @@
 	if _, err := netip.ParseAddrPort(c.Store.Address); err != nil {
 		return errors.Errorf("store.address: %q is not IP:port", c.Store.Address)
 	}
+	if _, err := topology.Parse(c.Topology.Regions); err != nil {
+		return errors.Annotate(err, "topology.regions")
+	}
 	return errors.Trace(c.Trace.Validate())
 }
 
@@ -55,6 +74,14 @@
 	VM      VM
 	Duties  Duties
 	Permits Permits
+	Cold    Cold
+}
+
+// Cold holds by how much the rate at which a cold server takes requests may be exceeded in one
+// second.
+type Cold struct {
+	Excess float64 `ini:"cold.excess" default:"1" min:"1" max:"1000" help:"in one second, a cold server takes its rate times this, and the slack"`
+	Slack  float64 `ini:"cold.slack" default:"0" min:"0" max:"1000000" help:"requests beyond it that a cold server takes in one second"`
 }
 
 // Permits holds the settings of permits, by which all gateways share the places at the servers of
--- a/gateway/view/copies.go
+++ b/gateway/view/copies.go
@@ -91,5 +91,5 @@
 	f.copyRead = true
 	copiesUsed.Add(1)
 	f.view.log.Warn("Using a copy of the feed, because the feed can't be read.", zap.Stringer("feed", f.feed), zap.Int("records", len(changes)))
-	f.view.replaceAll(f.feed, changes)
+	f.view.replaceAll(f.feed, platform.FeedPage{Changes: changes, IsList: true})
 }
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"dandelionsill.org/base/sleep"
 	"dandelionsill.org/decide/members"
 	"dandelionsill.org/decide/table"
+	"dandelionsill.org/decide/topology"
 	"dandelionsill.org/gateway/signal"
 	"dandelionsill.org/platform"
 )
@@ -59,6 +61,9 @@
 	TableAppliedAt time.Time                   // when this process applied Table
 	Servers        map[string][]members.Server // by service
 	Versions       map[string]uint64           // newest named version, by model
+	// Evacuated holds the failure domains that the operator evacuates, with the time when this
+	// process learnt of it.
+	Evacuated map[string]time.Time
 	// OperatorOffset is the highest offset read of the operator's feed. It only grows,
 	// and offsets are the same in every process, so that it serves as a fencing token.
 	OperatorOffset uint64
@@ -90,6 +95,8 @@
 	// SnapshotInterval returns the time between two reads of a feed's complete list; nil means
 	// DefaultSnapshotInterval. It is set before Run.
 	SnapshotInterval func() time.Duration
+	// Topology says in which region each failure domain lies; nil: unknown. It is set before Run.
+	Topology *topology.Topology
 
 	feeds      platform.Feeds
 	log        *zap.Logger
@@ -101,14 +108,15 @@
 	operatorReadAt atomic.Int64
 	started        time.Time
 
-	current atomic.Pointer[Snapshot]
-	mu      sync.Mutex // guards servers and the creation of snapshots
-	servers *members.Set
+	current     atomic.Pointer[Snapshot]
+	mu          sync.Mutex // guards what follows and the creation of snapshots
+	servers     *members.Set
+	evacuations map[string]evacuation // by failure domain
 }
 
 // New returns a view with an empty snapshot.
 func New(feeds platform.Feeds, log *zap.Logger) *View {
-	v := &View{feeds: feeds, log: log, now: time.Now, started: time.Now(), servers: members.New(members.DefaultGracePeriod)}
+	v := &View{feeds: feeds, log: log, now: time.Now, started: time.Now(), servers: members.New(members.DefaultGracePeriod), evacuations: map[string]evacuation{}}
 	v.operatorReadAt.Store(neverRead)
 	v.current.Store(&Snapshot{Servers: map[string][]members.Server{}, Versions: map[string]uint64{}})
 	return v
@@ -198,7 +206,7 @@
 		}
 		f.feedRead = true
 		f.recordSuccess()
-		v.replaceAll(feed, page.Changes)
+		v.replaceAll(feed, page)
 		v.recordRead(feed, start.Add(-page.Age))
 		if !isContinued {
 			next = page.Next
@@ -233,7 +241,11 @@
 			return 0, false
 		}
 		f.recordSuccess()
-		f.view.apply(f.feed, page.Changes)
+		if page.IsList {
+			f.view.replaceAll(f.feed, page)
+		} else {
+			f.view.apply(f.feed, page.Changes)
+		}
 		f.view.recordRead(f.feed, sent.Add(-page.Age))
 		next = page.Next
 		if f.view.MinReadInterval != nil {
@@ -276,18 +288,18 @@
 }
 
 // replaceAll applies the complete list of a feed's records.
-func (v *View) replaceAll(feed platform.Feed, changes []platform.Change) {
+func (v *View) replaceAll(feed platform.Feed, list platform.FeedPage) {
 	if feed == platform.FeedOperator {
-		v.apply(feed, changes)
+		v.applyOperatorRecords(list.Changes, list.Next)
 		return
 	}
-	servers := make([]members.Server, 0, len(changes))
-	for _, c := range changes {
+	servers := make([]members.Server, 0, len(list.Changes))
+	for _, c := range list.Changes {
 		switch {
 		case c.Err != nil:
 			v.logUnreadable(feed, c)
 		case c.Server != nil:
-			servers = append(servers, *c.Server)
+			servers = append(servers, v.received(*c.Server))
 		}
 	}
 	v.mu.Lock()
@@ -301,20 +313,64 @@
 	if len(changes) == 0 {
 		return
 	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
 	if feed == platform.FeedServers {
+		v.mu.Lock()
+		defer v.mu.Unlock()
 		v.applyServers(changes)
 		return
 	}
+	v.applyOperatorRecords(changes, 0)
+}
+
+// applyOperatorRecords applies records of the operator's feed. If they are the complete list of the
+// records before an offset, what is not listed has been removed; 0: they are no complete list.
+func (v *View) applyOperatorRecords(changes []platform.Change, completeBefore uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	next := *v.current.Load()
 	for _, c := range changes {
 		v.applyOperator(&next, c)
 	}
+	v.endUnlisted(&next, changes, completeBefore)
+	next.Servers = markServers(next.Servers, next.Evacuated)
 	v.current.Store(&next)
 	v.Changed.Notify()
 }
 
+// received returns a server's entry as this process received it now.
+func (v *View) received(server members.Server) members.Server {
+	server.Region = v.Topology.RegionOf(server.FailureDomain)
+	if server.ColdLeft > 0 {
+		server.ColdUntil = v.now().Add(server.ColdLeft)
+	}
+	return server
+}
+
+// markServers returns the servers of all services, marked as evacuated if their failure domain
+// is. Lists in which nothing changes are kept.
+func markServers(byService map[string][]members.Server, evacuated map[string]time.Time) map[string][]members.Server {
+	marked := make(map[string][]members.Server, len(byService))
+	for service, servers := range byService {
+		marked[service] = markEvacuated(servers, evacuated)
+	}
+	return marked
+}
+
+func markEvacuated(servers []members.Server, evacuated map[string]time.Time) []members.Server {
+	out := servers
+	for i, s := range servers {
+		_, isEvacuated := evacuated[s.FailureDomain]
+		if s.Evacuated == isEvacuated {
+			continue
+		}
+		if &out[0] == &servers[0] {
+			out = slices.Clone(servers)
+		}
+		out[i].Evacuated = isEvacuated
+	}
+	return out
+}
+
 // applyServers applies changes of server entries; mu is held.
 func (v *View) applyServers(changes []platform.Change) {
 	for _, c := range changes {
@@ -324,7 +380,7 @@
 			v.servers.Remove(c.RemovedServer, v.now())
 		case c.Server != nil:
 			v.logServer(*c.Server)
-			v.servers.Put(*c.Server)
+			v.servers.Put(v.received(*c.Server))
 		case c.RemovedServer != "":
 			v.log.Info("A backend server's entry was removed.", zap.String("server", c.RemovedServer), zap.Uint64("offset", c.Offset))
 			v.servers.Remove(c.RemovedServer, v.now())
@@ -357,6 +413,8 @@
 		v.log.Info("A configuration is in force.", zap.Uint64("version", c.Table.Version), zap.Uint64("offset", c.Offset),
 			zap.Int("routes", len(c.Table.Routes)), zap.Bool("keys", c.Table.Organisations != nil))
 		v.logIgnored(c.Table)
+	case c.Evacuation != nil:
+		v.applyEvacuation(next, c.Offset, c.Evacuation)
 	case c.Version != nil && c.Version.Version > next.Versions[c.Version.Model]:
 		versions := make(map[string]uint64, len(next.Versions)+1)
 		for model, version := range next.Versions {
@@ -385,7 +443,7 @@
 // publishServers publishes a snapshot with the current servers; mu is held.
 func (v *View) publishServers() {
 	next := *v.current.Load()
-	next.Servers = v.servers.ByService()
+	next.Servers = markServers(v.servers.ByService(), next.Evacuated)
 	v.current.Store(&next)
 	v.Changed.Notify()
 }
