--- a/decide/residency/residency.go
+++ b/decide/residency/residency.go
@@ -38,6 +38,16 @@
 	return both
 }
 
+// Binding returns the regions in which work may be served now that was accepted under earlier
+// ones: those that both allow. If there are none, the newer ones bind, as the earlier ones are no
+// longer in force and the work could not be served anywhere.
+func Binding(earlier, now Regions) Regions {
+	if both := earlier.And(now); !both.AllowsNone() {
+		return both
+	}
+	return now
+}
+
 // Allows reports whether a region is allowed. An unknown region, "", is allowed only if every
 // region is.
 func (r Regions) Allows(region string) bool {
--- a/decide/route/filters.go
+++ b/decide/route/filters.go
@@ -12,6 +12,7 @@
 	StageDomain   = "domain"
 	StageCapacity = "capacity"
 	StageRoom     = "room"
+	StageRegions  = "regions"
 )
 
 // Ready keeps servers that accept work according to their latest report.
@@ -74,6 +75,12 @@
 // Keep implements Filter.
 func (HasRoom) Keep(_ *Request, c *Candidate) bool { return !c.Full }
 
+// InRegions keeps servers in the request's allowed regions.
+type InRegions struct{}
+
+// Keep implements Filter.
+func (InRegions) Keep(r *Request, c *Candidate) bool { return r.Regions.Allows(c.Region) }
+
 // HardStages returns the filters that are never skipped, in order. If one leaves
 // no candidate, the request is refused.
 func HardStages() []Stage {
--- a/decide/route/route.go
+++ b/decide/route/route.go
@@ -7,6 +7,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"dandelionsill.org/decide/residency"
 )
 
 // Distance is the network distance between an entry and a server.
@@ -26,6 +28,7 @@
 	Name          string
 	Hash          uint64 // Hash(Name), for rendezvous hashing
 	FailureDomain string
+	Region        string // of FailureDomain; empty: unknown
 	Distance      Distance
 	Ready         bool
 	Leaving       bool // it takes no new work: it leaves, or its failure domain is evacuated
@@ -75,6 +78,8 @@
 	// TriedDomains the failure domains of those that failed.
 	Tried        map[string]bool
 	TriedDomains map[string]bool
+	// Regions are the regions in which the request may be served.
+	Regions residency.Regions
 }
 
 // Filter excludes candidates.
--- a/decide/table/organisations.go
+++ b/decide/table/organisations.go
@@ -44,6 +44,8 @@
 // Directory maps keys to organisations. It is immutable once built.
 type Directory struct {
 	byKey map[KeyHash]*Organisation
+	// regions holds the allowed regions of the organisations that have some, by name.
+	regions map[string]residency.Regions
 }
 
 // NewDirectory builds a directory and returns a description of each part of the
@@ -51,7 +53,7 @@
 // empty key, and a key that two organisations share, because either of them could be the
 // wrong one. Callers with such keys are refused.
 func NewDirectory(organisations []Organisation) (*Directory, []string) {
-	d := &Directory{byKey: map[KeyHash]*Organisation{}}
+	d := &Directory{byKey: map[KeyHash]*Organisation{}, regions: map[string]residency.Regions{}}
 	var ignored []string
 	shared := map[KeyHash]bool{}
 	for i := range organisations {
@@ -60,6 +62,9 @@
 			ignored = append(ignored, fmt.Sprintf("organisation %q: the name can't be told to a server", o.Name))
 			continue
 		}
+		if o.Regions.IsRestricted() {
+			d.regions[o.Name] = d.regions[o.Name].And(o.Regions)
+		}
 		for _, key := range o.Keys {
 			switch other := d.byKey[key]; {
 			case key == emptyKeyHash:
@@ -87,3 +92,12 @@
 
 // Find returns the organisation that a key belongs to; nil: the key is unknown.
 func (d *Directory) Find(key KeyHash) *Organisation { return d.byKey[key] }
+
+// RegionsOf returns the allowed regions of an organisation; every region is allowed for one that
+// is not known. The nil pointer is valid and knows none.
+func (d *Directory) RegionsOf(organisation string) residency.Regions {
+	if d == nil || organisation == "" {
+		return residency.Regions{}
+	}
+	return d.regions[organisation]
+}
--- a/decide/table/table.go
+++ b/decide/table/table.go
@@ -145,6 +145,8 @@
 	Ignored []string
 
 	byHost map[string][]*Route // longest prefix first
+	// hasRegions: some route has allowed regions.
+	hasRegions bool
 }
 
 // New builds a table. It returns an error if a route has an invalid prefix, no target, or a
@@ -165,6 +167,7 @@
 			return nil, errors.Annotatef(err, "route %q", r.Name)
 		}
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+		t.hasRegions = t.hasRegions || r.Regions.IsRestricted()
 	}
 	for _, hostRoutes := range t.byHost {
 		slices.SortStableFunc(hostRoutes, func(a, b *Route) int {
@@ -202,3 +205,15 @@
 	}
 	return nil
 }
+
+// RegionsOf returns the regions in which a request of an organisation may be served: those of its
+// route and of the organisation, both. An empty or unknown organisation has no allowed regions.
+func (t *Table) RegionsOf(host, path, organisation string) residency.Regions {
+	var regions residency.Regions
+	if t.hasRegions {
+		if r := t.Match(host, path); r != nil {
+			regions = r.Regions
+		}
+	}
+	return regions.And(t.Organisations.RegionsOf(organisation))
+}
