gateway/forward: each attempt, ask and hedge stays in the allowed regions

A lookup with allowed regions went to a server of the other region at its first attempt. The regions as of arrival and those of the configuration in force bind at each pick, each ask for a permit and again when a permit comes back, since they may change between. Without a server there the request is refused at once as not run, naming the regions, in place of a wait for a permit. The permit's broker does not know regions yet: what it grants elsewhere is given back unused.

--- a/gateway/forward/fleet_test.go
+++ b/gateway/forward/fleet_test.go
@@ -20,7 +20,9 @@
 	"dandelionsill.org/decide/evidence"
 	"dandelionsill.org/decide/members"
 	decide "dandelionsill.org/decide/permits"
+	"dandelionsill.org/decide/residency"
 	"dandelionsill.org/decide/table"
+	"dandelionsill.org/decide/topology"
 	"dandelionsill.org/gateway/backend"
 	"dandelionsill.org/gateway/forward"
 	"dandelionsill.org/gateway/permits"
@@ -73,6 +75,8 @@
 	version uint64
 	shared  bool
 	servers []members.Server
+	// regions are the allowed regions of the routes, ofOrganisation those of the organisation "o".
+	regions, ofOrganisation residency.Regions
 }
 
 // read returns the whole state as a page.
@@ -81,7 +85,7 @@
 	defer f.mu.Unlock()
 	page := platform.FeedPage{Next: f.version}
 	if feed == platform.FeedOperator {
-		page.Changes = []platform.Change{{Table: newTable(f.version, f.shared)}}
+		page.Changes = []platform.Change{{Table: f.table()}}
 		return page
 	}
 	for _, s := range f.servers {
@@ -118,8 +122,17 @@
 // LoadCopy implements platform.Feeds.
 func (*feeds) LoadCopy(context.Context, platform.Feed) ([]platform.Change, error) { return nil, nil }
 
+// table returns the current configuration; f.mu is held.
+func (f *feeds) table() *table.Table {
+	tb := newTable(f.version, f.shared, f.regions)
+	if f.ofOrganisation.IsRestricted() {
+		tb.Organisations, _ = table.NewDirectory([]table.Organisation{{Name: "o", Regions: f.ofOrganisation}})
+	}
+	return tb
+}
+
 // newTable returns a configuration whose service is shared, or not.
-func newTable(version uint64, shared bool) *table.Table {
+func newTable(version uint64, shared bool, regions residency.Regions) *table.Table {
 	timeout := time.Second
 	if !shared {
 		timeout += time.Millisecond
@@ -127,7 +140,7 @@
 	route := func(kind table.Kind, name string) *table.Route {
 		return &table.Route{
 			Name: name, Host: "app.example", Prefix: "/" + name + "/", Kind: kind, MaxAttempts: 2, Timeout: timeout,
-			LatencyObjective: timeout / patience, Targets: []table.Target{{Service: "plain", Weight: 1}},
+			LatencyObjective: timeout / patience, Targets: []table.Target{{Service: "plain", Weight: 1}}, Regions: regions,
 		}
 	}
 	routes := []*table.Route{route(table.Safe, "score"), route(table.Unsafe, "write")}
@@ -173,6 +186,7 @@
 
 func (f *fleet) addGateway(loops *sync.WaitGroup, self decide.Member, all []decide.Member) {
 	v := view.New(&f.feeds, zap.NewNop())
+	v.Topology = topology.New(map[string]string{"zone-a": "a", "zone-b": "b", "zone-c": "c"})
 	pool := backend.NewPool(hosted.AttemptID)
 	pool.Dial = f.dial
 	listed := func(string) []members.Server { return v.Current().Servers["plain"] }
@@ -307,6 +321,9 @@
 	conns chan net.Conn
 	runs  *runs
 
+	// arrived is called with the id of each request; nil: nothing is.
+	arrived func(id string)
+
 	mu   sync.Mutex
 	mode string
 }
@@ -363,6 +380,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	id := r.Header.Get(hostedtest.HeaderAttempt)
+	if s.arrived != nil {
+		s.arrived(id)
+	}
 	w.Header().Set(hostedtest.HeaderAttempt, id)
 	w.Header().Set(hostedtest.HeaderSeal, "seal")
 	mode := s.getMode()
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -87,9 +87,15 @@
 	PassOn bool
 	// Paced means that writes to the caller fail if it reads too slowly.
 	Paced bool
-	// Regions are the regions in which the request may be served.
+	// Regions are the regions in which the request may be served, as of its arrival. At each
+	// attempt those of the current configuration bind too.
 	Regions residency.Regions
-	replies *replySet
+	// Path is the path without escapes, by which routes match.
+	Path string
+	// OnBehalfOf is the organisation whose allowed regions bind although the request is none
+	// of its own.
+	OnBehalfOf string
+	replies    *replySet
 }
 
 // Reply is the answer of a server, complete unless Call.PassOn is set.
@@ -126,7 +132,8 @@
 // New returns a forwarder for a process in the failure domain.
 func New(v *view.View, pool *backend.Pool, domain string, log *zap.Logger) *Forwarder {
 	policy := &route.Policy{
-		Stages:  slices.Concat(route.HardStages(), route.SoftStages(), []route.Stage{{Name: route.StageRoom, Filter: route.HasRoom{}, Soft: true}}),
+		Stages: slices.Concat(route.HardStages(), []route.Stage{{Name: route.StageRegions, Filter: route.InRegions{}}},
+			route.SoftStages(), []route.Stage{{Name: route.StageRoom, Filter: route.HasRoom{}, Soft: true}}),
 		Scorers: []route.Scorer{route.LoadScore{}, route.DistanceScore{}, route.ConnectScore{}},
 		Picker:  route.LowestScore{},
 	}
@@ -337,55 +344,15 @@
 	return maxRefusals
 }
 
-// finalFailure returns the result of a call that no further attempt is made for: the
-// last failure that a server answered, or else an error.
-func (s *callState) finalFailure() (*Reply, *kinds.Error, bool) {
-	if s.lastFailure != nil {
-		s.lastFailure.reply.Failures = s.failures
-		return s.lastFailure.reply, nil, true
-	}
-	if s.isQuarantined() {
-		return nil, s.noServerError(), true
-	}
-	if s.mayHaveRun == 0 && s.refusal != nil {
-		return nil, s.permitError(), true
-	}
-	if s.mayHaveRun == 0 {
-		return nil, s.refuse(kinds.Overloaded, "all servers refused the request"), true
-	}
-	return nil, kinds.New(kinds.OutcomeUnknown, "no whole answer of the servers asked: %v", s.asked), true
-}
-
-// contextError returns the error of a call whose ctx has ended: the caller
-// disconnected, or the deadline passed.
-func (s *callState) contextError(ctx context.Context) *kinds.Error {
-	if ctx.Err() == context.Canceled {
-		if s.inFlight > 0 {
-			s.usage.RecordExecution(time.Since(s.start))
-		}
-		return kinds.New(kinds.Cancelled, "the caller has gone")
-	}
-	if s.mayHaveRun == 0 {
-		return s.refuse(kinds.Overloaded, "no server took the request in time")
-	}
-	return kinds.New(kinds.DeadlineExceeded, "no answer within %v of the servers asked: %v", time.Since(s.start).Round(time.Millisecond), s.asked)
-}
-
-// refuse returns a "not run" error, which becomes "outcome unknown" if an attempt may
-// have run.
-func (s *callState) refuse(kind kinds.NotRunKind, reason string) *kinds.Error {
-	if s.mayHaveRun > 0 {
-		s.held.MarkSent()
-	}
-	return s.held.Refuse(kind, "%s", reason).WithRetryAfter(retryAfter)
-}
-
 // launch starts an attempt at another server, or asks for the permit that it needs. It
 // returns false if no server can be picked or the request is quarantined.
 func (s *callState) launch(ctx context.Context) bool {
 	if s.isQuarantined() {
 		return false
 	}
+	if s.lacksRegion() {
+		return false
+	}
 	if s.isShared() {
 		s.acquire(ctx, false)
 		return true
@@ -420,7 +387,7 @@
 	}
 	s.forwarder.Bodies.markFull(candidates, len(s.call.Body))
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	picked := s.forwarder.policy.Pick(&route.Request{Tried: s.tried}, candidates, rng, &route.Scratch{})
+	picked := s.forwarder.policy.Pick(&route.Request{Tried: s.tried, Regions: s.regions()}, candidates, rng, &route.Scratch{})
 	if picked.Index < 0 {
 		return choice{}, false
 	}
--- a/gateway/forward/permits.go
+++ b/gateway/forward/permits.go
@@ -101,6 +101,7 @@
 	return permits.Ask{
 		Domain: s.forwarder.domain, Route: c.Route.Name, Organisation: c.Organisation, Internal: c.Internal, Priority: c.Priority,
 		Objective: max(0, c.Route.LatencyObjective-elapsed), Deadline: time.Until(c.Deadline), Repeatable: c.Route.Repeatable(), NoWait: noWait, Avoid: slices.Clone(s.asked),
+		Regions: s.regions(),
 	}
 }
 
@@ -192,7 +193,8 @@
 // at a time.
 func (s *callState) usePermit(ctx context.Context, a permitAnswer) bool {
 	server, known := s.forwarder.View.Current().Server(s.service, a.permit.Server)
-	if known && server.TakesWork() && s.mayRepeat() && !s.isQuarantined() && (s.inFlight == 0 || !s.isSuspect()) {
+	isAllowed := s.regions().Allows(server.Region) // they may have changed since the ask
+	if known && isAllowed && server.TakesWork() && s.mayRepeat() && !s.isQuarantined() && (s.inFlight == 0 || !s.isSuspect()) {
 		c := choice{server: server, eligible: 1, listed: len(s.forwarder.View.Current().Servers[s.service]), reason: "permit: " + a.permit.Reason, permit: a.permit, asked: a.took}
 		if s.inFlight > 0 {
 			hedges.Add(1)
@@ -201,10 +203,11 @@
 		return true
 	}
 	returnUnused(a.permit)
-	s.forwarder.log.Info("Permit not used.", zap.String("id", s.call.ID), zap.String("server", a.permit.Server), zap.Bool("known", known), zap.Bool("leaving", server.Leaving), zap.Bool("evacuated", server.Evacuated))
+	s.forwarder.log.Info("Permit not used.", zap.String("id", s.call.ID), zap.String("server", a.permit.Server), zap.Bool("known", known), zap.Bool("leaving", server.Leaving), zap.Bool("evacuated", server.Evacuated),
+		zap.Bool("region_allowed", isAllowed), zap.String("region", server.Region))
 	s.asked = append(s.asked, a.permit.Server)
 	s.refusals++
-	if a.noWait || s.refusals > maxRefusals || !s.mayRepeat() || s.isQuarantined() || s.inFlight > 0 && s.isSuspect() {
+	if a.noWait || s.lacksRegion() || s.refusals > maxRefusals || !s.mayRepeat() || s.isQuarantined() || s.inFlight > 0 && s.isSuspect() {
 		return false
 	}
 	s.acquire(ctx, false)
--- a/gateway/forward/quarantine.go
+++ b/gateway/forward/quarantine.go
@@ -46,6 +46,9 @@
 // noServerError returns the error of a request for which no server is left, or which is
 // quarantined.
 func (s *callState) noServerError() *kinds.Error {
+	if !s.isQuarantined() && s.lacksRegion() {
+		return s.noRegionError()
+	}
 	if !s.isQuarantined() {
 		return s.refuse(kinds.NoServer, "no server of the service takes work")
 	}
--- a/gateway/forward/stats.go
+++ b/gateway/forward/stats.go
@@ -44,6 +44,7 @@
 			Name:          s.ID,
 			Hash:          route.Hash(s.ID),
 			FailureDomain: s.FailureDomain,
+			Region:        s.Region,
 			Distance:      distance(domain, s.FailureDomain),
 			Ready:         true,
 			Leaving:       !s.TakesWork(),
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -47,6 +47,9 @@
 		if s.isQuarantined() {
 			return s.fail(s.noServerError())
 		}
+		if s.refusals <= maxRefusals && s.lacksRegion() {
+			return s.fail(s.noServerError())
+		}
 		c, ok := s.pick()
 		if !ok || s.refusals > maxRefusals {
 			return s.fail(s.refuse(kinds.Overloaded, "no server took the stream"))
