--- a/gateway/gatewaytest/gatewaytest.go
+++ b/gateway/gatewaytest/gatewaytest.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"dandelionsill.org/decide/members"
+	"dandelionsill.org/decide/topology"
 	"dandelionsill.org/gateway/backend"
 	"dandelionsill.org/gateway/forward"
 	"dandelionsill.org/gateway/view"
@@ -33,6 +34,9 @@
 	Engines []*hostedtest.Server
 	Servers []*hostedtest.Server // servers of the service "plain", which are no engines
 
+	// Topology is known to processes that start; nil: none is.
+	Topology *topology.Topology
+
 	replacements int // number of servers that ReplaceCrashed has started
 
 	mu    sync.Mutex
@@ -144,6 +148,7 @@
 	var loops sync.WaitGroup
 	store := hosted.NewStore(p.Store.Addr())
 	v := view.New(hosted.NewFeeds(store, store), zap.NewNop())
+	v.Topology = p.Topology
 	pool := backend.NewPool(hosted.AttemptID)
 	proc := &Process{Store: store, View: v, Pool: pool, Forward: forward.New(v, pool, "zone-a", zap.NewNop())}
 	proc.Go = func(f func(context.Context)) { loops.Go(func() { f(ctx) }) }
