Batch jobs stay in their allowed regions: owners, engines, scores, streams, readers

Samples with allowed regions ran at engines of the other region, whatever process owned them, and all texts lay in streams that every owner and reader passes through. A job stores its regions; its texts go to topics that only processes in them read; only such processes are chosen as owners, claim, and keep a job when regions change; samples are placed among engines in the regions that bind now; a score goes by its own route and its organisation. A process elsewhere to which a client is connected asks one inside for just what was asked. Without allowed regions records, calls and streams are as before (test). Tests in outbox_test and queued_test name partitions by a struct now, their checks are the same.

--- a/fold/jobs/jobs.go
+++ b/fold/jobs/jobs.go
@@ -81,6 +81,9 @@
 	return g != nil && g.resubmitted
 }
 
+// HasNoOwner reports whether no process was given the job yet.
+func (j *Job) HasNoOwner() bool { return j.Owner.VM == "" }
+
 // IsOpen reports whether the job has not ended and has items without a result.
 func (j *Job) IsOpen() bool { return !j.Ended && len(j.Results) < j.Total }
 
@@ -348,7 +351,7 @@
 	indexOf := map[Writer]int{}
 	for _, id := range slices.Backward(s.jobOrder) {
 		j := s.Jobs[id]
-		if j.Released || s.leaving[j.Owner] {
+		if j.Released || s.leaving[j.Owner] || j.HasNoOwner() {
 			continue
 		}
 		i, known := indexOf[j.Owner]
--- a/fold/jobs/record.go
+++ b/fold/jobs/record.go
@@ -56,13 +56,18 @@
 	// Organisation is the name of the organisation that submitted the job; empty:
 	// every caller may access the job.
 	Organisation string `json:"og,omitempty"`
+	// Regions are the regions in which the job's items may be served, as of submission;
+	// empty: all. OrganisationRegions are those of its organisation alone.
+	Regions             []string `json:"rg,omitempty"`
+	OrganisationRegions []string `json:"or,omitempty"`
 }
 
 // Acceptance is an accepted batch job, or the part of one that fits into a
 // record. All parts of a job are appended atomically.
 type Acceptance struct {
 	Spec
-	// Owner is the process that is to run the job; nil: the writer.
+	// Owner is the process that is to run the job; nil: the writer. An Owner without a name
+	// means that the job has none yet.
 	Owner *Writer `json:"o,omitempty"`
 	// ItemsRef is the position of the items in the text stream. All other text
 	// records of the job follow it.
@@ -93,6 +98,9 @@
 // TextRef is the position of a text: the partition of the text stream, and the
 // offset and size of the record that contains it.
 type TextRef struct {
+	// Regions is the key of the regions whose processes may read the text stream;
+	// empty: the stream that all may read.
+	Regions   string `json:"rg,omitempty"`
 	Partition int    `json:"p"`
 	Offset    uint64 `json:"o"`
 	Bytes     int    `json:"b"`
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -176,6 +176,7 @@
 		Route: route, ID: hosted.AttemptID(r.Header), Method: r.Method, URI: r.RequestURI, Host: r.Host,
 		Header: forward.EndToEnd(r.Header), Body: body, Deadline: deadline, CallerTimeout: hosted.Deadline(r.Header),
 		Organisation: organisation.Name, Priority: organisation.PriorityOr(route.Priority),
+		Path: r.URL.Path, Regions: route.Regions.And(organisation.Regions),
 		// An HTTP/1.0 caller would take an answer of unknown length that breaks off for a complete one.
 		PassOn: r.ProtoAtLeast(1, 1), Paced: f.Bodies != nil,
 	}
@@ -209,6 +210,9 @@
 		return 0, kinds.Hold().Refuse(kinds.BadRequest, "%v", err)
 	}
 	spec.DueMS, spec.Organisation = route.Due.Milliseconds(), organisation
+	if refused := f.Jobs.Restrict(f.View.Current().Table, &spec, items); refused != nil {
+		return 0, refused
+	}
 	left := callerTimeout(r)
 	ctx, cancel := context.WithDeadline(r.Context(), start.Add(time.Duration(submitTimeShare*float64(left))))
 	defer cancel()
--- a/gateway/jobs/active_item.go
+++ b/gateway/jobs/active_item.go
@@ -6,6 +6,7 @@
 
 	"dandelionsill.org/decide/place"
 	"dandelionsill.org/decide/poison"
+	"dandelionsill.org/decide/residency"
 	"dandelionsill.org/decide/route"
 	"dandelionsill.org/decide/table"
 	"dandelionsill.org/fold/jobs"
@@ -35,8 +36,10 @@
 
 	// singleVersion is true if one weight version has to generate the complete text.
 	singleVersion bool
-	// service is the service that runs the item according to the table routedBy.
+	// service is the service that runs the item, and regions are those in which it may, according to
+	// the table routedBy.
 	service  string
+	regions  residency.Regions
 	routedBy *table.Table
 
 	phase          phase
@@ -193,5 +196,6 @@
 	if r := t.Match(a.item.Host, a.item.Path); r != nil {
 		a.service = r.Pick(route.Hash(a.item.ID))
 	}
+	a.regions = regionsNow(t, a.job.Regions, a.item.Host, a.item.Path, a.job.Organisation)
 	return a.service
 }
--- a/gateway/jobs/api.go
+++ b/gateway/jobs/api.go
@@ -12,6 +12,7 @@
 
 	"dandelionsill.org/base/sleep"
 	"dandelionsill.org/decide/gather"
+	"dandelionsill.org/decide/residency"
 	"dandelionsill.org/decide/route"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/kinds"
@@ -149,7 +150,7 @@
 func (s *Service) appendJob(ctx context.Context, spec jobs.Spec, items []jobs.Item) *kinds.Error {
 	spec.SubmittedMS = time.Now().UnixMilli()
 	done := func() bool { return s.hasJob(spec.ID) }
-	itemsAt, failed := s.appendItems(ctx, spec.ID, items, done)
+	itemsAt, failed := s.appendItems(ctx, &spec, items, done)
 	if failed != nil || done() {
 		return failed
 	}
@@ -165,15 +166,16 @@
 // Items alone start nothing, so a failed or unknown append does no harm. If a partition
 // does not accept them, the next one is tried: single partitions of the log can be
 // unavailable, and the job record names where its items are.
-func (s *Service) appendItems(ctx context.Context, job string, items []jobs.Item, done func() bool) (jobs.TextRef, *kinds.Error) {
+func (s *Service) appendItems(ctx context.Context, spec *jobs.Spec, items []jobs.Item, done func() bool) (jobs.TextRef, *kinds.Error) {
+	job, regions := spec.ID, holdersOf(spec.ID, residency.Only(spec.Regions)).Key()
 	records, err := encodeItems(s.writer, job, items)
 	if err != nil {
 		return jobs.TextRef{}, kinds.Hold().Refuse(kinds.BadRequest, "%v", err)
 	}
 	for part := partitionOf(job, s.partitions); ; part = (part + 1) % s.partitions {
-		offset, err := s.appendBatches(ctx, textStream(part), records)
+		offset, err := s.appendBatches(ctx, textPart{regions, part}.stream(), records)
 		if err == nil || done() {
-			return jobs.TextRef{Partition: part, Offset: offset}, nil
+			return jobs.TextRef{Regions: regions, Partition: part, Offset: offset}, nil
 		}
 		if errors.Is(err, platform.ErrLogRefused) {
 			s.zlog.Error("The log refused the records of a batch job.", zap.Int("records", len(records)), zap.Error(err))
@@ -216,7 +218,7 @@
 		refs = append(refs, jobs.ItemRef{ID: item.ID, Group: item.Group})
 	}
 	parts := slices.Collect(slices.Chunk(refs, refsPerRecord))
-	owner := s.chooseOwner(len(items))
+	owner := s.chooseOwner(len(items), holders(&itemsAt))
 	name := s.writer.VM + "/" + s.writer.Incarnation + "/" + strconv.FormatUint(s.submissions.Add(1), 10)
 	records := make([][]byte, 0, len(parts))
 	for i, part := range parts {
@@ -235,8 +237,9 @@
 // owner has connections to the engines, and knows their pace and what else runs there.
 // With a new owner for each step, seven of ten connections were opened for that alone.
 // Otherwise the owner is this process, or another process with enough capacity if this one
-// is too small.
-func (s *Service) chooseOwner(items int) *jobs.Writer {
+// is too small. Only processes in the given regions are chosen; if none is known there, the job
+// has no owner until a process there claims it.
+func (s *Service) chooseOwner(items int, regions residency.Regions) *jobs.Writer {
 	s.index.mu.Lock()
 	defer s.index.mu.Unlock()
 	var candidate *jobs.Writer
@@ -244,15 +247,20 @@
 		silence := s.index.silenceOf(o.Owner, time.Now())
 		switch {
 		case o.Items+items > capacityOrDefault(o.Capacity):
+		case regions.IsRestricted() && !regions.Allows(s.index.places.regionOf(o.Owner.VM)):
 		case o.Items > 0 && silence <= maxOwnerSilence, silence <= maxOwnerSilence && o.Capacity >= fullStepItems:
 			return &o.Owner
 		case candidate == nil && silence <= maxCandidateSilence && o.Capacity >= fullStepItems:
 			candidate = &o.Owner
 		}
 	}
-	if s.capacity >= items {
+	isAllowed := s.index.places.allows(regions)
+	if s.capacity >= items && isAllowed {
 		return nil
 	}
+	if candidate == nil && !isAllowed {
+		return &jobs.Writer{}
+	}
 	return candidate
 }
 
@@ -441,12 +449,22 @@
 	if !ok {
 		return nil, kinds.Hold().Refuse(kinds.NotFound, "no item %q in batch job %q", item, job)
 	}
-	found, err := readItem(ctx, s.index.log, job, item, ref)
+	body, err := s.readBody(ctx, job, item, ref)
 	if err != nil {
 		s.zlog.Warn("Reading the body of an item failed.", zap.String("job", job), zap.String("id", item), zap.Error(err))
 		return nil, kinds.Hold().Refuse(kinds.LogUnavailable, "the bodies can't be read now").WithRetryAfter(retryAfter)
 	}
-	return found.Body, nil
+	return body, nil
+}
+
+// readBody reads the body of an item, through a process in the regions of the item's stream if
+// this process must not read the stream.
+func (s *Service) readBody(ctx context.Context, job, item string, ref jobs.TextRef) ([]byte, error) {
+	if !s.index.places.allows(holders(&ref)) {
+		return s.index.Texts.fetchItemBody(ctx, job, item, ref)
+	}
+	found, err := readItem(ctx, s.index.log, job, item, ref)
+	return found.Body, err
 }
 
 // itemsRef returns where the job's items are stored; false: the job does not exist, was
--- a/gateway/jobs/index.go
+++ b/gateway/jobs/index.go
@@ -60,8 +60,9 @@
 	// readInterval returns the minimum time between two reads of the log.
 	readInterval func() time.Duration
 
-	log  *reader
-	zlog *zap.Logger
+	log    *reader
+	zlog   *zap.Logger
+	places Places
 
 	mu    sync.Mutex
 	state *jobs.State
--- a/gateway/jobs/outbox.go
+++ b/gateway/jobs/outbox.go
@@ -80,7 +80,7 @@
 
 	mu        sync.Mutex
 	pending   jobs.Record
-	appenders map[int]*partitionAppender // by partition
+	appenders map[textPart]*partitionAppender
 	urgent    chan struct{}
 	// startRun starts a goroutine for a partitionAppender with something to append; nil
 	// while the outbox does not run.
@@ -90,7 +90,7 @@
 func newOutbox(log Log, writer jobs.Writer, partitions int, needsHeartbeat func() bool, onTextAppended func(textKey, string), zlog *zap.Logger) *outbox {
 	o := &outbox{
 		log: log, zlog: zlog, retryLog: logs.Limited(zlog, retryLogInterval), writer: writer, partitions: max(1, partitions), needsHeartbeat: needsHeartbeat, isCandidate: func() bool { return true }, onTextAppended: onTextAppended,
-		appenders: map[int]*partitionAppender{}, urgent: make(chan struct{}, 1),
+		appenders: map[textPart]*partitionAppender{}, urgent: make(chan struct{}, 1),
 	}
 	metrics.Gauge("jobs_queued_append_bytes", func() any { return o.queuedBytes() })
 	return o
@@ -117,7 +117,7 @@
 func (o *outbox) addProgress(job *jobs.Job, claim uint64, p jobs.Progress) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	t := o.partitionAppender(job.ItemsRef.Partition).textsOf(jobClaim{job.ID, claim})
+	t := o.partitionAppender(textPartOf(&job.ItemsRef)).textsOf(jobClaim{job.ID, claim})
 	t.progress = append(t.progress, p)
 }
 
@@ -129,7 +129,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	a := o.partitionAppender(job.ItemsRef.Partition)
+	a := o.partitionAppender(textPartOf(&job.ItemsRef))
 	t := a.textsOf(jobClaim{job.ID, claim})
 	t.results = append(t.results, r)
 	o.startIfIdle(a)
@@ -139,7 +139,7 @@
 func (o *outbox) addRelease(job *jobs.Job) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	a := o.partitionAppender(job.ItemsRef.Partition)
+	a := o.partitionAppender(textPartOf(&job.ItemsRef))
 	a.releases = append(a.releases, job.ID)
 	o.startIfIdle(a)
 }
--- a/gateway/jobs/outbox_test.go
+++ b/gateway/jobs/outbox_test.go
@@ -157,7 +157,7 @@
 // partition at once. Partial texts wait and keep their order, and none of them is lost or
 // appended twice. The job is released only after them.
 func TestPartialTextsWaitForTheirPartition(t *testing.T) {
-	l := &unavailableLog{unavailable: textStream(2)}
+	l := &unavailableLog{unavailable: textPart{part: 2}.stream()}
 	o := newOutbox(l, jobs.Writer{VM: "a", Incarnation: "1"}, 4, func() bool { return true }, func(textKey, string) {}, zap.NewNop())
 	j := &jobs.Job{Spec: jobs.Spec{ID: "j"}, ItemsRef: jobs.TextRef{Partition: 2}}
 	event := func(i int) jobs.Progress {
@@ -166,24 +166,24 @@
 	for i := range 5 {
 		o.addProgress(j, 7, event(i))
 		o.addResult(j, 7, jobs.Result{Job: "j", Item: fmt.Sprint("whole", i), Text: "text"})
-		require.False(t, o.flushAppender(t.Context(), o.appenders[2]))
+		require.False(t, o.flushAppender(t.Context(), o.appenders[textPart{part: 2}]))
 	}
 	o.addRelease(j)
-	require.False(t, o.flushAppender(t.Context(), o.appenders[2]))
+	require.False(t, o.flushAppender(t.Context(), o.appenders[textPart{part: 2}]))
 	require.Len(t, o.pending.Results, 5)
 	require.Empty(t, o.pending.Releases)
 	for _, r := range o.pending.Results {
 		require.NotEqual(t, 2, r.Ref.Partition)
 	}
 	l.unavailable = ""
-	require.True(t, o.flushAppender(t.Context(), o.appenders[2]))
+	require.True(t, o.flushAppender(t.Context(), o.appenders[textPart{part: 2}]))
 	require.Equal(t, []string{"j"}, o.pending.Releases)
 	texts := jobs.NewTexts("j")
 	for i, data := range l.records {
 		record, err := jobs.DecodeText(data)
 		require.NoError(t, err)
 		if len(record.Progress) > 0 {
-			require.Equal(t, textStream(2), l.streams[i])
+			require.Equal(t, textPart{part: 2}.stream(), l.streams[i])
 		}
 		texts.Apply(record)
 	}
@@ -194,7 +194,7 @@
 // the one event that the log had, in another run. The events that it had generated before belong to
 // its earlier claim: under the new one they would count as events of the new run.
 func TestEventsOfTwoClaimsAreSeparate(t *testing.T) {
-	l := &unavailableLog{unavailable: textStream(2)}
+	l := &unavailableLog{unavailable: textPart{part: 2}.stream()}
 	o := newOutbox(l, jobs.Writer{VM: "a", Incarnation: "1"}, 4, func() bool { return true }, func(textKey, string) {}, zap.NewNop())
 	j := &jobs.Job{Spec: jobs.Spec{ID: "j"}, ItemsRef: jobs.TextRef{Partition: 2}}
 	events := func(run string, from, to int) jobs.Progress {
@@ -205,10 +205,10 @@
 		return p
 	}
 	o.addProgress(j, 7, events("first", 0, 4))
-	require.False(t, o.flushAppender(t.Context(), o.appenders[2]))
+	require.False(t, o.flushAppender(t.Context(), o.appenders[textPart{part: 2}]))
 	o.addProgress(j, 9, events("second", 0, 6))
 	l.unavailable = ""
-	require.True(t, o.flushAppender(t.Context(), o.appenders[2]))
+	require.True(t, o.flushAppender(t.Context(), o.appenders[textPart{part: 2}]))
 	texts := jobs.NewTexts("j")
 	for _, data := range l.records {
 		record, err := jobs.DecodeText(data)
--- a/gateway/jobs/ownership.go
+++ b/gateway/jobs/ownership.go
@@ -19,6 +19,7 @@
 	defer r.index.mu.Unlock()
 	if r.index.gaps != r.gaps {
 		r.gaps = r.index.gaps
+		clear(r.regionWaits)
 		r.releaseAfterGap()
 	}
 	for id := range r.active {
@@ -27,10 +28,16 @@
 		}
 	}
 	r.index.state.Each(func(j *jobs.Job) {
+		mayOwn := r.mayOwn(j)
+		if !j.IsOpen() || mayOwn {
+			delete(r.regionWaits, j.ID)
+		}
 		switch {
 		case !j.IsOpen():
 		case j.Owner == r.writer && !j.Released && r.draining:
 			r.releaseJob(j)
+		case !mayOwn:
+			r.leaveToRegions(j, now)
 		case j.Owner == r.writer && !j.Released:
 			r.ensureTaken(ctx, j)
 		case !r.draining && r.shouldClaim(j, now):
@@ -49,11 +56,11 @@
 	if j.Owner.VM == r.writer.VM {
 		return true
 	}
-	silence := r.index.silenceOf(j.Owner, now)
+	silence := r.silence(j, now)
 	if r.out.capacity < fullStepItems {
 		silence -= smallProcessDelay
 	}
-	if j.Released { // half the spread: the job is free, even if its owner still runs
+	if j.Released || j.HasNoOwner() { // half the spread: the job is free, even if its owner still runs
 		return silence > r.takeOverDelay(j.Owner)/2
 	}
 	// If appends are slow, so are an owner's heartbeats.
@@ -61,6 +68,44 @@
 	return silence > takeOverAfter+appendDelay+r.takeOverDelay(j.Owner)
 }
 
+// silence returns how long a job's owner has been silent, or how old a job without an owner is;
+// index.mu is held.
+func (r *Runner) silence(j *jobs.Job, now time.Time) time.Duration {
+	if j.HasNoOwner() {
+		return r.index.age(j, now)
+	}
+	return r.index.silenceOf(j.Owner, now)
+}
+
+// leaveToRegions leaves a job to the processes in its regions: it releases the job if this process
+// owns it, since the regions have changed, and otherwise logs once that no owner is there;
+// index.mu is held.
+func (r *Runner) leaveToRegions(j *jobs.Job, now time.Time) {
+	if j.Owner == r.writer && !j.Released {
+		if r.releasedClaims[j.ID] != j.Claim {
+			r.zlog.Info("Releasing a batch job because its regions have changed.", zap.String("job", j.ID), zap.Stringer("regions", r.ownerRegions(j)), zap.String("region", r.index.places.Region))
+		}
+		r.releaseJob(j)
+		return
+	}
+	waits := r.index.upToDate(now) && r.silence(j, now) > regionWaitAfter
+	if waits && !r.regionWaits[j.ID] {
+		r.zlog.Warn("A batch job waits for an owner in its regions.", zap.String("job", j.ID), zap.Stringer("regions", r.ownerRegions(j)),
+			zap.String("owner", j.Owner.VM), zap.Bool("released", j.Released), zap.String("region", r.index.places.Region))
+	}
+	if delete(r.regionWaits, j.ID); waits {
+		r.regionWaits[j.ID] = true
+	}
+}
+
+// countRegionWaits returns the number of open jobs without an owner that this process may not own
+// because of their regions.
+func (r *Runner) countRegionWaits() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.regionWaits)
+}
+
 // takeOverDelay returns how long this process lets others claim an owner's jobs first. It is
 // the same for all jobs of that owner, so that they continue in one process, which knows
 // everything that it runs. With a delay drawn for each job, six steps went to five processes,
--- a/gateway/jobs/partition_appender.go
+++ b/gateway/jobs/partition_appender.go
@@ -16,7 +16,7 @@
 // partitions of the log can be unavailable; appends to the others do not wait for this one.
 // The outbox's mutex guards it.
 type partitionAppender struct {
-	part  int
+	part  textPart
 	texts map[jobClaim]*pendingTexts
 	// releases are jobs to be released after their texts are appended.
 	releases []string
@@ -41,7 +41,7 @@
 }
 
 // partitionAppender returns the appender of a partition, and creates it if needed; o.mu is held.
-func (o *outbox) partitionAppender(part int) *partitionAppender {
+func (o *outbox) partitionAppender(part textPart) *partitionAppender {
 	a := o.appenders[part]
 	if a == nil {
 		a = &partitionAppender{part: part, texts: map[jobClaim]*pendingTexts{}}
@@ -132,12 +132,13 @@
 	return false
 }
 
-// otherPartition returns a random partition other than part, or part if there is only one.
-func (o *outbox) otherPartition(part int) int {
-	if o.partitions == 1 {
-		return part
+// otherPartition returns a random partition of the same stream other than part, or part if there
+// is only one.
+func (o *outbox) otherPartition(part textPart) textPart {
+	if o.partitions > 1 {
+		part.part = (part.part + 1 + rand.IntN(o.partitions-1)) % o.partitions
 	}
-	return (part + 1 + rand.IntN(o.partitions-1)) % o.partitions
+	return part
 }
 
 // encodeTexts encodes texts as records: those with partial texts, and those with results.
@@ -159,10 +160,10 @@
 
 // appendGroups appends records to a partition, in batches of a size that the log accepts, and
 // returns those that were not appended. Records that the log refuses as invalid are lost.
-func (o *outbox) appendGroups(ctx context.Context, part int, groups []textGroup) []textGroup {
+func (o *outbox) appendGroups(ctx context.Context, part textPart, groups []textGroup) []textGroup {
 	for len(groups) > 0 {
 		call := nextBatch(groups)
-		offset, err := o.appendOnce(ctx, textStream(part), call)
+		offset, err := o.appendOnce(ctx, part.stream(), call)
 		if err != nil && !errors.Is(err, platform.ErrLogRefused) {
 			return groups
 		}
@@ -175,12 +176,12 @@
 }
 
 // listAppended adds results to the jobs' stream whose texts are stored from an offset on.
-func (o *outbox) listAppended(part int, offset uint64, groups []textGroup) {
+func (o *outbox) listAppended(part textPart, offset uint64, groups []textGroup) {
 	var results []jobs.Result
 	for i, g := range groups {
 		at := offset + uint64(i)
 		for _, res := range g.results {
-			res.Ref = &jobs.TextRef{Partition: part, Offset: at, Bytes: len(res.Text)}
+			res.Ref = &jobs.TextRef{Regions: part.regions, Partition: part.part, Offset: at, Bytes: len(res.Text)}
 			o.onTextAppended(textKey{part, at, res.Item}, res.Text)
 			results = append(results, res)
 		}
--- a/gateway/jobs/placing.go
+++ b/gateway/jobs/placing.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -12,6 +13,7 @@
 	"dandelionsill.org/decide/members"
 	"dandelionsill.org/decide/place"
 	"dandelionsill.org/decide/poison"
+	"dandelionsill.org/decide/residency"
 	"dandelionsill.org/fold/jobs"
 )
 
@@ -52,10 +54,10 @@
 	r.report(a, true)
 }
 
-// placeAll assigns waiting items to engines, and migrates at most one item of each service
-// from a slow engine.
+// placeAll assigns waiting items to engines in their allowed regions, and migrates at most one item
+// of each pool from a slow engine.
 func (r *Runner) placeAll(ctx context.Context, now time.Time) {
-	byService := map[string][]*activeItem{}
+	byPool := map[pool][]*activeItem{}
 	snap := r.view.Current()
 	for _, active := range r.active {
 		for _, a := range active {
@@ -66,15 +68,51 @@
 				continue
 			}
 			if service := a.pickService(snap.Table); service != "" {
-				byService[service] = append(byService[service], a)
+				p := pool{service, a.regions.String()}
+				byPool[p] = append(byPool[p], a)
 			}
 		}
 	}
-	for service, active := range byService {
-		r.placeService(ctx, snap.Servers[service], active, now)
+	for _, active := range orderPools(byPool) {
+		r.placePool(ctx, serversIn(snap.Servers[active[0].service], active[0].regions), active, now)
 	}
 }
 
+// pool is the engines of a service that may run an item: those in its allowed regions.
+type pool struct {
+	service string
+	regions string
+}
+
+// orderPools returns the items by pool. Items with allowed regions are placed before others of their
+// service, which may use other engines too.
+func orderPools(byPool map[pool][]*activeItem) [][]*activeItem {
+	order := make([][]*activeItem, 0, len(byPool))
+	for _, active := range byPool {
+		order = append(order, active)
+	}
+	slices.SortStableFunc(order, func(x, y []*activeItem) int {
+		return cmp.Compare(regionCount(x[0].regions), regionCount(y[0].regions))
+	})
+	return order
+}
+
+// regionCount orders sets of regions by size.
+func regionCount(regions residency.Regions) int {
+	if !regions.IsRestricted() {
+		return math.MaxInt
+	}
+	return len(regions.Names())
+}
+
+// serversIn returns the servers in the allowed regions.
+func serversIn(servers []members.Server, regions residency.Regions) []members.Server {
+	if !regions.IsRestricted() {
+		return servers
+	}
+	return slices.DeleteFunc(slices.Clone(servers), func(s members.Server) bool { return !regions.Allows(s.Region) })
+}
+
 // isQuarantined reports whether the item is in quarantine because each engine that ran it
 // crashed. It then waits until the quarantine or its job ends: this is not a failure that may
 // be reported to its trainer, and the next engine would crash too, with all samples there.
@@ -92,7 +130,7 @@
 	return true
 }
 
-func (r *Runner) placeService(ctx context.Context, servers []members.Server, active []*activeItem, now time.Time) {
+func (r *Runner) placePool(ctx context.Context, servers []members.Server, active []*activeItem, now time.Time) {
 	slices.SortFunc(active, func(x, y *activeItem) int { return cmp.Compare(x.item.ID, y.item.ID) })
 	engines, usable := r.usableEngines(servers, now)
 	samples := r.samples(active, engines, now)
--- a/gateway/jobs/queued_test.go
+++ b/gateway/jobs/queued_test.go
@@ -71,7 +71,7 @@
 
 // Guards against a gauge that loses the texts of a partition that does not take them.
 func TestQueuedTextsAreCounted(t *testing.T) {
-	l := &unavailableLog{unavailable: textStream(2)}
+	l := &unavailableLog{unavailable: textPart{part: 2}.stream()}
 	o := newStrictOutbox(nil)
 	o.log = l
 	require.Zero(t, o.queuedBytes())
@@ -79,9 +79,9 @@
 	o.addProgress(j, 7, jobs.Progress{Item: "i", Events: []jobs.Event{{Data: "1234567890", Version: 1}}})
 	want := int64(10 + eventOverheadBytes + entryOverheadBytes)
 	require.Equal(t, want, o.queuedBytes())
-	require.False(t, o.flushAppender(t.Context(), o.appenders[2]))
+	require.False(t, o.flushAppender(t.Context(), o.appenders[textPart{part: 2}]))
 	require.Equal(t, want, o.queuedBytes())
 	l.unavailable = ""
-	require.True(t, o.flushAppender(t.Context(), o.appenders[2]))
+	require.True(t, o.flushAppender(t.Context(), o.appenders[textPart{part: 2}]))
 	require.Zero(t, o.queuedBytes())
 }
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -48,6 +48,9 @@
 	// smallProcessDelay is how much longer a process that can't run a complete step waits
 	// before it claims one, so that a larger process claims it first.
 	smallProcessDelay = 600 * time.Millisecond
+	// regionWaitAfter is how long a job's owner is silent before other regions report that the
+	// job waits: longer than a takeover takes, also of processes that are small.
+	regionWaitAfter = 4 * time.Second
 	// heartbeatLinger is how long an owner without jobs keeps sending heartbeats; trainers
 	// submit the next step within seconds.
 	heartbeatLinger = 6 * time.Second
@@ -67,6 +70,7 @@
 	samplesReused      = metrics.Counter("jobs_samples_reused_total")
 	samplesAbandoned   = metrics.Counter("jobs_samples_given_up_total")
 	samplesQuarantined = metrics.Counter("jobs_samples_quarantined_total")
+	jobsWithoutRegion  = metrics.Counter("jobs_without_region_total")
 	versionsTooOld     = metrics.Counter("jobs_versions_too_old_total")
 	samplesFinished    = metrics.Counter("jobs_samples_finished_total")
 )
@@ -101,6 +105,7 @@
 	refusals       map[string]int       // in succession, by engine
 	claimedAt      map[string]time.Time // when this process last claimed a job
 	releasedClaims map[string]uint64    // claims that this process has released, by job
+	regionWaits    map[string]bool      // open jobs without an owner that this process may not own
 	gaps           int                  // gaps of the index that were handled
 	lastOwned      time.Time            // when this process last owned a job
 	draining       bool
@@ -115,8 +120,9 @@
 		index: index, view: f.View, forward: f, pool: f.Pool, quarantine: f.Quarantine, zlog: zlog, writer: writer,
 		planRequested: make(chan struct{}, 1),
 		active:        map[string]map[string]*activeItem{}, loading: map[string]bool{}, reusable: map[string]reusableText{}, lengths: map[string]*place.LengthEstimator{},
-		observedVersions: map[jobs.EngineKey]uint64{}, deniedAt: map[jobs.EngineKey]time.Time{}, excludedUntil: map[string]time.Time{}, refusals: map[string]int{}, claimedAt: map[string]time.Time{}, releasedClaims: map[string]uint64{},
+		observedVersions: map[jobs.EngineKey]uint64{}, deniedAt: map[jobs.EngineKey]time.Time{}, excludedUntil: map[string]time.Time{}, refusals: map[string]int{}, claimedAt: map[string]time.Time{}, releasedClaims: map[string]uint64{}, regionWaits: map[string]bool{},
 	}
+	metrics.Gauge("jobs_waiting_for_region", func() any { return r.countRegionWaits() })
 	r.out = newOutbox(log, writer, partitions, r.needsHeartbeat, index.Texts.put, zlog)
 	r.out.capacity = capacity
 	return r
--- a/gateway/jobs/score.go
+++ b/gateway/jobs/score.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"dandelionsill.org/base/sleep"
+	"dandelionsill.org/decide/residency"
 	"dandelionsill.org/gateway/forward"
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/platform/hosted"
@@ -88,6 +89,9 @@
 	reply, err := r.forward.Send(ctx, forward.Call{
 		Route: route, ID: request.ID, Method: http.MethodPost, URI: request.Path, Host: request.Host,
 		Header: http.Header{}, Body: request.Body, Deadline: time.Now().Add(timeout), Internal: true, Priority: route.Priority,
+		// A score is a request of its own: its route's regions bind, not those of the job's
+		// route. It holds the organisation's data, so that the organisation's regions do.
+		Path: request.Path, Regions: route.Regions.And(residency.Only(a.job.OrganisationRegions)), OnBehalfOf: a.job.Organisation,
 	})
 	return reply, route.MaxAttempts, err
 }
--- a/gateway/jobs/text_cache.go
+++ b/gateway/jobs/text_cache.go
@@ -36,10 +36,13 @@
 type TextCache struct {
 	log  *reader
 	http *http.Client
-	zlog *zap.Logger
+	// holderHTTP carries calls to processes that read texts which this one may not read.
+	holderHTTP *http.Client
+	zlog       *zap.Logger
 	// peerAddr returns the address, IP:port, at which a VM's process serves texts; empty:
 	// unknown.
 	peerAddr func(node string) string
+	places   Places
 
 	room  *budget.Share // nil: of unknown size
 	limit int           // of bytes, but for a single text that is larger
@@ -52,18 +55,19 @@
 
 // textKey identifies a text by where it is stored.
 type textKey struct {
-	part   int
+	part   textPart
 	offset uint64
 	item   string
 }
 
-func keyOf(r *jobs.Result) textKey { return textKey{r.Ref.Partition, r.Ref.Offset, r.Item} }
+func keyOf(r *jobs.Result) textKey { return textKey{textPartOf(r.Ref), r.Ref.Offset, r.Item} }
 
 func newTextCache(log *reader, zlog *zap.Logger) *TextCache {
 	c := &TextCache{
 		log: log, zlog: logs.Limited(zlog, retryLogInterval), limit: maxCacheBytes, texts: map[textKey]string{}, peerAddr: func(string) string { return "" },
 		http: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: maxConcurrentCalls}},
 	}
+	c.holderHTTP = &http.Client{Timeout: holderTimeout, Transport: c.http.Transport}
 	metrics.Gauge("jobs_text_cache_bytes", func() any { return c.size() })
 	return c
 }
@@ -166,6 +170,8 @@
 	results []jobs.Result
 	// err is why the missing texts could not be read from the log.
 	err error
+
+	mu sync.Mutex // guards results while calls to several peers run
 }
 
 // missing returns the results whose texts are still missing.
@@ -203,7 +209,7 @@
 	for _, call := range groupTextCalls(f.missing(), f.cache.peerAddr) {
 		slots <- struct{}{}
 		calls.Go(func() {
-			f.cache.fetchFromPeer(ctx, call)
+			f.add(f.cache.fetchFromPeer(ctx, call))
 			<-slots
 		})
 	}
@@ -211,11 +217,34 @@
 	f.fillFromMemory()
 }
 
+// add adds texts that a peer has returned. Those that this process may not keep are in this answer only.
+func (f *textFill) add(returned []returnedText) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	texts := make(map[textKey]string, len(returned))
+	for i := range returned {
+		t := &returned[i]
+		texts[t.key()] = t.Text
+		if f.cache.mayRead(t.Regions) {
+			f.cache.put(t.key(), t.Text)
+		}
+	}
+	for i := range f.results {
+		r := &f.results[i]
+		if r.Ref == nil {
+			continue
+		}
+		if text, returned := texts[keyOf(r)]; returned {
+			r.Text = text
+		}
+	}
+}
+
 // fillFromLog reads the missing texts from the log, partition by partition in the order of
-// their offsets: the results of a job are close to each other. With a read for each text,
+// their offsets, or through other processes if this one may not read them: the results of a job are close to each other. With a read for each text,
 // which also returns what follows it, one answer cost eight times its bytes.
 func (f *textFill) fillFromLog(ctx context.Context) {
-	missing := f.missing()
+	missing := slices.DeleteFunc(f.missing(), func(r *jobs.Result) bool { return !f.cache.mayRead(r.Ref.Regions) })
 	slices.SortStableFunc(missing, func(a, b *jobs.Result) int { return compareRefs(a.Ref, b.Ref) })
 	for len(missing) > 0 {
 		next, err := f.cache.readFromLog(ctx, missing)
@@ -226,4 +255,5 @@
 		missing = next
 	}
 	f.fillFromMemory()
+	f.fillFromHolders(ctx)
 }
--- a/gateway/jobs/textcalls.go
+++ b/gateway/jobs/textcalls.go
@@ -47,6 +47,12 @@
 	Part   int    `json:"part"`
 	Offset uint64 `json:"offset"`
 	Item   string `json:"item"`
+	// Regions is the key of the regions of the text's stream; empty: every region.
+	Regions string `json:"regions,omitempty"`
+}
+
+func (t *requestedText) key() textKey {
+	return textKey{textPart{t.Regions, t.Part}, t.Offset, t.Item}
 }
 
 // returnedText is a text in the answer, which omits those that the process no longer has.
@@ -79,46 +85,54 @@
 			openCall[addr], size[addr] = at, 0
 		}
 		size[addr] += r.Ref.Bytes
-		calls[at].texts = append(calls[at].texts, requestedText{r.Ref.Partition, r.Ref.Offset, r.Item})
+		calls[at].texts = append(calls[at].texts, requestedText{Part: r.Ref.Partition, Offset: r.Ref.Offset, Item: r.Item, Regions: r.Ref.Regions})
 	}
 	return calls
 }
 
-// fetchFromPeer requests texts from a peer and stores those that it returns. After a failure
-// the texts are read from the log.
-func (c *TextCache) fetchFromPeer(ctx context.Context, call textCall) {
-	returned, err := c.callPeer(ctx, call)
+// fetchFromPeer requests texts from a peer and returns those that it has. After a failure the texts
+// are read from the log.
+func (c *TextCache) fetchFromPeer(ctx context.Context, call textCall) []returnedText {
+	returned, err := c.callPeer(ctx, c.http, PathTexts, call)
 	if err != nil {
 		textCallsFailed.Add(1)
 		c.zlog.Info("Fetching texts from their writer failed.", zap.String("addr", call.addr), zap.Int("texts", len(call.texts)), zap.Error(err))
-		return
 	}
-	for _, text := range returned {
-		textsFromPeer.Add(1)
-		c.put(textKey{text.Part, text.Offset, text.Item}, text.Text)
+	textsFromPeer.Add(int64(len(returned)))
+	return returned
+}
+
+// callPeer requests texts from a peer at one of its paths.
+func (c *TextCache) callPeer(ctx context.Context, client *http.Client, path string, call textCall) ([]returnedText, error) {
+	resp, err := post(ctx, client, call.addr, path, call.texts)
+	if err != nil {
+		return nil, err
 	}
+	defer resp.Body.Close()
+	// A truncated answer is an error, because the answer states its length.
+	var returned []returnedText
+	return returned, errors.Trace(json.NewDecoder(resp.Body).Decode(&returned))
 }
 
-func (c *TextCache) callPeer(ctx context.Context, call textCall) ([]returnedText, error) {
-	body, err := json.Marshal(call.texts)
+// post sends a value to a peer. The caller has to close the body of the answer, which is a success.
+func post(ctx context.Context, client *http.Client, addr, path string, value any) (*http.Response, error) {
+	body, err := json.Marshal(value)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+call.addr+PathTexts, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	resp, err := c.http.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("peer %s: status %d", call.addr, resp.StatusCode)
+		resp.Body.Close()
+		return nil, errors.Errorf("peer %s: status %d", addr, resp.StatusCode)
 	}
-	// A truncated answer is an error, because the answer states its length.
-	var returned []returnedText
-	return returned, errors.Trace(json.NewDecoder(resp.Body).Decode(&returned))
+	return resp, nil
 }
 
 // ServeHTTP returns the texts that this process has in memory to a peer.
@@ -130,10 +144,15 @@
 	}
 	returned := make([]returnedText, 0, len(requested))
 	for _, a := range requested {
-		if text, ok := c.get(textKey{a.Part, a.Offset, a.Item}); ok {
+		if text, ok := c.get(a.key()); ok {
 			returned = append(returned, returnedText{a, text})
 		}
 	}
+	writeTexts(w, returned)
+}
+
+// writeTexts writes an answer to a peer.
+func writeTexts(w http.ResponseWriter, returned []returnedText) {
 	data, err := json.Marshal(returned)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -144,7 +163,7 @@
 }
 
 func compareRefs(a, b *jobs.TextRef) int {
-	return cmp.Or(cmp.Compare(a.Partition, b.Partition), cmp.Compare(a.Offset, b.Offset))
+	return cmp.Or(cmp.Compare(a.Regions, b.Regions), cmp.Compare(a.Partition, b.Partition), cmp.Compare(a.Offset, b.Offset))
 }
 
 // readFromLog reads the first of the missing texts, which are sorted by their place in the log,
@@ -153,7 +172,7 @@
 func (c *TextCache) readFromLog(ctx context.Context, missing []*jobs.Result) ([]*jobs.Result, error) {
 	first := missing[0].Ref
 	textReads.Add(1)
-	page, err := c.log.readUpTo(ctx, textStream(first.Partition), first.Offset, textReadKB(missing), 0)
+	page, err := c.log.readUpTo(ctx, textPartOf(first).stream(), first.Offset, textReadKB(missing), 0)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -168,7 +187,7 @@
 			continue // another record's error; a missing text is reported below
 		}
 		for _, text := range record.Texts {
-			key := textKey{first.Partition, rec.Offset, text.Item}
+			key := textKey{textPartOf(first), rec.Offset, text.Item}
 			if r := wanted[key]; r != nil {
 				r.Text = text.Text
 			}
@@ -176,9 +195,9 @@
 		}
 	}
 	remaining := slices.DeleteFunc(slices.Clone(missing), func(r *jobs.Result) bool {
-		return r.Ref.Partition == first.Partition && r.Ref.Offset < page.Next && r.Text != ""
+		return textPartOf(r.Ref) == textPartOf(first) && r.Ref.Offset < page.Next && r.Text != ""
 	})
-	if len(remaining) > 0 && remaining[0].Ref.Partition == first.Partition && remaining[0].Ref.Offset < page.Next {
+	if len(remaining) > 0 && textPartOf(remaining[0].Ref) == textPartOf(first) && remaining[0].Ref.Offset < page.Next {
 		return nil, errors.NotFoundf("text of item %s at offset %d", remaining[0].Item, remaining[0].Ref.Offset)
 	}
 	return remaining, nil
@@ -188,7 +207,7 @@
 func textReadKB(missing []*jobs.Result) int {
 	size := 0
 	for _, r := range missing {
-		if r.Ref.Partition == missing[0].Ref.Partition {
+		if textPartOf(r.Ref) == textPartOf(missing[0].Ref) {
 			size += textReadFactor * r.Ref.Bytes
 		}
 	}
--- a/gateway/jobs/texts.go
+++ b/gateway/jobs/texts.go
@@ -15,8 +15,13 @@
 // maxTextsWait bounds one attempt to read a job's items and earlier texts; the owner retries.
 const maxTextsWait = 3 * time.Second
 
-// textStream returns the name of the stream with the texts of a partition.
-func textStream(part int) string { return fmt.Sprintf("texts/%d", part) }
+// stream returns the name of the stream with the texts of a partition.
+func (p textPart) stream() string {
+	if p.regions == "" {
+		return fmt.Sprintf("%s/%d", textTopic, p.part)
+	}
+	return fmt.Sprintf("%s.%s/%d", textTopic, p.regions, p.part)
+}
 
 // partitionOf returns the partition of a job's texts.
 func partitionOf(job string, partitions int) int { return int(route.Hash(job) % uint64(partitions)) }
@@ -50,7 +55,7 @@
 	defer cancel()
 	texts := jobs.NewTexts(job)
 	for next := from.Offset; ; {
-		page, err := log.read(ctx, textStream(from.Partition), next, 0)
+		page, err := log.read(ctx, textPartOf(&from).stream(), next, 0)
 		if errors.Is(err, platform.ErrTruncated) && page.First > next {
 			next = page.First
 			continue
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -87,6 +87,8 @@
 	}
 	ready := &readiness{view: v, index: index, quarantine: forwarder.Quarantine}
 	index.Texts.SetPeers(peers.Addr)
+	index.SetPlaces(newPlaces(v.Topology, peers, cfg.Process.FailureDomain))
+	limitRelays(store, v.Topology, peers)
 	held := newHeldMemory(cfg.VM.MemoryMB)
 	handler.Bodies, forwarder.Answers, handler.ReadTime = held.bodies, held.answers, pace.MinTime
 	index.Texts.SetRoom(held.texts)
@@ -164,9 +166,11 @@
 
 // newPeerHandler returns the handler for calls of other processes: texts of jobs, quarantined
 // requests, streams that all processes follow, and calls of the store that are relayed.
-func newPeerHandler(textHandler, quarantineHandler http.Handler, store *followedStore) http.Handler {
+func newPeerHandler(texts *gatewayjobs.TextCache, quarantineHandler http.Handler, store *followedStore) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(gatewayjobs.PathTexts, textHandler)
+	mux.Handle(gatewayjobs.PathTexts, texts)
+	mux.HandleFunc(gatewayjobs.PathHeldTexts, texts.ServeHeldTexts)
+	mux.HandleFunc(gatewayjobs.PathHeldItem, texts.ServeHeldItem)
 	mux.Handle(quarantine.PathPeers, quarantineHandler)
 	mux.Handle(fanout.PathTail, store.tail)
 	mux.Handle("/", store.Relay())
