Batch jobs: a submission without a common region is refused as not run only if the job is unknown

A job whose regions no longer have any in common, submitted again by its trainer after its 202, was answered "not run" while it ran. The regions are now set inside Submit, whose proof that the job is not in the log covers this refusal too.

--- a/decide/table/organisations.go
+++ b/decide/table/organisations.go
@@ -101,3 +101,6 @@
 	}
 	return d.regions[organisation]
 }
+
+// HasRegions reports whether any organisation has allowed regions. The nil pointer is valid.
+func (d *Directory) HasRegions() bool { return d != nil && len(d.regions) > 0 }
--- a/decide/table/table.go
+++ b/decide/table/table.go
@@ -206,6 +206,9 @@
 	return nil
 }
 
+// HasRegions reports whether any route or organisation has allowed regions.
+func (t *Table) HasRegions() bool { return t.hasRegions || t.Organisations.HasRegions() }
+
 // RegionsOf returns the regions in which a request of an organisation may be served: those of its
 // route and of the organisation, both. An empty or unknown organisation has no allowed regions.
 func (t *Table) RegionsOf(host, path, organisation string) residency.Regions {
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -90,7 +90,7 @@
 	// Regions are the regions in which the request may be served, as of its arrival. At each
 	// attempt those of the current configuration bind too.
 	Regions residency.Regions
-	// Path is the path without escapes, by which routes match.
+	// Path is the path without escapes, by which routes match; empty: as the route's prefix.
 	Path string
 	// OnBehalfOf is the organisation whose allowed regions bind although the request is none
 	// of its own.
--- a/gateway/forward/regions.go
+++ b/gateway/forward/regions.go
@@ -22,7 +22,8 @@
 	if t == nil {
 		return s.call.Regions
 	}
-	return residency.Binding(s.call.Regions, t.RegionsOf(s.call.Host, s.call.Path, cmp.Or(s.call.OnBehalfOf, s.call.Organisation)))
+	path := cmp.Or(s.call.Path, s.call.Route.Prefix)
+	return residency.Binding(s.call.Regions, t.RegionsOf(s.call.Host, path, cmp.Or(s.call.OnBehalfOf, s.call.Organisation)))
 }
 
 // lacksRegion reports whether the call has allowed regions in which no server takes work.
--- a/gateway/forward/regions_test.go
+++ b/gateway/forward/regions_test.go
@@ -14,7 +14,9 @@
 	"pgregory.net/rapid"
 
 	"dandelionsill.org/decide/residency"
+	"dandelionsill.org/decide/topology"
 	"dandelionsill.org/gateway/forward"
+	"dandelionsill.org/gateway/gatewaytest"
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/platform/hosted/hostedtest"
 )
@@ -242,3 +244,25 @@
 		}
 	})
 }
+
+// The engines of the only allowed region break each stream off. Guards against a stream that is
+// begun, or resumed, elsewhere.
+func TestStreamsAreResumedInAllowedRegions(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 3, 0)
+	pf.Topology = topology.New(map[string]string{"zone-a": "a", "zone-b": "b"})
+	for i, domain := range []string{"zone-a", "zone-b", "zone-a"} {
+		pf.Engines[i].FailureDomain = domain
+		pf.Register(pf.Engines[i], "ready")
+	}
+	pf.Store.Put(hostedtest.TopicOperator, "config", hostedtest.InRegions(hostedtest.Config(2), "chat", "a"))
+	for _, i := range []int{0, 2} {
+		pf.Engines[i].Fail(hostedtest.ServerFaults{BreakAfter: 2})
+	}
+	p := pf.NewProcess(t)
+	require.Eventually(t, func() bool { return p.View.Current().Table.Version == 2 }, gatewaytest.MaxWait, time.Millisecond)
+	_, events, err := readStream(t, p, nil)
+	require.Error(t, err)
+	require.NotEmpty(t, events)
+	require.Len(t, arrivals([]*hostedtest.Server{pf.Engines[0], pf.Engines[2]}), 3, "the route's attempts")
+	require.Empty(t, pf.Engines[1].Arrivals())
+}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -210,9 +210,6 @@
 		return 0, kinds.Hold().Refuse(kinds.BadRequest, "%v", err)
 	}
 	spec.DueMS, spec.Organisation = route.Due.Milliseconds(), organisation
-	if refused := f.Jobs.Restrict(f.View.Current().Table, &spec, items); refused != nil {
-		return 0, refused
-	}
 	left := callerTimeout(r)
 	ctx, cancel := context.WithDeadline(r.Context(), start.Add(time.Duration(submitTimeShare*float64(left))))
 	defer cancel()
--- a/gateway/jobs/api.go
+++ b/gateway/jobs/api.go
@@ -14,6 +14,7 @@
 	"dandelionsill.org/decide/gather"
 	"dandelionsill.org/decide/residency"
 	"dandelionsill.org/decide/route"
+	"dandelionsill.org/decide/table"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/platform"
@@ -63,13 +64,15 @@
 	// capacity is how many items this process can run.
 	capacity    int
 	submissions atomic.Uint64 // by this process
+	// table returns the configuration in force, nil while there is none.
+	table func() *table.Table
 }
 
 // NewService returns the service that answers from index. partitions is the number of
 // partitions of the texts' stream, which is the same in all processes; capacity is the
 // number of items that this process can run.
 func NewService(index *Index, log Log, writer jobs.Writer, partitions, capacity int, zlog *zap.Logger) *Service {
-	return &Service{index: index, log: log, writer: writer, partitions: max(1, partitions), capacity: capacity, zlog: zlog}
+	return &Service{index: index, log: log, writer: writer, partitions: max(1, partitions), capacity: capacity, table: func() *table.Table { return nil }, zlog: zlog}
 }
 
 // Submit accepts a job durably: nil means that the log has stored it. It retries until
@@ -83,7 +86,10 @@
 		// would number its results differently from all others.
 		return outcomeUnknown("records of batch jobs were missed").WithRetryAfter(retryAfter)
 	}
-	failed := s.appendJob(ctx, spec, items)
+	failed := s.restrict(&spec, items)
+	if failed == nil {
+		failed = s.appendJob(ctx, spec, items)
+	}
 	if failed == nil && s.hasJob(spec.ID) {
 		return s.checkSameJob(&spec)
 	}
--- a/gateway/jobs/regions.go
+++ b/gateway/jobs/regions.go
@@ -53,6 +53,10 @@
 // SetPlaces sets where processes are. It must be called before the first use.
 func (x *Index) SetPlaces(p Places) { x.places, x.Texts.places = p, p }
 
+// SetTable sets the function that returns the configuration in force, whose allowed regions jobs get
+// at their submission. It must be called before the first use.
+func (s *Service) SetTable(current func() *table.Table) { s.table = current }
+
 // RegionsOfTopic returns the regions whose processes may see the records of a topic of the store.
 func RegionsOfTopic(topic string) residency.Regions {
 	key, found := strings.CutPrefix(topic, textTopic+".")
@@ -90,11 +94,15 @@
 	return residency.Only(names[:maxHoldingRegions])
 }
 
-// Restrict sets the allowed regions of a job that is being submitted. An owner holds all of a job's
+// restrict sets the allowed regions of a job that is being submitted, by the configuration in force. An owner holds all of a job's
 // items with their scores' requests, so that the regions of all their routes bind; those of scores
 // do not if there would be no region left, because a score is a request of its own, which its owner
 // sends to its own regions. It returns an error if there is no region in which the items may be served.
-func (s *Service) Restrict(t *table.Table, spec *jobs.Spec, items []jobs.Item) *kinds.Error {
+func (s *Service) restrict(spec *jobs.Spec, items []jobs.Item) *kinds.Error {
+	t := s.table()
+	if t == nil || !t.HasRegions() {
+		return nil
+	}
 	regions := t.RegionsOf(spec.Host, spec.Path, spec.Organisation)
 	for i := range items {
 		regions = regions.And(t.RegionsOf(items[i].Host, items[i].Path, ""))
@@ -131,11 +139,15 @@
 // read, and those of the current configuration. If there are none, its texts' regions bind: texts
 // are in a stream with those of other jobs, which processes elsewhere must not read.
 func (r *Runner) ownerRegions(j *jobs.Job) residency.Regions {
+	return ownerRegions(r.view.Current().Table, j)
+}
+
+func ownerRegions(t *table.Table, j *jobs.Job) residency.Regions {
 	holding := holders(&j.ItemsRef)
-	if t := r.view.Current().Table; t != nil {
-		return residency.Binding(t.RegionsOf(j.Host, j.Path, j.Organisation), holding)
+	if t == nil {
+		return holding
 	}
-	return holding
+	return residency.Binding(t.RegionsOf(j.Host, j.Path, j.Organisation), holding)
 }
 
 // mayOwn reports whether this process may own a job.
--- a/gateway/jobs/regions_play_test.go
+++ b/gateway/jobs/regions_play_test.go
@@ -13,10 +13,12 @@
 	"go.uber.org/zap"
 
 	"dandelionsill.org/decide/residency"
+	"dandelionsill.org/decide/table"
 	"dandelionsill.org/decide/topology"
 	fold "dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/gatewaytest"
 	"dandelionsill.org/gateway/jobs"
+	"dandelionsill.org/kinds"
 	"dandelionsill.org/platform/hosted/hostedtest"
 )
 
@@ -68,6 +70,7 @@
 	r.peers[vm] = strings.TrimPrefix(server.URL, "http://")
 	r.mu.Unlock()
 	e.service = jobs.NewService(e.index, p.Store, writer, 3, 600, zap.NewNop())
+	e.service.SetTable(func() *table.Table { return p.View.Current().Table })
 	e.runner = jobs.NewRunner(e.index, p.Store, p.Forward, writer, 3, 600, zap.NewNop())
 	p.Go(e.index.Run)
 	if isOwner {
@@ -77,13 +80,6 @@
 	return e
 }
 
-// submitRestricted submits a job as the front does.
-func (e *entry) submitRestricted(t *testing.T, id string, items int) {
-	spec, list := decode(t, id, hostedtest.Job(id, "m", items, 1))
-	require.Nil(t, e.service.Restrict(e.View.Current().Table, &spec, list))
-	require.Nil(t, e.service.Submit(t.Context(), spec, list))
-}
-
 // isReleased reports whether an owner has released a job.
 func (r *regional) isReleased(t *testing.T, job string) bool {
 	for _, data := range r.Store.Records(jobs.Stream) {
@@ -103,7 +99,7 @@
 	r := newRegional(t, hostedtest.InRegions(hostedtest.InRegions(hostedtest.Config(2), "jobs", "a"), "score", "a"))
 	b := r.start(t, "b0", true)
 	r.start(t, "a0", true)
-	b.submitRestricted(t, "j", 4)
+	b.submit(t, "j", 4, 1)
 	results := b.results(t, "j", 4)
 	requireComplete(t, results, r.Engines[0].Events)
 	require.Empty(t, r.Engines[1].Arrivals())
@@ -143,7 +139,7 @@
 	r := newRegional(t, hostedtest.InRegions(hostedtest.Config(2), "jobs", "a"))
 	r.Engines[0].EventInterval, r.Engines[0].Events = 20*time.Millisecond, 100
 	a, b := r.start(t, "a0", true), r.start(t, "b0", true)
-	a.submitRestricted(t, "j", 2)
+	a.submit(t, "j", 2, 1)
 	require.Eventually(t, func() bool { return len(r.Engines[0].Arrivals()) == 2 }, gatewaytest.MaxWait, time.Millisecond)
 	a.Stop()
 	a2 := r.start(t, "a1", true)
@@ -168,7 +164,7 @@
 		e.EventInterval, e.Events = 10*time.Millisecond, 150
 	}
 	b := r.start(t, "b0", true)
-	b.submitRestricted(t, "j", 8)
+	b.submit(t, "j", 8, 1)
 	require.Eventually(t, func() bool { return len(r.Engines[1].Arrivals()) > 0 }, gatewaytest.MaxWait, time.Millisecond)
 	r.Store.Put(hostedtest.TopicOperator, "config", hostedtest.InRegions(hostedtest.Config(3), "jobs", "a"))
 	require.Eventually(t, func() bool { return r.isReleased(t, "j") }, gatewaytest.MaxWait, time.Millisecond)
@@ -181,3 +177,23 @@
 		require.Equal(t, "a0", result.Writer)
 	}
 }
+
+// A job was accepted, its regions have changed so that no region is left, and its trainer submits it
+// again. Guards against the answer "not run" for a job that runs, at a process that has not read of it
+// too, and against a new job that is accepted although no region may serve it.
+func TestJobWithoutCommonRegionIsRefusedOnlyIfUnknown(t *testing.T) {
+	t.Parallel()
+	r := newRegional(t, hostedtest.InRegions(hostedtest.Config(2), "jobs", "a"))
+	a := r.start(t, "a0", false)
+	a.submit(t, "j", 2, 1)
+	none, _ := table.New(3, []*table.Route{{Name: "jobs", Host: "app.example", Prefix: "/jobs/", Targets: []table.Target{{Service: "s", Weight: 1}}, Regions: residency.Only([]string{"a"}).And(residency.Only([]string{"b"}))}}, []table.Service{{Name: "s"}}, table.Limits{})
+	for _, e := range []*entry{a, r.start(t, "b0", false)} {
+		e.service.SetTable(func() *table.Table { return none })
+		spec, items := decode(t, "j", hostedtest.Job("j", "m", 2, 1))
+		require.Nil(t, e.service.Submit(t.Context(), spec, items))
+		spec, items = decode(t, "new", hostedtest.Job("new", "m", 2, 1))
+		err := e.service.Submit(t.Context(), spec, items)
+		require.Equal(t, string(kinds.NoServer), err.Kind())
+		require.True(t, err.NotRun())
+	}
+}
--- a/gateway/jobs/regions_test.go
+++ b/gateway/jobs/regions_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"pgregory.net/rapid"
 
+	"dandelionsill.org/decide/members"
 	"dandelionsill.org/decide/residency"
 	"dandelionsill.org/decide/table"
 	"dandelionsill.org/fold/jobs"
@@ -41,6 +44,12 @@
 	return NewService(index, log, jobs.Writer{VM: region + "0", Incarnation: "1"}, 4, 600, zap.NewNop())
 }
 
+// restrictBy restricts a job by a configuration.
+func (s *Service) restrictBy(tb *table.Table, spec *jobs.Spec, items []jobs.Item) *kinds.Error {
+	s.SetTable(func() *table.Table { return tb })
+	return s.restrict(spec, items)
+}
+
 // Guards against a job that is accepted although no region may serve it, against one that its owner
 // may not hold because of a score, and against one that is refused because a score has other regions.
 func TestRegionsOfAJobAtSubmission(t *testing.T) {
@@ -57,13 +66,13 @@
 		t.Run(name, func(t *testing.T) {
 			spec := jobs.Spec{ID: "j", Host: "h", Path: "/job/x", Organisation: "o"}
 			items := []jobs.Item{{Request: jobs.Request{Host: "h", Path: "/job/x/1"}, Score: &jobs.Request{Host: "h", Path: "/score/1"}}}
-			require.Nil(t, newRegionService("a", nil).Restrict(tableOf(t, c.job, c.score, org), &spec, items))
+			require.Nil(t, newRegionService("a", nil).restrictBy(tableOf(t, c.job, c.score, org), &spec, items))
 			require.Equal(t, c.want, residency.Only(spec.Regions).String())
 			require.Equal(t, []string{"b", "c"}, spec.OrganisationRegions)
 		})
 	}
 	spec := jobs.Spec{ID: "j", Host: "h", Path: "/job/x", Organisation: "o"}
-	err := newRegionService("a", nil).Restrict(tableOf(t, []string{"a"}, nil, org), &spec, nil)
+	err := newRegionService("a", nil).restrictBy(tableOf(t, []string{"a"}, nil, org), &spec, nil)
 	require.Equal(t, string(kinds.NoServer), err.Kind())
 	require.True(t, err.NotRun())
 }
@@ -73,7 +82,7 @@
 	s := newRegionService("a", &strictLog{})
 	spec := jobs.Spec{ID: "j", Host: "h", Path: "/job/x", Total: 1}
 	items := []jobs.Item{{Request: jobs.Request{ID: "i", Host: "h", Path: "/job/x/1"}}}
-	require.Nil(t, s.Restrict(tableOf(t, nil, nil), &spec, items))
+	require.Nil(t, s.restrictBy(tableOf(t, nil, nil), &spec, items))
 	require.Equal(t, jobs.Spec{ID: "j", Host: "h", Path: "/job/x", Total: 1}, spec)
 	ref, failed := s.appendItems(t.Context(), &spec, items, func() bool { return false })
 	require.Nil(t, failed)
@@ -223,3 +232,43 @@
 	require.Equal(t, []string{"j"}, r.out.appenders[textPart{regions: "a.b"}].releases)
 	require.Zero(t, r.countRegionWaits())
 }
+
+// Guards against any way in which a body is read, or an item sent, where it may not be, over random
+// regions at submission, later ones, processes and engines.
+func TestNoJobLeavesItsRegions(t *testing.T) {
+	all := []string{"a", "b", "c", "d"}
+	sets := rapid.SliceOfDistinct(rapid.SampledFrom(all), rapid.ID[string])
+	rapid.Check(t, func(rt *rapid.T) {
+		config := func(label string) *table.Table {
+			return tableOf(t, sets.Draw(rt, label+" job"), sets.Draw(rt, label+" score"), table.Organisation{Name: "o", Regions: residency.Only(sets.Draw(rt, label+" organisation"))})
+		}
+		before, now := config("before"), config("now")
+		spec := jobs.Spec{ID: rapid.StringN(1, 4, -1).Draw(rt, "id"), Host: "h", Path: "/job/x", Organisation: "o"}
+		items := []jobs.Item{{Request: jobs.Request{Host: "h", Path: "/job/x/1"}}}
+		s := newRegionService(rapid.SampledFrom(all).Draw(rt, "accepting"), &strictLog{})
+		submitted, current := before.RegionsOf("h", "/job/x", "o"), now.RegionsOf("h", "/job/x", "o")
+		if err := s.restrictBy(before, &spec, items); err != nil {
+			require.True(rt, submitted.AllowsNone())
+			return
+		}
+		ref, _ := s.appendItems(t.Context(), &spec, items, func() bool { return false })
+		for i, vm := range rapid.SliceOfN(rapid.SampledFrom([]string{"a1", "b1", "c1", "d1", "e1"}), 0, 4).Draw(rt, "processes") {
+			s.index.state.Apply(uint64(i), &jobs.Record{Writer: jobs.Writer{VM: vm}, Capacity: 600})
+			s.index.lastRecordAt[jobs.Writer{VM: vm}] = time.Now()
+		}
+		s.index.readableSince = time.Now().Add(-time.Hour)
+		owner := s.chooseOwner(1, holders(&ref))
+		require.True(rt, owner == nil && submitted.Allows(s.index.places.Region) || owner != nil && (owner.VM == "" || submitted.Allows(owner.VM[:1])))
+		j := &jobs.Job{Spec: spec, ItemsRef: ref}
+		for _, region := range append(all, "") {
+			places := placesOf(region)
+			mayRead, mayOwn := RegionsOfTopic(strings.Split(textPartOf(&ref).stream(), "/")[0]).Allows(region), places.allows(ownerRegions(now, j))
+			require.False(rt, mayRead && !submitted.Allows(region), "reads")
+			require.False(rt, mayOwn && !mayRead, "owns what it may not read")
+			require.False(rt, mayOwn && !current.Allows(region) && !holders(&ref).And(current).AllowsNone(), "owns where it is not allowed any more")
+			sent := regionsNow(now, spec.Regions, "h", "/job/x/1", "o").Allows(region)
+			require.False(rt, sent && !current.Allows(region), "sends")
+			require.Equal(rt, sent, len(serversIn([]members.Server{{Region: region}}, regionsNow(now, spec.Regions, "h", "/job/x/1", "o"))) == 1)
+		}
+	})
+}
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -20,6 +20,7 @@
 	"dandelionsill.org/base/trace"
 	decide "dandelionsill.org/decide/fanout"
 	"dandelionsill.org/decide/lease"
+	"dandelionsill.org/decide/table"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/backend"
 	"dandelionsill.org/gateway/fanout"
@@ -85,6 +86,7 @@
 		View: v, Forward: forwarder, Log: logs.Part(log, "front"), Latency: metrics.NewHistogram("front_latency"),
 		Jobs: gatewayjobs.NewService(index, store, writer, cfg.Store.Parts, capacity, logs.Part(log, "jobs")),
 	}
+	handler.Jobs.SetTable(func() *table.Table { return v.Current().Table })
 	ready := &readiness{view: v, index: index, quarantine: forwarder.Quarantine}
 	index.Texts.SetPeers(peers.Addr)
 	index.SetPlaces(newPlaces(v.Topology, peers, cfg.Process.FailureDomain))
