gateway/view: which failure domains have just been taken back; copies follow evacuations

Callers of a failure domain that is taken back met cold servers with the load of warm ones: nothing told the parts that send that an evacuation had just ended. An end is noticed also where the process has not known the begin. A process that started by the copy of the operator's feed while the feed could not be read knew no evacuation newer than the last configuration: the copies are refreshed as soon as an evacuation begins or ends.

--- a/decide/members/members.go
+++ b/decide/members/members.go
@@ -29,6 +29,9 @@
 	// Evacuated means that the operator evacuates FailureDomain: nothing new may be sent
 	// to the server. What runs there may end.
 	Evacuated bool
+	// BackSince is when this process learnt that the evacuation of FailureDomain had ended; zero: it was
+	// not evacuated, or that is long ago. The server may be cold although its entry does not say so.
+	BackSince time.Time
 	// ColdLeft is how much longer the server is cold, as of its entry; ColdUntil is when that
 	// ends by the clock of this process, zero if it was not cold. A server may become cold again at any moment.
 	ColdLeft  time.Duration
--- a/gateway/view/copies.go
+++ b/gateway/view/copies.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -22,11 +23,11 @@
 	// copyInterval is the mean time between two copies by any process. Each process
 	// copies at this interval times the number of processes.
 	copyInterval = 4 * time.Second
-	// copyWriters is the mean number of processes that copy a new configuration. With
+	// copyWriters is the mean number of processes that copy a change at once. With
 	// three, no process copies it in one case of twenty; the next periodic copy then
 	// contains it.
 	copyWriters = 3
-	// maxCopyDelay bounds the random delay of a copy of a new configuration.
+	// maxCopyDelay bounds the random delay of such a copy.
 	maxCopyDelay = 400 * time.Millisecond
 )
 
@@ -38,7 +39,7 @@
 // RunCopies writes copies until ctx ends. processes returns the number of processes
 // that run it.
 func (v *View) RunCopies(ctx context.Context, processes func() int) {
-	appliedAt := v.Current().TableAppliedAt
+	copied := v.Current()
 	nextDelay := func() time.Duration { return sleep.Jitter(copyInterval * time.Duration(max(1, processes()))) }
 	timer := time.NewTimer(nextDelay())
 	defer timer.Stop()
@@ -51,17 +52,18 @@
 			v.saveCopies(ctx)
 			timer.Reset(nextDelay())
 		case <-changed:
-			if now := v.Current().TableAppliedAt; now.After(appliedAt) {
-				appliedAt = now
-				v.copyTable(ctx, processes())
+			now := v.Current()
+			if now.TableAppliedAt.After(copied.TableAppliedAt) || !maps.Equal(now.Evacuated, copied.Evacuated) {
+				v.copyNow(ctx, processes())
 			}
+			copied = now
 		}
 	}
 }
 
-// copyTable copies a new configuration if this process is among those randomly chosen
-// to.
-func (v *View) copyTable(ctx context.Context, processes int) {
+// copyNow copies a new configuration, or evacuations that have begun or ended, if this process is
+// among those randomly chosen to.
+func (v *View) copyNow(ctx context.Context, processes int) {
 	if rand.N(max(1, processes)) < copyWriters && sleep.For(ctx, rand.N(maxCopyDelay)) {
 		v.saveCopies(ctx)
 	}
--- a/gateway/view/evacuations.go
+++ b/gateway/view/evacuations.go
@@ -8,9 +8,14 @@
 	"go.uber.org/zap"
 
 	"dandelionsill.org/base/metrics"
+	"dandelionsill.org/decide/members"
 	"dandelionsill.org/platform"
 )
 
+// backMemory is how long a failure domain counts as back after its evacuation: longer than servers
+// need to become warm.
+const backMemory = time.Minute
+
 var evacuationsSeen = metrics.Counter("view_evacuations_total")
 
 // evacuation is what the operator's newest record on a failure domain says.
@@ -20,6 +25,19 @@
 	since  time.Time // when this process read the record
 }
 
+// serversIn counts the known servers of a failure domain.
+func (s *Snapshot) serversIn(domain string) int {
+	n := 0
+	for _, servers := range s.Servers {
+		for i := range servers {
+			if servers[i].FailureDomain == domain {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // applyEvacuation applies the operator's record of an evacuation; v.mu is held. Records may be read
 // out of order: a complete list from another process may be older than changes that were read.
 func (v *View) applyEvacuation(next *Snapshot, offset uint64, change *platform.Evacuation) {
@@ -33,17 +51,17 @@
 		after.since = before.since
 	}
 	v.evacuations[change.FailureDomain] = after
-	if wasActive == !after.over {
-		return
-	}
-	if after.over {
+	next.Evacuated, next.BackSince = v.activeEvacuations(), v.recentlyBack()
+	switch {
+	case wasActive == !after.over:
+	case after.over:
 		v.log.Info("The evacuation of a failure domain is over.", zap.String("failure_domain", change.FailureDomain),
 			zap.Uint64("offset", offset), zap.Duration("took", after.since.Sub(before.since)))
-	} else {
+	default:
 		evacuationsSeen.Add(1)
-		v.log.Info("A failure domain is evacuated.", zap.String("failure_domain", change.FailureDomain), zap.Uint64("offset", offset))
+		v.log.Info("A failure domain is evacuated.", zap.String("failure_domain", change.FailureDomain),
+			zap.Uint64("offset", offset), zap.Int("servers", next.serversIn(change.FailureDomain)))
 	}
-	next.Evacuated = v.activeEvacuations()
 }
 
 // endUnlisted ends the evacuations that a complete list of all records before an offset lacks;
@@ -72,3 +90,54 @@
 	}
 	return active
 }
+
+// recentlyBack returns since when each failure domain is back whose evacuation has ended within the
+// last backMemory; v.mu is held.
+func (v *View) recentlyBack() map[string]time.Time {
+	back := map[string]time.Time{}
+	for domain, e := range v.evacuations {
+		if e.over && v.now().Sub(e.since) < backMemory {
+			back[domain] = e.since
+		}
+	}
+	return back
+}
+
+// forgetBack publishes a snapshot without the failure domains that have been back for backMemory;
+// v.mu is held.
+func (v *View) forgetBack() {
+	if current := v.current.Load(); len(current.BackSince) > 0 && len(v.recentlyBack()) < len(current.BackSince) {
+		next := *current
+		next.BackSince = v.recentlyBack()
+		next.Servers = next.markServers(next.Servers)
+		v.current.Store(&next)
+		v.Changed.Notify()
+	}
+}
+
+// markServers returns the servers of all services with what the snapshot knows of their failure
+// domains. Lists in which nothing changes are kept.
+func (s *Snapshot) markServers(byService map[string][]members.Server) map[string][]members.Server {
+	marked := make(map[string][]members.Server, len(byService))
+	for service, servers := range byService {
+		marked[service] = s.markList(servers)
+	}
+	return marked
+}
+
+func (s *Snapshot) markList(servers []members.Server) []members.Server {
+	out := servers
+	for i := range servers {
+		domain := servers[i].FailureDomain
+		_, isEvacuated := s.Evacuated[domain]
+		back := s.BackSince[domain]
+		if servers[i].Evacuated == isEvacuated && servers[i].BackSince.Equal(back) {
+			continue
+		}
+		if &out[0] == &servers[0] {
+			out = slices.Clone(servers)
+		}
+		out[i].Evacuated, out[i].BackSince = isEvacuated, back
+	}
+	return out
+}
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"math"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,6 +63,9 @@
 	// Evacuated holds the failure domains that the operator evacuates, with the time when this
 	// process learnt of it.
 	Evacuated map[string]time.Time
+	// BackSince holds the failure domains whose evacuation has ended within the last backMemory, with
+	// the time when this process learnt of it: their servers may be cold.
+	BackSince map[string]time.Time
 	// OperatorOffset is the highest offset read of the operator's feed. It only grows,
 	// and offsets are the same in every process, so that it serves as a fencing token.
 	OperatorOffset uint64
@@ -173,6 +175,7 @@
 		if v.servers.Expire(v.now()) {
 			v.publishServers()
 		}
+		v.forgetBack()
 		v.mu.Unlock()
 	}
 }
@@ -332,7 +335,7 @@
 		v.applyOperator(&next, c)
 	}
 	v.endUnlisted(&next, changes, completeBefore)
-	next.Servers = markServers(next.Servers, next.Evacuated)
+	next.Servers = next.markServers(next.Servers)
 	v.current.Store(&next)
 	v.Changed.Notify()
 }
@@ -346,31 +349,6 @@
 	return server
 }
 
-// markServers returns the servers of all services, marked as evacuated if their failure domain
-// is. Lists in which nothing changes are kept.
-func markServers(byService map[string][]members.Server, evacuated map[string]time.Time) map[string][]members.Server {
-	marked := make(map[string][]members.Server, len(byService))
-	for service, servers := range byService {
-		marked[service] = markEvacuated(servers, evacuated)
-	}
-	return marked
-}
-
-func markEvacuated(servers []members.Server, evacuated map[string]time.Time) []members.Server {
-	out := servers
-	for i, s := range servers {
-		_, isEvacuated := evacuated[s.FailureDomain]
-		if s.Evacuated == isEvacuated {
-			continue
-		}
-		if &out[0] == &servers[0] {
-			out = slices.Clone(servers)
-		}
-		out[i].Evacuated = isEvacuated
-	}
-	return out
-}
-
 // applyServers applies changes of server entries; mu is held.
 func (v *View) applyServers(changes []platform.Change) {
 	for _, c := range changes {
@@ -443,7 +421,7 @@
 // publishServers publishes a snapshot with the current servers; mu is held.
 func (v *View) publishServers() {
 	next := *v.current.Load()
-	next.Servers = markServers(v.servers.ByService(), next.Evacuated)
+	next.Servers = next.markServers(v.servers.ByService())
 	v.current.Store(&next)
 	v.Changed.Notify()
 }
