gateway/forward: a request that waited is not sent to a server evacuated meanwhile

Callers with long bodies wait at their chosen server for room; a process that is stopped may also pass seconds between the choice and the send. The failure domain is looked up once more right before the send; a permit is given back as unused, which says nothing of the server's health, and another server is asked. A server of an evacuated domain that ends is no crash, as for one that leaves, so that no request is kept from all servers because an operator switched machines off; nor is a connection opened to find out.

--- a/gateway/forward/bodies.go
+++ b/gateway/forward/bodies.go
@@ -108,9 +108,9 @@
 	}
 }
 
-// endWithoutRoom ends an attempt whose server had no room for the body, which says nothing of the
-// server's health.
-func (f *Forwarder) endWithoutRoom(o outcome, start time.Time) outcome {
+// endUnsent ends an attempt whose server had no room for the body or is evacuated, which says nothing
+// of the server's health.
+func (f *Forwarder) endUnsent(o outcome, start time.Time) outcome {
 	o.notRun, o.took = true, time.Since(start)
 	if o.permit != nil {
 		o.permit.Done(0, evidence.Unused)
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -437,7 +437,11 @@
 	f.serverStats.attemptStarted(server.ID)
 	o := outcome{choice: c}
 	if o.err = f.Bodies.acquire(ctx, call.Deadline, server.ID, len(call.Body)); o.err != nil {
-		return f.endWithoutRoom(o, start)
+		return f.endUnsent(o, start)
+	}
+	if o.err = f.checkEvacuated(service, server.ID); o.err != nil {
+		f.Bodies.release(server.ID, len(call.Body))
+		return f.endUnsent(o, start)
 	}
 	start = time.Now()
 	o.reply, o.err = f.exchange(ctx, call, server)
@@ -454,11 +458,11 @@
 }
 
 // ServerCrashed reports whether the server's process ended, after a connection broke
-// while it carried a request. A leaving server is expected to end, so its end is not
-// counted as a crash.
+// while it carried a request. A server that takes no work any more is expected to end, so its
+// end is not counted as a crash.
 func (f *Forwarder) ServerCrashed(ctx context.Context, service string, server members.Server) bool {
 	listed, known := f.View.Current().Server(service, server.ID)
-	return known && !listed.Leaving && f.Pool.ServerEnded(ctx, server.Addr)
+	return known && listed.TakesWork() && f.Pool.ServerEnded(ctx, server.Addr)
 }
 
 func (f *Forwarder) exchange(ctx context.Context, call Call, server members.Server) (*Reply, error) {
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -122,6 +122,9 @@
 		return streamRefused, err
 	}
 	defer s.forwarder.Bodies.release(c.server.ID, len(s.call.Body))
+	if err := s.forwarder.checkEvacuated(s.service, c.server.ID); err != nil {
+		return streamRefused, err
+	}
 	start := time.Now()
 	s.forwarder.serverStats.attemptStarted(c.server.ID)
 	answer, err := s.forwarder.open(ctx, s.remainingCall(), c.server)
