gateway/orders: no calls to engines of an evacuated failure domain; the newest version once it is back

The operator asks that nothing more be sent there, and that means orders of weights and reads of the engine's state too. An engine that is taken back is behind by as many versions as were named meanwhile; it loads the newest at once and gets no sample that needs a newer version than it has, since owners place by the versions that it serves. The engines of a domain load in waves counted from the moment when it is back: all of them are behind, and loads slow each other down. The other engines share out its models once the evacuation has lasted 2 s, as for engines that leave, and give them back at its end; evacuations in quick succession change nothing. Ways weighed: keep the windows of models as they are (a model may lose most of its engines), or load on in the evacuated domain (sends there, and slows the loads that count).

--- a/gateway/orders/orders.go
+++ b/gateway/orders/orders.go
@@ -121,7 +121,7 @@
 	a.fencingToken = max(a.fencingToken, snap.OperatorOffset+1)
 	a.recordNewVersions(snap)
 	self, peers := a.findEngine(snap)
-	if self == nil || self.Leaving {
+	if self == nil || !self.TakesWork() {
 		return idleInterval
 	}
 	a.observePeers(snap, self.Service)
@@ -142,12 +142,22 @@
 		a.publishServed(ctx, self.ID, report)
 		return idleInterval
 	}
-	if due := a.namedAt[target.Model].Add(target.Delay); time.Now().Before(due) {
+	if due := a.dueAt(self, target); time.Now().Before(due) {
 		return max(time.Until(due), time.Millisecond)
 	}
 	return a.order(ctx, snap, self, report, target)
 }
 
+// dueAt returns when a load should start. The engines of a failure domain that is taken back load in
+// waves as if the version had just been named: all of them are behind, and loads slow each other down.
+func (a *Agent) dueAt(self *members.Server, target *loads.Target) time.Time {
+	since := a.namedAt[target.Model]
+	if self.BackSince.After(since) {
+		since = self.BackSince
+	}
+	return since.Add(target.Delay)
+}
+
 // recordNewVersions records when versions were named that this process has not seen before.
 func (a *Agent) recordNewVersions(snap *view.Snapshot) {
 	for model, version := range snap.Versions {
@@ -177,8 +187,8 @@
 	}
 }
 
-// findEngine returns the engine on this VM and the IDs of all engines of its service that are
-// not leaving; nil: the engine is not listed. The entry staleServer is ignored. The list
+// findEngine returns the engine on this VM and the IDs of all engines of its service that share out the
+// models; nil: the engine is not listed. The entry staleServer is ignored. The list
 // contains the engine's new incarnation within seconds; until then every order to the old one
 // is refused, and without this rule 73 agents with an outdated list sent 150 such orders per
 // second.
@@ -190,7 +200,7 @@
 			}
 			var peers []string
 			for _, s := range servers {
-				if !s.Leaving {
+				if sharesModels(snap, &s) {
 					peers = append(peers, s.ID)
 				}
 			}
@@ -200,6 +210,16 @@
 	return nil, nil
 }
 
+// standInAfter is how long a failure domain must have been evacuated before the other engines take over
+// the models of its engines: they load them anew, which evacuations in quick succession would repeat.
+const standInAfter = 2 * time.Second
+
+// sharesModels reports whether an engine is among those that share out the models.
+func sharesModels(snap *view.Snapshot, s *members.Server) bool {
+	since, isEvacuated := snap.Evacuated[s.FailureDomain]
+	return !s.Leaving && (!isEvacuated || time.Since(since) < standInAfter)
+}
+
 // maybeSameIncarnation reports whether two start times of an engine may belong to the same
 // incarnation. Zero means unknown: engines of older platforms do not report a start time.
 func maybeSameIncarnation(a, b time.Time) bool { return a.IsZero() || b.IsZero() || a.Equal(b) }
@@ -251,7 +271,7 @@
 			continue
 		}
 		if chosen == nil || target.Urgent && !chosen.Urgent ||
-			target.Urgent == chosen.Urgent && a.namedAt[target.Model].Add(target.Delay).Before(a.namedAt[chosen.Model].Add(chosen.Delay)) {
+			target.Urgent == chosen.Urgent && a.dueAt(self, target).Before(a.dueAt(self, chosen)) {
 			chosen = target
 		}
 	}
