decide/permits, gateway/permits: the queue is estimated anew when servers are evacuated; places come back step by step

In a burst during which two of three failure domains are evacuated, queued callers were held until no answer could come in time: the queue was estimated by the servers of before. Asks whose wait has become too long are now refused at once, the measured rate shrinks with the servers, and what is kept waits in the order of arrival. Other losses of servers are as before. Where no server takes work, Retry-After no longer follows the rate measured before: callers were told to come back within 20 ms to nothing. A failure domain that is back gets its places within 2 s: all senders see it empty at the same moment.

--- a/decide/members/members.go
+++ b/decide/members/members.go
@@ -44,6 +44,25 @@
 // TakesWork reports whether new work may be sent to the server.
 func (s *Server) TakesWork() bool { return !s.Leaving && !s.Evacuated }
 
+// backRamp is how long the servers of a failure domain that is taken back get only a part of their
+// places: all senders see them empty at the same moment, and would fill them several times over.
+const backRamp = 2 * time.Second
+
+// IsRamping reports whether the server may not have all of its places yet.
+func (s *Server) IsRamping(now time.Time) bool {
+	return !s.BackSince.IsZero() && now.Sub(s.BackSince) < backRamp
+}
+
+// SlotsAt returns how many requests the server may have at a time: its slots, except right after its
+// failure domain was taken back.
+func (s *Server) SlotsAt(now time.Time) int {
+	if !s.IsRamping(now) {
+		return s.Slots
+	}
+	share := max(0, now.Sub(s.BackSince).Seconds()/backRamp.Seconds())
+	return min(s.Slots, 1+int(share*float64(s.Slots)))
+}
+
 // DefaultGracePeriod is how long after an outage of the store a server
 // whose entry lapsed in the outage may take to write it again: about two seconds,
 // as the requirements state, and the jitter of a heartbeat.
--- a/decide/members/members_test.go
+++ b/decide/members/members_test.go
@@ -82,3 +82,16 @@
 	s.Remove("a", at(0))
 	require.Zero(t, count(s))
 }
+
+// Load: a failure domain is taken back under full load. Guards against all senders that fill its empty
+// servers at the same moment.
+func TestServersThatAreBackGetTheirPlacesStepByStep(t *testing.T) {
+	require.Equal(t, 6, (&Server{Slots: 6}).SlotsAt(start))
+	s := Server{Slots: 6, BackSince: start}
+	require.Equal(t, 1, s.SlotsAt(at(0)))
+	require.Equal(t, 1, s.SlotsAt(at(-time.Second)), "a clock that is behind")
+	require.Equal(t, 4, s.SlotsAt(at(time.Second)))
+	require.True(t, s.IsRamping(at(backRamp-1)))
+	require.False(t, s.IsRamping(at(backRamp)))
+	require.Equal(t, 6, s.SlotsAt(at(backRamp)))
+}
--- a/decide/permits/broker.go
+++ b/decide/permits/broker.go
@@ -116,6 +116,7 @@
 // listed stay in use until they are reported.
 func (b *Broker) SetServers(now time.Time, servers []Server) []Decision {
 	known := make([]evidence.Server, 0, len(servers))
+	hasEvacuation, rate := b.hasNewEvacuation(servers), b.capacity.rate
 	b.servers = b.servers[:0]
 	clear(b.index)
 	for _, s := range servers {
@@ -139,6 +140,9 @@
 	if b.capacity.places == 0 {
 		return b.refuseAll(NoServer, "the last server left")
 	}
+	if hasEvacuation {
+		return b.dispatch(b.shrink(rate))
+	}
 	return b.dispatch(nil)
 }
 
--- a/decide/permits/permits.go
+++ b/decide/permits/permits.go
@@ -83,6 +83,8 @@
 	Domain  string // failure domain
 	Slots   int
 	Leaving bool // it takes no new work: it leaves, or its failure domain is evacuated
+	// Evacuated means that it takes no new work because its failure domain is evacuated.
+	Evacuated bool
 }
 
 // Evidence is what is known of the servers. *evidence.Pool implements it.
--- a/decide/permits/replay_test.go
+++ b/decide/permits/replay_test.go
@@ -87,6 +87,9 @@
 	running map[string]int
 	slots   map[string][]time.Time // when each becomes free
 	number  uint64
+
+	closed   map[string]bool // servers that must get nothing
+	refusals []Decision
 }
 
 type event struct {
@@ -156,6 +159,7 @@
 
 func (r *replay) send(d Decision) {
 	r.running[d.Server]++
+	require.False(r.t, r.closed[d.Server], "%s takes no work", d.Server)
 	require.LessOrEqual(r.t, r.running[d.Server], r.e.standings[d.Server].Limit, "%s is beyond its limit", d.Server)
 	c := r.asked[d.ID]
 	st := r.e.standings[d.Server]
@@ -179,6 +183,7 @@
 }
 
 func (r *replay) refused(d Decision) {
+	r.refusals = append(r.refusals, d)
 	c := r.asked[d.ID]
 	back := r.now.Add(d.RetryAfter)
 	if !c.Internal && c.arrivals == 1 && back.Before(c.start.Add(c.Deadline)) {
--- a/decide/permits/returns.go
+++ b/decide/permits/returns.go
@@ -56,7 +56,7 @@
 		return minRetryAfter // its gateway does not return with it
 	}
 	rate := b.drainRate()
-	if rate <= 0 {
+	if rate <= 0 || b.capacity.places == 0 { // nothing says when a server takes work
 		return max(minRetryAfter, w.Deadline/returnShare)
 	}
 	l := laneCallers
--- a/gateway/jobs/placing.go
+++ b/gateway/jobs/placing.go
@@ -115,7 +115,7 @@
 			zap.Float64("pace_s", e.Pace), zap.Float64("left", queued[c.Sample].Remaining), zap.Int("rank", queued[c.Sample].Rank), zap.Int("behind", len(a.events)),
 			zap.Int("waiting", len(queue)), zap.Int("engines", len(engines)))
 	}
-	r.migrateOne(active, samples, engines, now)
+	r.migrateOne(active, samples, append(engines, r.evacuatedEngines(servers, now)...), now)
 }
 
 // samples describes the items of a service for placement, and restarts those that should be.
@@ -194,13 +194,41 @@
 		}
 		usable[s.ID] = s
 		load := own[s.ID] + others[s.ID]
-		e := place.Engine{ID: s.ID, Slots: r.probation.Slots(s.ID, s.Slots, load, own[s.ID]), Load: load, Pace: paces[s.ID]}
+		e := place.Engine{ID: s.ID, Slots: r.probation.Slots(s.ID, s.SlotsAt(now), load, own[s.ID]), Load: load, Pace: paces[s.ID]}
 		e.Versions, e.Loading = r.versions(s, now)
 		out = append(out, e)
 	}
 	return out, usable
 }
 
+// evacuatedEngines describes the engines of evacuated failure domains, which take no sample. Samples
+// that run there leave them like any other engine: only if they are slowed down, since to read the prompt
+// and the text again elsewhere takes longer, and takes a slot from those that wait.
+func (r *Runner) evacuatedEngines(servers []members.Server, now time.Time) []place.Engine {
+	var out []place.Engine
+	for _, s := range servers {
+		if s.Evacuated {
+			out = append(out, place.Engine{ID: s.ID, Pace: r.paces.At(now)[s.ID]})
+		}
+	}
+	return out
+}
+
+// RunningAt returns the number of samples of this process that run at each engine that has any.
+func (r *Runner) RunningAt() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	load := map[string]int{}
+	for _, active := range r.active {
+		for _, a := range active {
+			if a.phase == running {
+				load[a.server]++
+			}
+		}
+	}
+	return load
+}
+
 // othersLoad counts the samples of other owners at each engine, as reported in the log;
 // index.mu is held.
 func (r *Runner) othersLoad() map[string]int {
--- a/gateway/permits/broker.go
+++ b/gateway/permits/broker.go
@@ -35,6 +35,7 @@
 	mu       sync.Mutex
 	decider  Broker
 	servers  []members.Server // as last passed to decider
+	rampAt   time.Time        // when the places of servers that are back are passed on again; zero: none is
 	gateways map[string]*gateway
 	waiting  int // asks that were neither granted nor refused
 	held     int // permits in use
@@ -229,17 +230,23 @@
 	}
 }
 
+// rampInterval is how often the places of servers that have just been taken back are passed on.
+const rampInterval = 100 * time.Millisecond
+
 // refresh passes on the list of servers if it has changed.
 func (b *broker) refresh(now time.Time) {
 	servers := b.cfg.Servers(b.key.service)
-	if isSameList(servers, b.servers) {
+	if isSameList(servers, b.servers) && (b.rampAt.IsZero() || now.Before(b.rampAt)) {
 		return
 	}
-	b.servers = servers
+	b.servers, b.rampAt = servers, time.Time{}
 	var own []decide.Server
 	for _, s := range servers {
 		if b.key.has(s) {
-			own = append(own, decide.Server{ID: s.ID, Name: s.Name, Domain: s.FailureDomain, Slots: s.Slots, Leaving: !s.TakesWork()})
+			if s.IsRamping(now) {
+				b.rampAt = now.Add(rampInterval)
+			}
+			own = append(own, decide.Server{ID: s.ID, Name: s.Name, Domain: s.FailureDomain, Slots: s.SlotsAt(now), Leaving: !s.TakesWork(), Evacuated: s.Evacuated})
 		}
 	}
 	b.deliver(now, b.decider.SetServers(now, own))
