decide/scale, gateway/scale: an evacuated failure domain's share goes to the others, nothing is ordered in it

Servers of an evacuated failure domain counted as ready: their places were part of what the load needs, so that callers of an evacuated third waited in a service that could have grown elsewhere, and a step down could take the domain's servers away. An evacuated domain keeps its number, whatever the bounds become; the others are ordered its share at once and give it back after the usual hold, so that evacuations in quick succession change the number once. Orders decided before wait. Lost domains are as before. Evidence: the service in virtual time, with and without the servers being switched off.

--- a/decide/scale/scale.go
+++ b/decide/scale/scale.go
@@ -4,6 +4,7 @@
 package scale
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -55,6 +56,9 @@
 	Leaving int // servers that take no more work
 	Places  int // requests that the ready servers take at a time
 	Running int // requests that run
+	// Evacuated means that nothing new is sent to the servers, and no number of them is changed. They
+	// count as ready: they take work again once the evacuation ends.
+	Evacuated bool
 }
 
 // Target is the number of servers that a failure domain should have.
@@ -72,6 +76,8 @@
 	Forecast float64  // places that the load is expected to need after the boot time
 	Needed   int      // servers in each failure domain that takes part; 0 if the load is unknown
 	Lost     []string // failure domains whose servers are all gone
+	// Evacuated holds the failure domains that the operator evacuates.
+	Evacuated []string
 }
 
 // Service decides the number of servers of one service. It is not safe for concurrent use.
@@ -96,8 +102,12 @@
 	emptySince time.Time
 	seenReady  bool
 	lost       bool
+	evacuated  bool
 }
 
+// takesPart reports whether the domain's servers share the load.
+func (d *domain) takesPart() bool { return !d.lost && !d.evacuated }
+
 // New returns the state of a process that knows nothing of the service.
 func New() *Service { return &Service{domains: map[string]*domain{}} }
 
@@ -110,8 +120,12 @@
 	before := map[string]int{}
 	plan := Plan{Known: load.Known}
 	s.observeServers(now, load, bounds)
-	for name, d := range s.domains {
+	for _, name := range slices.Sorted(maps.Keys(s.domains)) {
+		d := s.domains[name]
 		before[name] = d.target
+		if d.evacuated {
+			plan.Evacuated = append(plan.Evacuated, name)
+		}
 	}
 	reasons := s.applyBounds(now, bounds)
 	if load.Known {
@@ -148,6 +162,9 @@
 	servers, places := 0, 0
 	for name, seen := range load.Domains {
 		d := s.domains[name]
+		if d == nil && seen.Evacuated && seen.Ready+seen.Leaving == 0 {
+			continue // the service has no server there
+		}
 		if d == nil {
 			d = &domain{target: seen.Ready, seenAt: now}
 			s.domains[name] = d
@@ -164,6 +181,7 @@
 	}
 	for name, d := range s.domains {
 		d.observe(now, load.Domains[name].Ready, bounds.Boot)
+		d.evacuated = load.Domains[name].Evacuated
 	}
 }
 
@@ -189,6 +207,9 @@
 func (s *Service) applyBounds(now time.Time, bounds table.Scaling) map[string]string {
 	reasons := map[string]string{}
 	for name, d := range s.domains {
+		if d.evacuated {
+			continue
+		}
 		if d.target < bounds.Min && bounds.Min < bounds.Max && !d.ordered && now.Sub(d.seenAt) < Hold(bounds) {
 			continue
 		}
@@ -214,20 +235,31 @@
 			plan.Lost = append(plan.Lost, name)
 		}
 	}
-	taking := len(s.domains) - len(plan.Lost)
+	taking := s.count((*domain).takesPart)
 	if taking == 0 { // the servers have nowhere else to go
-		taking = len(s.domains)
+		taking = cmp.Or(len(s.domains)-len(plan.Evacuated), len(s.domains))
 	}
 	plan.Needed = min(max(needed(plan.Forecast, s.places, taking), bounds.Min), bounds.Max)
 	s.history.add(now, plan.Demand, needed(plan.Forecast*reduceMargin, s.places, taking), Hold(bounds))
 }
 
-// grow raises the targets to what is needed, at once: callers wait meanwhile. A lost failure
-// domain keeps its number for when it is back; the others take its share.
+// count counts the failure domains that match.
+func (s *Service) count(match func(*domain) bool) int {
+	n := 0
+	for _, d := range s.domains {
+		if match(d) {
+			n++
+		}
+	}
+	return n
+}
+
+// grow raises the targets to what is needed, at once: callers wait meanwhile. A lost or evacuated
+// failure domain keeps its number for when it is back; the others take its share.
 func (s *Service) grow(plan *Plan, bounds table.Scaling, reasons map[string]string) {
-	allLost := len(plan.Lost) == len(s.domains)
+	noneTakesPart := s.count((*domain).takesPart) == 0
 	for name, d := range s.domains {
-		if d.target >= plan.Needed || d.lost && !allLost {
+		if d.target >= plan.Needed || d.evacuated || d.lost && !noneTakesPart {
 			continue
 		}
 		d.target, d.ordered = plan.Needed, true
@@ -238,6 +270,8 @@
 func (p *Plan) growthReason(bounds table.Scaling) string {
 	reason := "demand"
 	switch {
+	case len(p.Evacuated) > 0:
+		reason = fmt.Sprintf("share of evacuated failure domains %v", p.Evacuated)
 	case len(p.Lost) > 0:
 		reason = fmt.Sprintf("share of lost failure domains %v", p.Lost)
 	case p.Forecast > p.Demand:
@@ -249,8 +283,8 @@
 	return reason
 }
 
-// reduce takes a step down if fewer servers have been enough for the whole hold time. A lost
-// failure domain keeps its number.
+// reduce takes a step down if fewer servers have been enough for the whole hold time. A lost or
+// evacuated failure domain keeps its number.
 func (s *Service) reduce(now time.Time, plan *Plan, bounds table.Scaling, reasons map[string]string) {
 	hold := Hold(bounds)
 	if now.Sub(s.holdSince) < hold {
@@ -258,7 +292,7 @@
 	}
 	enough := min(max(s.history.maxEnough(), bounds.Min, minServers), bounds.Max)
 	for name, d := range s.domains {
-		if d.lost {
+		if !d.takesPart() {
 			continue
 		}
 		step := max(1, int(maxStepShare*float64(d.target)))
--- a/decide/scale/scale_test.go
+++ b/decide/scale/scale_test.go
@@ -41,13 +41,16 @@
 	ready   map[string]int
 	booting map[string]map[int]int // servers by the second at which they are ready
 	cut     map[string]bool        // failure domains whose servers are gone
-	changes []change
+	// evacuated holds the failure domains that are evacuated. Their servers count as ready and have no
+	// places for the load.
+	evacuated map[string]bool
+	changes   []change
 	// short counts the seconds in which demand exceeded the places.
 	short int
 }
 
 func newFleet(serversPerDomain int, domains ...string) *fleet {
-	f := &fleet{service: scale.New(), bounds: bounds, ready: map[string]int{}, booting: map[string]map[int]int{}, cut: map[string]bool{}}
+	f := &fleet{service: scale.New(), bounds: bounds, ready: map[string]int{}, booting: map[string]map[int]int{}, cut: map[string]bool{}, evacuated: map[string]bool{}}
 	for _, name := range domains {
 		f.ready[name], f.booting[name] = serversPerDomain, map[int]int{}
 	}
@@ -64,8 +67,10 @@
 		if f.cut[name] {
 			n = 0
 		}
-		l.Domains[name] = scale.Domain{Ready: n, Places: n * places}
-		free += n * places
+		l.Domains[name] = scale.Domain{Ready: n, Places: n * places, Evacuated: f.evacuated[name]}
+		if !f.evacuated[name] {
+			free += n * places
+		}
 	}
 	if demand > float64(free) {
 		f.short++
--- a/gateway/scale/loads.go
+++ b/gateway/scale/loads.go
@@ -45,6 +45,11 @@
 		addServer(&d, server)
 		load.Domains[server.FailureDomain] = d
 	}
+	for domain := range snap.Evacuated { // also those whose servers are switched off
+		d := load.Domains[domain]
+		d.Evacuated = true
+		load.Domains[domain] = d
+	}
 	if service.Slots > 0 {
 		return load, errors.Trace(l.addItems(&load, snap, service.Name))
 	}
--- a/gateway/scale/loads_test.go
+++ b/gateway/scale/loads_test.go
@@ -108,3 +108,16 @@
 	require.ErrorContains(t, err, "behind")
 	require.Nil(t, load.Domains)
 }
+
+// Failure: a failure domain is evacuated, and one in which the service has no server. Guards against a load
+// that looks like a loss of servers, or that says nothing of the evacuation once the servers are switched off.
+func TestLoadSaysWhichDomainsAreEvacuated(t *testing.T) {
+	loads := newLoads(t)
+	loads.Snapshot().Evacuated = map[string]time.Time{"x": time.Now(), "z": time.Now()}
+	loads.Items = items{Running: map[string]int{"e1": 6}}
+	load, err := loads.Load(t.Context(), table.Service{Name: "engines", Slots: 6})
+	require.NoError(t, err)
+	require.Equal(t, map[string]decide.Domain{
+		"x": {Ready: 1, Places: 6, Running: 6, Evacuated: true}, "y": {Ready: 1, Leaving: 1, Places: 8}, "z": {Evacuated: true},
+	}, load.Domains)
+}
--- a/gateway/scale/orders.go
+++ b/gateway/scale/orders.go
@@ -49,9 +49,10 @@
 // orders holds the orders to be sent and what is known of the platform.
 type orders struct {
 	pending      map[subject]*order
-	retryDelay   time.Duration // 0: the last order was acknowledged
-	retryAt      time.Duration // no order is sent before
-	failingSince time.Duration // first of the current series of unanswered orders
+	withheld     map[string][]string // evacuated failure domains by service; nothing is ordered there
+	retryDelay   time.Duration       // 0: the last order was acknowledged
+	retryAt      time.Duration       // no order is sent before
+	failingSince time.Duration       // first of the current series of unanswered orders
 	failing      bool
 }
 
@@ -66,20 +67,33 @@
 	o.pending[s] = &order{Target: target, decidedAt: now}
 }
 
+// withhold keeps back the orders to evacuated failure domains until they are so no more.
+func (o *orders) withhold(service string, domains []string) {
+	if o.withheld == nil {
+		o.withheld = map[string][]string{}
+	}
+	o.withheld[service] = domains
+}
+
 // retain drops the orders of services that are not kept.
 func (o *orders) retain(isKept func(service string) bool) {
 	maps.DeleteFunc(o.pending, func(s subject, _ *order) bool { return !isKept(s.service) })
+	maps.DeleteFunc(o.withheld, func(service string, _ []string) bool { return !isKept(service) })
 }
 
-// next returns the subjects with an order, those first whose callers may wait for servers.
+// next returns the subjects with an order that may be sent, those first whose callers may wait for servers.
 func (o *orders) next() []subject {
-	return slices.SortedFunc(maps.Keys(o.pending), func(a, b subject) int {
+	sendable := slices.DeleteFunc(slices.Collect(maps.Keys(o.pending)), func(s subject) bool {
+		return slices.Contains(o.withheld[s.service], s.domain)
+	})
+	slices.SortFunc(sendable, func(a, b subject) int {
 		x, y := o.pending[a], o.pending[b]
 		if byGrowth := cmp.Compare(y.To-y.From, x.To-x.From); byGrowth != 0 {
 			return byGrowth
 		}
 		return cmp.Compare(a.String(), b.String())
 	})
+	return sendable
 }
 
 // recordFailure delays the next order.
--- a/gateway/scale/scaler.go
+++ b/gateway/scale/scaler.go
@@ -177,6 +177,7 @@
 		s.logKnown(state, &m)
 		m.load.Known = m.err == nil
 		plan := state.decider.Decide(time.Unix(0, 0).Add(s.Now()), &m.load, *m.service.Scaling)
+		s.orders.withhold(m.service.Name, plan.Evacuated)
 		for _, target := range plan.Targets {
 			subject := subject{m.service.Name, target.Domain}
 			targets[subject.String()] = target.To
@@ -235,7 +236,7 @@
 	here := load.Domains[target.Domain]
 	s.Log.Info("Number of servers changed.", zap.String("service", m.service.Name), zap.String("domain", target.Domain),
 		zap.Int("from", target.From), zap.Int("to", target.To), zap.String("why", target.Reason),
-		zap.Bool("load_known", plan.Known), zap.Float64("demand", plan.Demand), zap.Float64("forecast", plan.Forecast), zap.Int("needed", plan.Needed), zap.Strings("lost", plan.Lost),
+		zap.Bool("load_known", plan.Known), zap.Float64("demand", plan.Demand), zap.Float64("forecast", plan.Forecast), zap.Int("needed", plan.Needed), zap.Strings("lost", plan.Lost), zap.Strings("evacuated", plan.Evacuated),
 		zap.Int("waiting", load.Waiting), zap.Int("refused", load.Refused), zap.Float64("asks_per_s", load.AsksPerSecond), zap.Duration("mean", load.MeanTime), zap.Duration("objective", load.Objective),
 		zap.Int("ready", here.Ready), zap.Int("leaving", here.Leaving), zap.Int("places", here.Places), zap.Int("running", here.Running),
 		zap.Duration("load_age", s.Now()-m.at), zap.Uint64("token", s.term.Token))
