gateway/evacuations: what a process still runs in an evacuated failure domain

An operator who evacuates a failure domain to switch it off had no way to see when the last request there had ended.

--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -22,6 +22,7 @@
 	"dandelionsill.org/decide/lease"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/backend"
+	"dandelionsill.org/gateway/evacuations"
 	"dandelionsill.org/gateway/fanout"
 	"dandelionsill.org/gateway/forward"
 	"dandelionsill.org/gateway/front"
@@ -99,7 +100,9 @@
 	permits := newSharing(&cfg, self, writer.Incarnation, peers, v, logs.Part(log, "permits"))
 	permits.use(forwarder, cfg.Permits.MaxPatience)
 	scaling := newScaling(&cfg, lease.Holder(writer), store, v, index, permits.brokers(), processCount, log)
+	watch := evacuations.New(evacuations.Config{View: v, Requests: forwarder.InFlight, Streams: runner.RunningAt, Log: logs.Part(log, "evacuations")})
 	var loops sync.WaitGroup
+	loops.Go(func() { watch.Run(ctx) })
 	usage.run(ctx, loops.Go)
 	permits.run(ctx, loops.Go)
 	scaling.run(ctx, loops.Go)
