--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -153,7 +153,7 @@
 		FlagSet: t.flagSet(programName),
 		Subcommands: []*ffcli.Command{
 			t.checkCommand(), t.diffCommand(), t.commitCommand(), t.statusCommand(),
-			t.watchCommand(), t.explainCommand(), t.traceCommand(), t.lossesCommand(), t.permitsCommand(), t.keygenCommand(), t.versionCommand(),
+			t.watchCommand(), t.explainCommand(), t.traceCommand(), t.lossesCommand(), t.permitsCommand(), t.evacuationsCommand(), t.keygenCommand(), t.versionCommand(),
 		},
 	}
 }
--- a/gateway/evacuations/evacuations.go
+++ b/gateway/evacuations/evacuations.go
@@ -41,7 +41,8 @@
 type domain struct {
 	since             time.Time
 	requests, streams int
-	empty             bool // nothing has run there since this was logged
+	empty             bool // nothing ran there at the last count
+	loggedAt          time.Time
 }
 
 // New returns a watch and registers its gauges.
@@ -68,7 +69,7 @@
 	}
 }
 
-// check counts what runs and logs what has changed. It returns false if no failure domain is evacuated.
+// check counts what runs and logs it. It returns false if no failure domain is evacuated.
 func (w *Watch) check() bool {
 	snap := w.cfg.View.Current()
 	w.mu.Lock()
@@ -85,7 +86,7 @@
 			w.domains[name] = d
 		}
 		d.requests, d.streams = count(snap, name, requests), count(snap, name, streams)
-		w.logChange(name, d)
+		w.log(name, d)
 	}
 	return true
 }
@@ -103,19 +104,27 @@
 	return n
 }
 
-// logChange logs that nothing runs in a failure domain any more, or that something does again.
-func (w *Watch) logChange(name string, d *domain) {
-	empty := d.requests+d.streams == 0
-	if empty == d.empty {
+// logInterval is the time between two lines about a failure domain in which something still runs.
+const logInterval = 5 * time.Second
+
+// log logs what still runs in a failure domain, and once that nothing does any more.
+func (w *Watch) log(name string, d *domain) {
+	now := time.Now()
+	empty, wasEmpty := d.requests+d.streams == 0, d.empty
+	d.empty = empty
+	if empty == wasEmpty && (empty || now.Sub(d.loggedAt) < logInterval) {
 		return
 	}
-	d.empty = empty
-	fields := []zap.Field{zap.String("failure_domain", name), zap.Duration("after", time.Since(d.since)), zap.Int("requests", d.requests), zap.Int("streams", d.streams)}
-	if empty {
+	d.loggedAt = now
+	fields := []zap.Field{zap.String("failure_domain", name), zap.Duration("after", now.Sub(d.since)), zap.Int("requests", d.requests), zap.Int("streams", d.streams)}
+	switch {
+	case empty:
 		w.cfg.Log.Info("Nothing of this process runs in an evacuated failure domain.", fields...)
-		return
+	case wasEmpty:
+		w.cfg.Log.Warn("Something of this process runs in an evacuated failure domain again.", fields...)
+	default:
+		w.cfg.Log.Info("This process still runs something in an evacuated failure domain.", fields...)
 	}
-	w.cfg.Log.Warn("Something of this process runs in an evacuated failure domain again.", fields...)
 }
 
 func (w *Watch) sum(of func(*domain) int) int {
