--- a/gateway/forward/quarantine.go
+++ b/gateway/forward/quarantine.go
@@ -1,10 +1,12 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 
 	"go.uber.org/zap"
 
+	"dandelionsill.org/decide/members"
 	"dandelionsill.org/decide/poison"
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/quarantine"
@@ -31,6 +33,14 @@
 	s.subject.RecordCrash(c.server.ID)
 }
 
+// ServerCrashed reports whether the server's process ended, after a connection broke
+// while it carried a request. A server that takes no work any more is expected to end, so its
+// end is not counted as a crash.
+func (f *Forwarder) ServerCrashed(ctx context.Context, service string, server members.Server) bool {
+	listed, known := f.View.Current().Server(service, server.ID)
+	return known && listed.TakesWork() && f.Pool.ServerEnded(ctx, server.Addr)
+}
+
 // reportResult reports the result of the call to the quarantine. Nothing is reported
 // for a failure that a server answered: an overloaded server answers so without having
 // run the request.
