gateway/orders: the time of an evacuation does not count as the time of a load

After all failure domains had been evacuated for some seconds, agents reckoned a load of weights to take up to 6.6 s (0.8 s in truth): the time since a version was named until any engine had it contained the evacuation. Fewer engines then followed the models, and their waves were seconds apart. While its domain is evacuated an agent only notes which versions are listed, and counts from the moment when it is taken back.

--- a/gateway/orders/evacuated_test.go
+++ b/gateway/orders/evacuated_test.go
@@ -131,3 +131,24 @@
 		}
 	})
 }
+
+// Failure: versions are named while the failure domains of all engines are evacuated, so that no engine is listed with
+// them. Guards against an estimate of the load time that contains the evacuation: fewer engines would follow the models
+// afterwards, and load in waves of several seconds.
+func TestEvacuationDoesNotCountAsLoadTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, snap := newFleet(nil)
+		snap.Versions = map[string]uint64{"m": 2}
+		self := &members.Server{ID: "e41", Service: "engines", FailureDomain: "z", Evacuated: true}
+		before := a.loadTime.LoadTime()
+		a.recordNewVersions(snap)
+		for range 20 {
+			time.Sleep(time.Second)
+			a.observePeers(snap, self)
+		}
+		self.Evacuated, self.BackSince = false, time.Now()
+		time.Sleep(time.Second)
+		a.observePeers(snap, self)
+		require.Equal(t, before, a.loadTime.LoadTime())
+	})
+}
--- a/gateway/orders/orders.go
+++ b/gateway/orders/orders.go
@@ -121,11 +121,11 @@
 	a.fencingToken = max(a.fencingToken, snap.OperatorOffset+1)
 	a.recordNewVersions(snap)
 	self, peers := a.findEngine(snap)
-	if self == nil || !self.TakesWork() {
+	if self == nil || self.Leaving {
 		return idleInterval
 	}
-	a.observePeers(snap, self.Service)
-	if !a.isBehind(snap, self) {
+	a.observePeers(snap, self)
+	if self.Evacuated || !a.isBehind(snap, self) {
 		return idleInterval
 	}
 	report, err := a.cfg.Engine.Report(ctx)
@@ -151,11 +151,16 @@
 // dueAt returns when a load should start. The engines of a failure domain that is taken back load in
 // waves as if the version had just been named: all of them are behind, and loads slow each other down.
 func (a *Agent) dueAt(self *members.Server, target *loads.Target) time.Time {
-	since := a.namedAt[target.Model]
-	if self.BackSince.After(since) {
-		since = self.BackSince
+	return a.startOf(self, target.Model).Add(target.Delay)
+}
+
+// startOf returns since when the engine may load a model's newest version: since it was named, or since
+// the engine's failure domain was taken back.
+func (a *Agent) startOf(self *members.Server, model string) time.Time {
+	if named := a.namedAt[model]; named.After(self.BackSince) {
+		return named
 	}
-	return since.Add(target.Delay)
+	return self.BackSince
 }
 
 // recordNewVersions records when versions were named that this process has not seen before.
@@ -176,14 +181,17 @@
 }
 
 // observePeers updates the load time estimate with the time since a model's newest version was
-// named, until an engine of the service is listed with that version.
-func (a *Agent) observePeers(snap *view.Snapshot, service string) {
+// named, until an engine of the service is listed with that version. The time in which the engine's
+// failure domain is evacuated, perhaps with all others, says nothing of loads.
+func (a *Agent) observePeers(snap *view.Snapshot, self *members.Server) {
 	for model, version := range snap.Versions {
 		if a.listed[model] || version < 2 {
 			continue
 		}
-		a.loadTime.ObservePeers(time.Since(a.namedAt[model]))
-		a.listed[model] = slices.ContainsFunc(snap.Servers[service], func(s members.Server) bool { return s.Versions[model] >= version })
+		if !self.Evacuated {
+			a.loadTime.ObservePeers(time.Since(a.startOf(self, model)))
+		}
+		a.listed[model] = slices.ContainsFunc(snap.Servers[self.Service], func(s members.Server) bool { return s.Versions[model] >= version })
 	}
 }
 
