--- a/ctl/logscan/evacuations.go
+++ b/ctl/logscan/evacuations.go
@@ -43,9 +43,10 @@
 	Processes  int        `json:"processes"` // that have learnt of it
 	Servers    int        `json:"servers"`   // that the first of them knew there
 	Over       *time.Time `json:"over,omitempty"`
-	// Empty is when the last gateway had nothing running there any more; nil: some still have.
+	// Empty is when the last gateway had nothing running there any more; nil: some still had when they
+	// last told.
 	Empty *time.Time `json:"empty,omitempty"`
-	// Running are the gateways that ran something there when they last told.
+	// Running are the gateways that still run something there; none once the evacuation is over.
 	Running []EvacuatedProcess `json:"running"`
 
 	states map[string]*EvacuatedProcess
@@ -130,6 +131,16 @@
 	s.Again = s.Again || l.Message == messageRunsAgain
 }
 
+// runsAnything reports whether a gateway ran something there when it last told.
+func (v *Evacuation) runsAnything() bool {
+	for _, s := range v.states {
+		if s.Requests+s.Streams > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // List returns the evacuations, the oldest first.
 func (e *Evacuations) List() []Evacuation {
 	list := make([]Evacuation, 0, len(e.list))
@@ -139,14 +150,14 @@
 		var last time.Time
 		for _, name := range slices.Sorted(maps.Keys(v.states)) {
 			s := v.states[name]
-			if s.Requests+s.Streams > 0 {
+			if s.Requests+s.Streams > 0 && v.Over == nil {
 				out.Running = append(out.Running, *s)
 			}
 			if s.At.After(last) {
 				last = s.At
 			}
 		}
-		if len(out.Running) == 0 && !last.IsZero() {
+		if !v.runsAnything() && !last.IsZero() {
 			out.Empty = &last
 		}
 		list = append(list, out)
