--- a/decide/permits/permits.go
+++ b/decide/permits/permits.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dandelionsill.org/decide/evidence"
+	"dandelionsill.org/decide/residency"
 )
 
 // AskID identifies an ask, and the permit granted for it, of one gateway.
@@ -33,6 +34,8 @@
 	NoWait bool
 	// Avoid holds the servers that are used only if there is no other.
 	Avoid []string
+	// Regions are the regions in which the request may be served.
+	Regions residency.Regions
 }
 
 // Kind is the kind of a decision.
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -20,6 +20,7 @@
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/base/trace"
 	"dandelionsill.org/decide/members"
+	"dandelionsill.org/decide/residency"
 	"dandelionsill.org/decide/route"
 	"dandelionsill.org/decide/table"
 	"dandelionsill.org/gateway/backend"
@@ -85,7 +86,9 @@
 	// then use Reply.WriteBody in place of Reply.Body, and Reply.Close.
 	PassOn bool
 	// Paced means that writes to the caller fail if it reads too slowly.
-	Paced   bool
+	Paced bool
+	// Regions are the regions in which the request may be served.
+	Regions residency.Regions
 	replies *replySet
 }
 
