--- a/capacity/decide_test.go
+++ b/capacity/decide_test.go
@@ -11,6 +11,7 @@
 	"dandelionsill.org/decide/route"
 	"dandelionsill.org/decide/straggle"
 	"dandelionsill.org/decide/subset"
+	"dandelionsill.org/decide/topology"
 	"dandelionsill.org/decide/waves"
 )
 
@@ -135,7 +136,7 @@
 	for i := range all {
 		all[i] = route.Candidate{
 			Name: agentName(i), Hash: route.Hash(agentName(i)), FailureDomain: failureDomain(i),
-			Distance: route.Distance(i % 3), Ready: true, Version: 7, Slots: 32,
+			Distance: topology.Distance(i % 3), Ready: true, Version: 7, Slots: 32,
 			ReportedLoad: rng.IntN(32), StreamRate: 40 + 20*rng.Float64(), WarmPrefixes: make([]uint64, 64),
 		}
 	}
--- a/decide/route/pickers.go
+++ b/decide/route/pickers.go
@@ -6,6 +6,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"dandelionsill.org/decide/topology"
 )
 
 // PrefixBytes is how many leading bytes of a prompt count as its prefix. They
@@ -191,7 +193,7 @@
 // cached.
 func prefixRank(c *Candidate, warm uint64) int {
 	rank := 0
-	if c.Distance != OtherRegion {
+	if c.Distance != topology.OtherRegion {
 		rank += 2
 	}
 	if isWarm(c, warm) {
--- a/decide/route/route.go
+++ b/decide/route/route.go
@@ -7,18 +7,8 @@
 import (
 	"math/rand/v2"
 	"time"
-)
-
-// Distance is the network distance between an entry and a server.
-type Distance uint8
 
-const (
-	// SameDomain means the entry's own failure domain.
-	SameDomain Distance = iota
-	// SameRegion means another failure domain in the entry's region.
-	SameRegion
-	// OtherRegion means a region other than the entry's.
-	OtherRegion
+	"dandelionsill.org/decide/topology"
 )
 
 // Candidate is what an entry knows of one server at the time of a decision.
@@ -26,7 +16,7 @@
 	Name          string
 	Hash          uint64 // Hash(Name), for rendezvous hashing
 	FailureDomain string
-	Distance      Distance
+	Distance      topology.Distance // from the entry
 	Ready         bool
 	Leaving       bool // it takes no new work: it leaves, or its failure domain is evacuated
 	Ejected       bool
--- a/decide/route/route_test.go
+++ b/decide/route/route_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"dandelionsill.org/decide/topology"
 )
 
 func newCandidate(name string, change func(*Candidate)) Candidate {
@@ -55,8 +57,8 @@
 func TestScorers(t *testing.T) {
 	base := newCandidate("s", func(c *Candidate) { c.ReportedLoad = 3; c.StreamRate = 50 })
 	slow := newCandidate("s", func(c *Candidate) { c.ReportedLoad = 3; c.StreamRate = 25 })
-	far := newCandidate("s", func(c *Candidate) { c.Distance = OtherRegion })
-	region := newCandidate("s", func(c *Candidate) { c.Distance = SameRegion })
+	far := newCandidate("s", func(c *Candidate) { c.Distance = topology.OtherRegion })
+	region := newCandidate("s", func(c *Candidate) { c.Distance = topology.SameRegion })
 	require.Equal(t, 1.0, LoadScore{}.Score(nil, &base))
 	require.Equal(t, 1.0, SpeedScore{TypicalRate: 50}.Score(nil, &base))
 	require.Equal(t, 2.0, SpeedScore{TypicalRate: 50}.Score(nil, &slow))
--- a/decide/route/scorers.go
+++ b/decide/route/scorers.go
@@ -1,19 +1,9 @@
 package route
 
-// Costs in the unit of Scorer: 1 is the load of a server with every slot in use.
-const (
-	// sameRegionCost is the cost of a server in another failure domain. It is
-	// small: half a millisecond of network latency is worth less than a twentieth
-	// of a server's load.
-	sameRegionCost = 0.05
-	// connectCost is the cost of a new connection: a round trip, and one of the
-	// server's slots for a short time. It is lower than the cost of two requests
-	// at a server with six slots, so that load outweighs it.
-	connectCost = 0.3
-	// otherRegionCost is the cost of a server in another region. At 1, requests
-	// stay in their region until its servers are full.
-	otherRegionCost = 1.0
-)
+// connectCost is the cost of a new connection, in the unit of Scorer: a round trip, and one of
+// the server's slots for a short time. It is lower than the cost of two requests at a server
+// with six slots, so that load outweighs it.
+const connectCost = 0.3
 
 // LoadScore rates a candidate by Candidate.Load per slot, this request included.
 type LoadScore struct{}
@@ -42,14 +32,7 @@
 
 // Score implements Scorer.
 func (DistanceScore) Score(_ *Request, c *Candidate) float64 {
-	switch c.Distance {
-	case SameDomain:
-		return 0
-	case SameRegion:
-		return sameRegionCost
-	default:
-		return otherRegionCost
-	}
+	return c.Distance.Cost(0, 0)
 }
 
 // ConnectScore prefers servers to which an idle connection exists.
--- a/entry/fleet/agents_test.go
+++ b/entry/fleet/agents_test.go
@@ -17,8 +17,8 @@
 
 	"dandelionsill.org/confsync"
 	"dandelionsill.org/decide/eject"
-	"dandelionsill.org/decide/route"
 	"dandelionsill.org/decide/subset"
+	"dandelionsill.org/decide/topology"
 	"dandelionsill.org/manifest"
 	"dandelionsill.org/platform"
 	"dandelionsill.org/wire/pb"
@@ -379,7 +379,7 @@
 	pool := a.Snapshot().ByPool[ServicePool("orders")]
 	candidates := Candidates(a, pool, "r", nil)
 	require.Equal(t, 3, candidates[0].Load())
-	require.Equal(t, route.SameDomain, candidates[0].Distance)
+	require.Equal(t, topology.SameDomain, candidates[0].Distance)
 }
 
 // BenchmarkWatchedAgent reports the entry's memory for one watched agent. The
--- a/entry/fleet/candidates.go
+++ b/entry/fleet/candidates.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dandelionsill.org/decide/route"
+	"dandelionsill.org/decide/topology"
 )
 
 // Candidates overwrites buf with the candidates of a pool's servers and returns
@@ -38,13 +39,13 @@
 	}
 }
 
-func distance(s *Server, region string) route.Distance {
+func distance(s *Server, region string) topology.Distance {
 	switch {
 	case s.Local:
-		return route.SameDomain
+		return topology.SameDomain
 	case s.Region == region:
-		return route.SameRegion
+		return topology.SameRegion
 	default:
-		return route.OtherRegion
+		return topology.OtherRegion
 	}
 }
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -414,7 +414,7 @@
 // pick chooses the server of the next attempt; false means that none is eligible.
 func (s *callState) pick() (choice, bool) {
 	servers := s.forwarder.View.Current().Servers[s.service]
-	candidates := s.forwarder.serverStats.candidates(s.service, s.forwarder.domain, servers, time.Now())
+	candidates := s.forwarder.serverStats.candidates(s.service, s.forwarder.domain, s.forwarder.View.Topology, servers, time.Now())
 	for i := range candidates {
 		candidates[i].Connected = s.forwarder.Pool.HasIdle(servers[i].Addr)
 	}
--- a/gateway/forward/room_test.go
+++ b/gateway/forward/room_test.go
@@ -160,7 +160,7 @@
 			require.True(t, o.notRun)
 			require.False(t, o.started())
 		}
-		for _, c := range f.serverStats.candidates("s", "zone-a", servers, time.Now()) {
+		for _, c := range f.serverStats.candidates("s", "zone-a", nil, servers, time.Now()) {
 			require.False(t, c.Ejected, c.Name)
 			require.Zero(t, c.OwnLoad)
 		}
--- a/gateway/forward/stats.go
+++ b/gateway/forward/stats.go
@@ -7,6 +7,7 @@
 	"dandelionsill.org/decide/eject"
 	"dandelionsill.org/decide/members"
 	"dandelionsill.org/decide/route"
+	"dandelionsill.org/decide/topology"
 )
 
 // ejectionConfig configures the ejection of outliers among the servers that
@@ -30,7 +31,7 @@
 }
 
 // candidates returns the servers of a service as candidates of the routing policy.
-func (st *serverStats) candidates(service, domain string, servers []members.Server, now time.Time) []route.Candidate {
+func (st *serverStats) candidates(service, domain string, places *topology.Topology, servers []members.Server, now time.Time) []route.Candidate {
 	ids := make([]string, len(servers))
 	for i, s := range servers {
 		ids[i] = s.ID
@@ -44,7 +45,7 @@
 			Name:          s.ID,
 			Hash:          route.Hash(s.ID),
 			FailureDomain: s.FailureDomain,
-			Distance:      distance(domain, s.FailureDomain),
+			Distance:      places.Distance(domain, s.FailureDomain),
 			Ready:         true,
 			Leaving:       !s.TakesWork(),
 			Ejected:       ejected[s.ID],
@@ -55,13 +56,6 @@
 	return out
 }
 
-func distance(ownDomain, serverDomain string) route.Distance {
-	if ownDomain == serverDomain {
-		return route.SameDomain
-	}
-	return route.SameRegion
-}
-
 func (st *serverStats) pool(service string) *eject.Pool {
 	p := st.pools[service]
 	if p == nil {
