Permits by region: each region's servers have a broker in it, and requests spill by measured ways

Seen: a service with servers in two regions had one broker, so that each ask of the other region paid a round trip of 40 ms against a time limit of 50 ms, and a place in the other region cost 0.05 loads. Allowed regions were not known to brokers.

With several regions in [topology] regions, a gateway asks the broker of its own region and another one if that refuses, lets the ask wait for longer than 1.25 times two ways, or has only servers that are ejected, were tried or would be late. An eighth of the places stays for the region's own; spilled callers precede calls of samples. A request on its way does not count as at the server (up to its limit once): else a far request held a place for four times its work. Limits come from measured ways; one region keeps its own. The standby lies in another failure domain. Restricted asks are granted in allowed regions only, refused at once without one, and passed over in the queue. [permits] by_region = false keeps one broker.

--- a/decide/permits/broker.go
+++ b/decide/permits/broker.go
@@ -35,6 +35,9 @@
 	// TakeoverTimeout is how long a permit of an earlier broker counts without a
 	// report: its deadline is unknown.
 	TakeoverTimeout time.Duration
+	// Way returns the round trip between the broker's region and another one; nil: there is one
+	// region only.
+	Way func(region string) time.Duration
 }
 
 // DefaultConfig returns the defaults.
@@ -46,6 +49,7 @@
 type server struct {
 	Server
 	inUse    int
+	onWay    float64           // of them, those that are on the way from or to another region
 	standing evidence.Standing // what all gateways agree on, at Broker.now
 	// helpsOut means that the server is ejected or on probation and used all the same, for
 	// requests that may be repeated, since others are refused for lack of places.
@@ -60,6 +64,7 @@
 	internal     bool
 	takenOver    bool
 	cost         float64 // typical seconds
+	way          float64 // share of its time that is spent on the way to another region
 	share        int     // of a typical server's place, in thousandths: less at a slow server
 	deadline     time.Time
 	expires      time.Time
@@ -130,7 +135,7 @@
 	for _, held := range []map[AskID]*permit{b.permits, b.orphans} {
 		for _, p := range held {
 			if i, ok := b.index[p.server]; ok {
-				b.servers[i].inUse++
+				b.servers[i].use(p, 1)
 			}
 		}
 	}
@@ -139,7 +144,7 @@
 	if b.capacity.places == 0 {
 		return b.refuseAll(NoServer, "the last server left")
 	}
-	return b.dispatch(nil)
+	return b.dispatch(b.refuseExcluded())
 }
 
 // Ask decides on an ask. The result holds its decision, and those on queued asks that
@@ -157,6 +162,8 @@
 	switch {
 	case b.capacity.places == 0:
 		return append(out, b.refuse(w, NoServer, 0, "no server takes work"))
+	case !b.hasAllowed(w):
+		return append(out, b.refuse(w, NoServer, 0, "no server of the allowed regions takes work"))
 	case a.Deadline <= 0:
 		return append(out, b.refuse(w, DeadlineTooShort, 0, "the deadline has passed"))
 	}
@@ -166,8 +173,11 @@
 		}
 		return append(out, b.grant(w, i, why))
 	}
-	if a.NoWait {
+	switch {
+	case a.NoWait:
 		return append(out, b.refuse(w, Overloaded, 0, "no place is free, and the ask does not wait"))
+	case a.Spill && !b.mayQueueSpill():
+		return append(out, b.refuse(w, Overloaded, 0, "the places are for requests of this region"))
 	}
 	wait, known := b.estimate(w)
 	if known && b.isTooLate(w, wait) {
@@ -298,12 +308,19 @@
 // grant gives the ask, which does not wait (any more), a place at server i.
 func (b *Broker) grant(w *waiter, i int, why string) Decision {
 	b.hold(w.ID, &permit{
-		server: b.servers[i].ID, organisation: w.ticket().Caller, internal: w.Internal, cost: w.cost,
+		server: b.servers[i].ID, organisation: w.ticket().Caller, internal: w.Internal, cost: w.cost, way: b.wayShare(w, &b.servers[i]),
 		share: int(wholePlace / b.servers[i].standing.Pace), deadline: w.deadline, expires: w.deadline.Add(expiryGrace),
 	})
-	b.capacity.take(&b.servers[i])
+	if b.capacity.counts(&b.servers[i]) {
+		b.capacity.take(&b.servers[i])
+	}
 	b.connections.taken(w.ID.Gateway, b.servers[i].ID)
-	return Decision{ID: w.ID, Kind: Granted, Server: b.servers[i].ID, Wait: b.now.Sub(w.arrived), Reason: why}
+	d := Decision{ID: w.ID, Kind: Granted, Server: b.servers[i].ID, Wait: b.now.Sub(w.arrived), Reason: why}
+	if b.cfg.Way != nil { // the gateway compares regions
+		d.Expected = b.timeAt(w, b.servers[i].standing.Pace)
+		d.LastChoice = b.servers[i].standing.Ejected || slices.Contains(w.Avoid, b.servers[i].ID)
+	}
+	return d
 }
 
 // settle refuses an ask unless a place is free at which the answer, although late, would
@@ -357,7 +374,7 @@
 // count adds n to the counts of permits in use that p belongs to.
 func (b *Broker) count(p *permit, n int) {
 	if i, ok := b.index[p.server]; ok {
-		b.servers[i].inUse += n
+		b.servers[i].use(p, n)
 	}
 	switch {
 	case p.takenOver:
--- a/decide/permits/broker_test.go
+++ b/decide/permits/broker_test.go
@@ -262,11 +262,11 @@
 // Failure: gateways that disagree on the broker. The same list in any order gives the
 // same ranks, and the loss of one gateway moves only what it had.
 func TestRanksAgree(t *testing.T) {
-	members := []Member{{"a", "1", true}, {"b", "2", false}, {"c", "3", false}, {"d", "4", false}}
-	ranked := Ranked("s", 0, members)
+	members := []Member{{VM: "a", Addr: "1", Small: true}, {VM: "b", Addr: "2"}, {VM: "c", Addr: "3"}, {VM: "d", Addr: "4"}}
+	ranked := Ranked("s", "", 0, members)
 	require.Equal(t, "a", ranked[3].VM, "small VMs are last")
-	require.Equal(t, ranked, Ranked("s", 0, []Member{members[3], members[1], members[0], members[2]}))
-	require.Equal(t, ranked[1:], Ranked("s", 0, ranked[1:]))
+	require.Equal(t, ranked, Ranked("s", "", 0, []Member{members[3], members[1], members[0], members[2]}))
+	require.Equal(t, ranked[1:], Ranked("s", "", 0, ranked[1:]))
 	require.Equal(t, []int{1, 1, 2}, []int{Shards(0), Shards(32), Shards(33)})
 	require.Less(t, ShardOf("x", 3), 3)
 }
--- a/decide/permits/permits.go
+++ b/decide/permits/permits.go
@@ -20,6 +20,7 @@
 type Ask struct {
 	ID           AskID
 	Domain       string // failure domain of the gateway
+	Region       string // region of the gateway; empty: unknown
 	Route        string
 	Organisation string // empty for internal calls
 	Internal     bool   // a call of a sample, not of a caller
@@ -32,6 +33,9 @@
 	Repeatable bool
 	// NoWait asks for a refusal rather than a place in the queue.
 	NoWait bool
+	// Spill means that the gateway's own region had no place in time: the requests of this
+	// broker's region come first.
+	Spill bool
 	// Avoid holds the servers that are used only if there is no other.
 	Avoid []string
 	// Regions are the regions in which the request may be served.
@@ -61,12 +65,15 @@
 
 // Decision is a decision on an ask.
 type Decision struct {
-	ID         AskID
-	Kind       Kind
-	Server     string  // granted: incarnation of the server
-	Refusal    Refusal // refused: why
+	ID      AskID
+	Kind    Kind
+	Server  string  // granted: incarnation of the server
+	Refusal Refusal // refused: why
+	// LastChoice, granted: the server is ejected or was to be avoided, and no other had a place.
+	LastChoice bool
 	RetryAfter time.Duration
 	Wait       time.Duration // queued or refused: the estimated wait
+	Expected   time.Duration // granted: from sending to the end of the answer; 0: unknown
 	Reason     string        // why this server, or why refused; for logs
 }
 
@@ -84,6 +91,7 @@
 	ID      string // incarnation
 	Name    string // may stay the same across restarts
 	Domain  string // failure domain
+	Region  string // of the failure domain; empty: unknown
 	Slots   int
 	Leaving bool // it takes no new work: it leaves, or its failure domain is evacuated
 }
--- a/decide/permits/pick.go
+++ b/decide/permits/pick.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// otherDomainCost is the cost of a server in another failure domain, in loads of a
-	// full server: some network latency is worth less than a twentieth of its load.
-	otherDomainCost = 0.05
+	// farReserve is the part of the places, one out of so many, that an ask of another region leaves
+	// free. A region whose last places others took would send its own requests the way back.
+	farReserve = 8
 	// slowFactor is the pace, relative to the fastest server, above which a server is
 	// slow. Below it the difference is that of a busy server.
 	slowFactor = 1.5
@@ -92,11 +92,11 @@
 func (c *capacity) add(s *server) {
 	limit := s.standing.Limit
 	c.places += limit
-	c.free += max(0, limit-s.inUse)
+	c.free += max(0, limit-s.busy())
 	c.rate += float64(limit) / s.standing.Pace
 	if s.standing.Pace <= c.slow {
 		c.fastPlaces += limit
-		c.fastUse += min(s.inUse, limit)
+		c.fastUse += min(s.busy(), limit)
 	}
 }
 
@@ -111,7 +111,7 @@
 // pick returns the index of the server whose free place the ask gets, and why; -1 if
 // there is none that it can use.
 func (b *Broker) pick(w *waiter, u use) (int, string) {
-	if b.capacity.free <= 0 {
+	if b.capacity.free <= 0 && !w.Regions.IsRestricted() {
 		return -1, ""
 	}
 	best, bestAvoided := -1, -1
@@ -144,28 +144,27 @@
 // usable reports whether server i has a free place for the ask.
 func (b *Broker) usable(w *waiter, i int, u use) (evidence.Standing, bool) {
 	s := &b.servers[i]
-	if !b.capacity.counts(s) || s.inUse >= s.standing.Limit {
+	if !b.takes(w, s) || s.busy() >= s.standing.Limit || b.isReserved(w) {
 		return evidence.Standing{}, false
 	}
 	if s.helpsOut {
 		return s.standing, w.Repeatable && !w.NoWait && b.isFastEnough(w, s.standing.Pace, u)
 	}
 	st := b.standing(s, w.ID.Gateway)
-	if s.inUse >= st.Limit || st.Ejected && b.hasOther(w.ID.Gateway) {
+	if s.busy() >= st.Limit || st.Ejected && b.hasOther(w) {
 		return st, false
 	}
 	return st, b.isFastEnough(w, st.Pace, u)
 }
 
-// hasOther reports whether a server takes the gateway's requests that is not ejected
-// for it.
-func (b *Broker) hasOther(gateway string) bool {
+// hasOther reports whether a server takes the request that is not ejected for its gateway.
+func (b *Broker) hasOther(w *waiter) bool {
 	for i := range b.servers {
 		s := &b.servers[i]
-		if !b.capacity.counts(s) {
+		if !b.capacity.counts(s) || !w.Regions.Allows(s.Region) {
 			continue
 		}
-		if st := b.standing(s, gateway); !s.helpsOut && st.Limit > 0 && !st.Ejected {
+		if st := b.standing(s, w.ID.Gateway); !s.helpsOut && st.Limit > 0 && !st.Ejected {
 			return true
 		}
 	}
@@ -192,10 +191,8 @@
 // fast servers are contended, a slow one that leaves the request time to spare goes
 // first.
 func (b *Broker) score(w *waiter, s *server, st evidence.Standing) float64 {
-	load := float64(s.inUse+1) / float64(st.Limit)
-	if s.Domain != w.Domain {
-		load += otherDomainCost
-	}
+	load := float64(s.busy()+1) / float64(st.Limit)
+	load += b.distanceCost(w, s)
 	if !b.connections.has(b.now, w.ID.Gateway, s.ID) {
 		load += connectCost
 	}
@@ -232,7 +229,7 @@
 	var useful float64
 	for i := range b.servers {
 		s := &b.servers[i]
-		if !b.capacity.counts(s) {
+		if !b.takes(w, s) {
 			continue
 		}
 		pace := s.standing.Pace
--- a/decide/topology/topology.go
+++ b/decide/topology/topology.go
@@ -26,10 +26,13 @@
 // no region.
 type Topology struct {
 	regions map[string]string // by failure domain
+	names   []string          // of the regions, in order
 }
 
 // New returns the topology with the given region of each failure domain.
-func New(regions map[string]string) *Topology { return &Topology{regions: maps.Clone(regions)} }
+func New(regions map[string]string) *Topology {
+	return &Topology{regions: maps.Clone(regions), names: slices.Compact(slices.Sorted(maps.Values(regions)))}
+}
 
 // Parse returns the topology that a list of "failure domain:region" describes.
 func Parse(list []string) (*Topology, error) {
@@ -44,7 +47,7 @@
 		}
 		regions[domain] = region
 	}
-	return &Topology{regions: regions}, nil
+	return New(regions), nil
 }
 
 // RegionOf returns the region of a failure domain; empty: unknown.
@@ -55,12 +58,12 @@
 	return t.regions[domain]
 }
 
-// Regions returns the names of all regions in order.
+// Regions returns the names of all regions in order. They must not be modified.
 func (t *Topology) Regions() []string {
 	if t == nil {
 		return nil
 	}
-	return slices.Compact(slices.Sorted(maps.Values(t.regions)))
+	return t.names
 }
 
 // Domains returns the failure domains of a region in order.
@@ -84,18 +87,20 @@
 
 // Distance returns the distance between two failure domains.
 func (t *Topology) Distance(a, b string) Distance {
+	return Place{Domain: a, Region: t.RegionOf(a)}.Distance(Place{Domain: b, Region: t.RegionOf(b)})
+}
+
+// Place is a failure domain and its region; an empty region is unknown.
+type Place struct{ Domain, Region string }
+
+// Distance returns the distance between two places.
+func (p Place) Distance(other Place) Distance {
 	switch {
-	case a == b:
+	case p.Domain == other.Domain:
 		return SameDomain
-	case t.areApart(a, b):
+	case p.Region != "" && other.Region != "" && p.Region != other.Region:
 		return OtherRegion
 	default:
 		return SameRegion
 	}
 }
-
-// areApart reports whether two failure domains are known to lie in different regions.
-func (t *Topology) areApart(a, b string) bool {
-	x, y := t.RegionOf(a), t.RegionOf(b)
-	return x != "" && y != "" && x != y
-}
--- a/gateway/permits/broker.go
+++ b/gateway/permits/broker.go
@@ -42,11 +42,11 @@
 
 // gateway is what a broker keeps of a gateway.
 type gateway struct {
-	name, domain string
-	subscriber   *subscriber // nil: it has no stream
-	lostAt       time.Time   // when it lost its stream
-	waiting      map[uint64]struct{}
-	held         map[uint64]string // server by permit
+	name, domain, region string
+	subscriber           *subscriber // nil: it has no stream
+	lostAt               time.Time   // when it lost its stream
+	waiting              map[uint64]struct{}
+	held                 map[uint64]string // server by permit
 }
 
 func newBroker(key shardKey, cfg ServerConfig) *broker {
@@ -70,6 +70,7 @@
 		b.detach(now, g, "a newer stream of the gateway")
 	}
 	g.domain = first.GetFailureDomain()
+	g.region = b.cfg.Topology.RegionOf(g.domain)
 	g.subscriber = newSubscriber(g, now)
 	b.reconcile(now, g, first.GetInUse())
 	b.process(now, g, first)
@@ -123,7 +124,7 @@
 			continue
 		}
 		b.setWaiting(g, ask.GetId(), true)
-		b.deliver(now, b.decider.Ask(now, decodeAsk(g.name, g.domain, ask)))
+		b.deliver(now, b.decider.Ask(now, decodeAsk(g, ask)))
 	}
 }
 
@@ -238,8 +239,8 @@
 	b.servers = servers
 	var own []decide.Server
 	for _, s := range servers {
-		if b.key.has(s) {
-			own = append(own, decide.Server{ID: s.ID, Name: s.Name, Domain: s.FailureDomain, Slots: s.Slots, Leaving: !s.TakesWork()})
+		if b.key.has(s, b.cfg.Topology) {
+			own = append(own, decide.Server{ID: s.ID, Name: s.Name, Domain: s.FailureDomain, Region: s.Region, Slots: s.Slots, Leaving: !s.TakesWork()})
 		}
 	}
 	b.deliver(now, b.decider.SetServers(now, own))
--- a/gateway/permits/client.go
+++ b/gateway/permits/client.go
@@ -16,6 +16,7 @@
 	"dandelionsill.org/base/trace"
 	"dandelionsill.org/decide/members"
 	decide "dandelionsill.org/decide/permits"
+	"dandelionsill.org/decide/topology"
 )
 
 const (
@@ -35,6 +36,12 @@
 	VM            string // of this process
 	Incarnation   string // of this process
 	FailureDomain string // of this process
+	// Topology says in which regions processes are; nil: in one.
+	Topology *topology.Topology
+	// ByRegion: with several regions, the servers of each region have brokers of their own.
+	ByRegion bool
+	// Ways holds the round trips to other regions; nil: there is one region.
+	Ways *topology.Ways
 	// Members returns the gateways that serve brokers, this process included if it does.
 	Members func() []decide.Member
 	// Servers returns the servers of a service.
@@ -57,8 +64,10 @@
 	cancel context.CancelFunc
 	loops  sync.WaitGroup // goroutines of streams
 
-	mu     sync.Mutex
-	shards map[shardKey]*shardClient
+	mu       sync.Mutex
+	shards   map[shardKey]*shardClient
+	byRegion map[string]regionalServers // by service
+	full     map[place]fullRegion
 }
 
 // NewClient returns a client without streams. Run must be called.
@@ -69,7 +78,7 @@
 	if cfg.Open == nil {
 		cfg.Open = openGRPC
 	}
-	c := &Client{cfg: cfg, shards: map[shardKey]*shardClient{}}
+	c := &Client{cfg: cfg, shards: map[shardKey]*shardClient{}, byRegion: map[string]regionalServers{}, full: map[place]fullRegion{}}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
@@ -108,7 +117,8 @@
 	defer span.End()
 	asked.Add(1)
 	ask.Domain = c.cfg.FailureDomain
-	permit, refusal, err := c.acquire(ctx, service, ask)
+	ask.Region = c.region()
+	permit, refusal, err := c.decide(ctx, service, ask)
 	switch {
 	case permit != nil:
 		granted.Add(1)
@@ -125,13 +135,26 @@
 	return permit, refusal, err
 }
 
-// acquire asks the shard of a random server, and another one if there is no place in the first.
-func (c *Client) acquire(ctx context.Context, service string, ask decide.Ask) (*Permit, *Refusal, error) {
+// decide asks the brokers of all regions, or of one after the other.
+func (c *Client) decide(ctx context.Context, service string, ask decide.Ask) (*Permit, *Refusal, error) {
+	switch {
+	case ask.Regions.AllowsNone():
+		return nil, noRegion(ask), nil
+	case c.isByRegion():
+		return c.acquireByRegion(ctx, service, ask)
+	default:
+		return c.acquire(ctx, service, "", ask, nil)
+	}
+}
+
+// acquire asks the shard of a random server of a region, or of all if region is empty, and another
+// one if there is no place in the first. onQueued, if not nil, is told the estimated wait.
+func (c *Client) acquire(ctx context.Context, service, region string, ask decide.Ask, onQueued func(time.Duration)) (*Permit, *Refusal, error) {
 	var refusal *Refusal
 	var err error
 	startedAt := c.cfg.Now()
-	for _, key := range c.choose(service) {
-		permit, newRefusal, newErr := c.shard(key).acquire(ctx, withTimeLeft(ask, c.cfg.Now()-startedAt))
+	for _, key := range c.choose(service, region) {
+		permit, newRefusal, newErr := c.shard(key).acquire(ctx, withTimeLeft(ask, c.cfg.Now()-startedAt), onQueued)
 		if permit != nil {
 			return permit, nil, nil
 		}
@@ -166,16 +189,16 @@
 
 // choose returns the shards to ask, in their order. A random server's shard comes first, so that
 // a shard is asked in proportion to its servers.
-func (c *Client) choose(service string) []shardKey {
-	servers := c.cfg.Servers(service)
+func (c *Client) choose(service, region string) []shardKey {
+	servers := c.servers(service, region)
 	shards := decide.Shards(len(servers))
 	if shards <= 1 {
-		return []shardKey{{service: service, shards: 1}}
+		return []shardKey{{service: service, region: region, shards: 1}}
 	}
 	var keys []shardKey
 	for range maxDraws {
 		name := servers[rand.IntN(len(servers))].Name
-		key := shardKey{service: service, shard: decide.ShardOf(name, shards), shards: shards}
+		key := shardKey{service: service, region: region, shard: decide.ShardOf(name, shards), shards: shards}
 		if !slices.Contains(keys, key) {
 			keys = append(keys, key)
 		}
--- a/gateway/permits/convert.go
+++ b/gateway/permits/convert.go
@@ -6,6 +6,7 @@
 
 	"dandelionsill.org/decide/evidence"
 	decide "dandelionsill.org/decide/permits"
+	"dandelionsill.org/decide/residency"
 	"dandelionsill.org/wire/pb"
 )
 
@@ -23,14 +24,16 @@
 	return &pb.PermitAsk{
 		Id: ask.ID.Number, Route: ask.Route, Organisation: ask.Organisation, Internal: ask.Internal, Priority: int32(ask.Priority),
 		ObjectiveMs: toMillis(ask.Objective), DeadlineMs: toMillis(ask.Deadline), Repeatable: ask.Repeatable, NoWait: ask.NoWait, Avoid: ask.Avoid,
+		Regions: ask.Regions.Names(), Spill: ask.Spill,
 	}
 }
 
-func decodeAsk(gateway, domain string, ask *pb.PermitAsk) decide.Ask {
+func decodeAsk(g *gateway, ask *pb.PermitAsk) decide.Ask {
 	return decide.Ask{
-		ID: decide.AskID{Gateway: gateway, Number: ask.GetId()}, Domain: domain, Route: ask.GetRoute(), Organisation: ask.GetOrganisation(),
+		ID: decide.AskID{Gateway: g.name, Number: ask.GetId()}, Domain: g.domain, Region: g.region, Route: ask.GetRoute(), Organisation: ask.GetOrganisation(),
 		Internal: ask.GetInternal(), Priority: int(ask.GetPriority()), Objective: fromMillis(ask.GetObjectiveMs()),
 		Deadline: fromMillis(ask.GetDeadlineMs()), Repeatable: ask.GetRepeatable(), NoWait: ask.GetNoWait(), Avoid: ask.GetAvoid(),
+		Regions: residency.Only(ask.GetRegions()), Spill: ask.GetSpill(),
 	}
 }
 
@@ -61,10 +64,10 @@
 }
 
 func encodeDecision(d decide.Decision) *pb.PermitDecision {
-	encoded := &pb.PermitDecision{Id: d.ID.Number, RetryAfterMs: toMillis(d.RetryAfter), WaitMs: toMillis(d.Wait), Reason: d.Reason}
+	encoded := &pb.PermitDecision{Id: d.ID.Number, RetryAfterMs: toMillis(d.RetryAfter), WaitMs: toMillis(d.Wait), ExpectedUs: toMicros(d.Expected), Reason: d.Reason}
 	switch d.Kind {
 	case decide.Granted:
-		encoded.Server = d.Server
+		encoded.Server, encoded.LastChoice = d.Server, d.LastChoice
 	case decide.Queued:
 		encoded.Queued = true
 	case decide.Refused:
@@ -77,7 +80,7 @@
 func decodeDecision(d *pb.PermitDecision) (decide.Decision, bool) {
 	decoded := decide.Decision{
 		ID: decide.AskID{Number: d.GetId()}, Server: d.GetServer(), Refusal: decide.Refusal(d.GetRefused()),
-		RetryAfter: fromMillis(d.GetRetryAfterMs()), Wait: fromMillis(d.GetWaitMs()), Reason: d.GetReason(),
+		RetryAfter: fromMillis(d.GetRetryAfterMs()), Wait: fromMillis(d.GetWaitMs()), Expected: time.Duration(d.GetExpectedUs()) * time.Microsecond, Reason: d.GetReason(), LastChoice: d.GetLastChoice(),
 	}
 	switch {
 	case d.GetServer() != "":
--- a/gateway/permits/fakes_test.go
+++ b/gateway/permits/fakes_test.go
@@ -204,7 +204,7 @@
 	for i := range gateways {
 		f.members = append(f.members, decide.Member{VM: fmt.Sprintf("vm-%d", i), Addr: fmt.Sprintf("10.0.0.%d:1", i)})
 	}
-	f.members = decide.Ranked("echo", 0, f.members)
+	f.members = decide.Ranked("echo", "", 0, f.members)
 	for _, m := range f.members {
 		n := &node{server: NewServer(ServerConfig{
 			Servers: f.list, Logger: zap.NewNop(), NewBroker: func(shard string) Broker { return f.newBroker(m.Addr, shard) },
--- a/gateway/permits/grpc_test.go
+++ b/gateway/permits/grpc_test.go
@@ -83,7 +83,7 @@
 	first, _, stopFirst := serve(t, "vm-0", brokers[0])
 	second, _, stopSecond := serve(t, "vm-1", brokers[1])
 	defer stopSecond()
-	if decide.Ranked("echo", 0, []decide.Member{first, second})[0] != first {
+	if decide.Ranked("echo", "", 0, []decide.Member{first, second})[0] != first {
 		brokers[0], brokers[1] = brokers[1], brokers[0]
 		stopFirst, stopSecond = stopSecond, stopFirst
 	}
--- a/gateway/permits/load.go
+++ b/gateway/permits/load.go
@@ -56,11 +56,13 @@
 // Brokers returns the brokers of a service's shards, each once, for calls of Load. It returns none
 // if a shard has no broker that works.
 func (c *Client) Brokers(service string) []pb.PermitBrokerClient {
-	shards := decide.Shards(len(c.cfg.Servers(service)))
 	seen := map[string]bool{}
 	var brokers []pb.PermitBrokerClient
-	for shard := range shards {
-		member, ok := c.shard(shardKey{service: service, shard: shard, shards: shards}).member()
+	for _, key := range c.keys(service) {
+		if key.region != "" {
+			c.shard(key).keepOpen() // a region without callers has a broker too
+		}
+		member, ok := c.shard(key).member()
 		if !ok {
 			return nil
 		}
@@ -72,6 +74,16 @@
 	return brokers
 }
 
+// keepOpen opens a stream to the broker if there is none, and keeps it from being idle.
+func (s *shardClient) keepOpen() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.client.cfg.Now()
+	if session := s.choose(now); session != nil {
+		session.lastAskAt = now
+	}
+}
+
 // member returns the broker that is asked for permits now.
 func (s *shardClient) member() (decide.Member, bool) {
 	s.mu.Lock()
--- a/gateway/permits/permits.go
+++ b/gateway/permits/permits.go
@@ -50,10 +50,16 @@
 	Server string // incarnation
 	Reason string // why this server, for logs
 	Broker string // VM of the gateway that granted it
+	// Region is the region whose broker granted it; empty: the broker is that of all regions.
+	Region string
+	// Spilled says why the own region's broker did not grant it; empty: it did.
+	Spilled Spill
 
-	id    uint64
-	route string
-	shard *shardClient
+	expected   time.Duration // of the answer; 0: unknown
+	lastChoice bool          // the server is ejected, or was to be avoided
+	id         uint64
+	route      string
+	shard      *shardClient
 }
 
 // Done gives the permit back; took is the time from sending the request to the end of its answer,
@@ -68,5 +74,6 @@
 	RetryAfter time.Duration // when an ask is likely to be granted
 	Wait       time.Duration // the estimated wait
 	Reason     string        // why, for logs
-	Broker     string        // VM of the gateway that refused
+	Broker     string        // VM of the gateway that refused; empty: no broker was asked
+	Region     string        // whose broker refused; empty: the broker is that of all regions
 }
--- a/gateway/permits/permits_test.go
+++ b/gateway/permits/permits_test.go
@@ -263,8 +263,8 @@
 		}
 		require.Len(t, granted, 40)
 		require.Equal(t, 160, refused)
-		for _, key := range []shardKey{{"echo", 0, 1}, {"echo", 1, 2}, {"a#b", 0, 1}, {"a#1/0", 0, 1}} {
-			require.Equal(t, key, parseKey(key.String()))
+		for _, key := range []shardKey{{"echo", "", 0, 1}, {"echo", "", 1, 2}, {"a#b", "", 0, 1}, {"a#1/0", "", 0, 1}, {"echo", "b", 1, 2}} {
+			require.Equal(t, key, parseKey(key.name(), key.region))
 		}
 	})
 }
--- a/gateway/permits/server.go
+++ b/gateway/permits/server.go
@@ -13,6 +13,7 @@
 	"dandelionsill.org/base/logs"
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/decide/members"
+	"dandelionsill.org/decide/topology"
 	"dandelionsill.org/wire/pb"
 )
 
@@ -36,6 +37,8 @@
 	NewBroker func(service string) Broker
 	// Servers returns the servers of a service. A list is replaced when it changes, not modified.
 	Servers func(service string) []members.Server
+	// Topology says in which regions gateways are; nil: in one.
+	Topology *topology.Topology
 	// Now reads a monotonic clock; nil: time.Now.
 	Now    func() time.Time
 	Logger *zap.Logger
@@ -135,7 +138,7 @@
 		s.refusals.Warn("A stream is refused.", zap.String("gateway", first.GetGateway()), zap.String("service", first.GetService()), zap.String("why", "no gateway or no service"))
 		return status.Error(codes.InvalidArgument, "gateway and service must not be empty")
 	}
-	b := s.join(parseKey(first.GetService()))
+	b := s.join(parseKey(first.GetService(), first.GetRegion()))
 	if b == nil {
 		return errLeaving
 	}
--- a/gateway/permits/session.go
+++ b/gateway/permits/session.go
@@ -25,6 +25,7 @@
 
 	isEnded   bool
 	openedAt  time.Duration
+	greetedAt time.Duration // when the broker was first heard; 0: it was not
 	heardAt   time.Duration // when the broker was last heard, at first openedAt
 	lastAskAt time.Duration
 	silences  int // asks without an answer since
@@ -37,12 +38,14 @@
 
 // waiter is an ask without a decision.
 type waiter struct {
-	id      uint64
-	route   string
-	session *session
-	askedAt time.Duration
-	queued  chan struct{}
-	results chan result
+	id         uint64
+	route      string
+	session    *session
+	askedAt    time.Duration
+	queued     chan time.Duration // the estimated wait, once the broker has queued it
+	limit      time.Duration      // in which the broker must answer
+	isMeasured bool               // its first answer has come
+	results    chan result
 }
 
 // result is how an ask ended.
@@ -63,7 +66,7 @@
 	opened := &session{
 		shard: s, member: member, cancel: cancel, wake: make(chan struct{}, 1), ended: make(chan struct{}),
 		openedAt: now, heardAt: now, isFirst: true, waiting: map[uint64]*waiter{}, holds: map[uint64]struct{}{},
-		pending: &pb.PermitRequest{Gateway: cfg.VM + "/" + cfg.Incarnation, Service: s.key.String(), FailureDomain: cfg.FailureDomain},
+		pending: &pb.PermitRequest{Gateway: cfg.VM + "/" + cfg.Incarnation, Service: s.key.name(), Region: s.key.region, FailureDomain: cfg.FailureDomain},
 	}
 	for id, permit := range s.inUse {
 		opened.pending.InUse = append(opened.pending.InUse, &pb.PermitInUse{Id: id, Server: permit.Server})
@@ -155,6 +158,9 @@
 		return
 	}
 	n.heardAt, n.silences = now, 0
+	if n.greetedAt == 0 {
+		n.greetedAt = max(now, 1)
+	}
 	for _, d := range reply.GetDecisions() {
 		if decision, ok := decodeDecision(d); ok {
 			n.apply(decision, now)
@@ -169,7 +175,8 @@
 // broker's was suspended, and what was granted may have been given to others meanwhile. The
 // permits in use that the next stream tells free what was granted in vain.
 func (n *session) isStale(now time.Duration) bool {
-	return now-n.heardAt > silenceTimeout && n.oldestAsk(now) > silenceTimeout
+	limit := n.silenceLimit(now)
+	return now-n.heardAt > limit && n.oldestAsk(now) > limit
 }
 
 // oldestAsk returns the age of the oldest ask without a decision; 0: there is none.
@@ -193,11 +200,14 @@
 // back.
 func (n *session) apply(d decide.Decision, now time.Duration) {
 	w, waits := n.waiting[d.ID.Number]
+	if waits {
+		n.measure(w, now)
+	}
 	if d.Kind == decide.Queued {
 		if waits {
 			queued.Add(1)
 			select {
-			case w.queued <- struct{}{}:
+			case w.queued <- d.Wait:
 			default:
 			}
 		}
@@ -210,12 +220,12 @@
 		return
 	}
 	if waits {
-		w.results <- result{refusal: &Refusal{Kind: d.Refusal, RetryAfter: d.RetryAfter, Wait: d.Wait, Reason: d.Reason, Broker: n.member.VM}, at: now}
+		w.results <- result{refusal: &Refusal{Kind: d.Refusal, RetryAfter: d.RetryAfter, Wait: d.Wait, Reason: d.Reason, Broker: n.member.VM, Region: n.shard.key.region}, at: now}
 	}
 }
 
 func (n *session) grant(w *waiter, d decide.Decision, now time.Duration) {
-	permit := &Permit{Server: d.Server, Reason: d.Reason, Broker: n.member.VM, id: d.ID.Number, shard: n.shard}
+	permit := &Permit{Server: d.Server, Reason: d.Reason, Broker: n.member.VM, Region: n.shard.key.region, expected: d.Expected, lastChoice: d.LastChoice, id: d.ID.Number, shard: n.shard}
 	if w == nil {
 		n.report(permit, 0, evidence.Unused)
 		return
@@ -230,7 +240,7 @@
 func (n *session) report(p *Permit, took time.Duration, outcome evidence.Outcome) {
 	delete(n.holds, p.id)
 	n.pending.Reports = append(n.pending.Reports, &pb.PermitReport{
-		Id: p.id, Server: p.Server, Route: p.route, TookUs: toMicros(took), Outcome: toOutcome[outcome],
+		Id: p.id, Server: p.Server, Route: p.route, TookUs: toMicros(n.shard.atServer(p, took)), Outcome: toOutcome[outcome],
 	})
 	if !n.reporting {
 		n.reporting = true
--- a/gateway/permits/shard.go
+++ b/gateway/permits/shard.go
@@ -14,11 +14,12 @@
 )
 
 const (
-	// answerTimeout is how long an ask may stay without an answer. It is short against the time in
-	// which an answer to a caller is in time, and long against a round trip between regions.
+	// answerTimeout is how long an ask may stay without an answer of a broker in the own region. It
+	// is short against the time in which an answer to a caller is in time. The way to another region
+	// is added.
 	answerTimeout = 50 * time.Millisecond
 	// silenceTimeout is how long a broker with a queued ask may send nothing: two of its
-	// heartbeats and some delay.
+	// heartbeats and some delay. The way to another region is added.
 	silenceTimeout = 250 * time.Millisecond
 	// maxSilences is the number of asks without an answer, nothing else being received between
 	// them, after which a broker counts as lost. A single one may be due to a short pause.
@@ -65,9 +66,10 @@
 
 // acquire asks for a permit and waits for the decision. If a broker's stream breaks, the next one
 // is asked.
-func (s *shardClient) acquire(ctx context.Context, ask decide.Ask) (*Permit, *Refusal, error) {
+func (s *shardClient) acquire(ctx context.Context, ask decide.Ask, onQueued func(time.Duration)) (*Permit, *Refusal, error) {
 	startedAt := s.client.cfg.Now()
-	answerBy := startedAt + answerTimeout
+	since := startedAt // the limit counts from here
+	answerBy := since + answerTimeout
 	for range maxBrokersAsked {
 		now := s.client.cfg.Now()
 		if now >= answerBy {
@@ -77,12 +79,14 @@
 		if w == nil {
 			break
 		}
-		result := s.wait(ctx, w, answerBy-now)
+		answerBy = max(answerBy, since+w.limit)
+		result := s.wait(ctx, w, answerBy-now, onQueued)
 		if !result.isLost {
 			return s.use(result)
 		}
 		if result.wasQueued {
-			answerBy = s.client.cfg.Now() + answerTimeout
+			since = s.client.cfg.Now()
+			answerBy = since + answerTimeout
 		}
 	}
 	return nil, nil, errors.Trace(ErrNoBroker)
@@ -109,7 +113,7 @@
 	}
 	s.lastID++
 	ask.ID.Number = s.lastID
-	w := &waiter{id: s.lastID, route: ask.Route, session: session, askedAt: now, results: make(chan result, 1), queued: make(chan struct{}, 1)}
+	w := &waiter{id: s.lastID, route: ask.Route, session: session, askedAt: now, results: make(chan result, 1), queued: make(chan time.Duration, 1), limit: session.answerLimit(now)}
 	session.waiting[w.id] = w
 	session.lastAskAt = now
 	session.pending.Asks = append(session.pending.Asks, encodeAsk(ask))
@@ -118,7 +122,7 @@
 }
 
 // wait waits for the decision on an ask, whose first answer must come within a time.
-func (s *shardClient) wait(ctx context.Context, w *waiter, answerWithin time.Duration) result {
+func (s *shardClient) wait(ctx context.Context, w *waiter, answerWithin time.Duration, onQueued func(time.Duration)) result {
 	timer := time.NewTimer(answerWithin)
 	defer timer.Stop()
 	isQueued := false
@@ -126,9 +130,12 @@
 		select {
 		case r := <-w.results:
 			return r
-		case <-w.queued:
+		case estimate := <-w.queued:
 			isQueued = true
-			timer.Reset(silenceTimeout)
+			timer.Reset(s.silentIn(w))
+			if onQueued != nil {
+				onQueued(estimate)
+			}
 		case <-w.session.ended:
 			return s.withdraw(w, result{isLost: true, wasQueued: isQueued})
 		case <-ctx.Done():
@@ -151,7 +158,8 @@
 func (s *shardClient) silentIn(w *waiter) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return w.session.heardAt + silenceTimeout - s.client.cfg.Now()
+	now := s.client.cfg.Now()
+	return w.session.heardAt + w.session.silenceLimit(now) - now
 }
 
 // withdraw ends the wait for a decision, and returns the decision if there is one already.
@@ -218,7 +226,7 @@
 	if s.client.ctx.Err() != nil {
 		return nil
 	}
-	if s.next != nil && now-s.next.openedAt > silenceTimeout {
+	if s.next != nil && now-s.next.openedAt > s.next.silenceLimit(now) {
 		s.fail(s.next, "it is silent")
 	}
 	if s.current == nil && s.next != nil {
@@ -242,7 +250,7 @@
 // best returns the first broker in rank that does not count as lost.
 func (s *shardClient) best(now time.Duration) (decide.Member, bool) {
 	if !s.isRanked || now-s.rankedAt >= rankInterval {
-		s.ranked = decide.Ranked(s.key.service, s.key.shard, s.client.cfg.Members())
+		s.ranked = decide.Ranked(s.key.service, s.key.region, s.key.shard, s.client.cfg.Members())
 		s.rankedAt, s.isRanked = now, len(s.ranked) > 0
 	}
 	for _, member := range s.ranked {
--- a/gateway/server/permits.go
+++ b/gateway/server/permits.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-kratos/kratos/v2/transport"
 	"go.uber.org/zap"
 
+	"dandelionsill.org/base/boottime"
 	"dandelionsill.org/base/logs"
+	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/decide/evidence"
 	decide "dandelionsill.org/decide/fanout"
 	"dandelionsill.org/decide/members"
 	decidepermits "dandelionsill.org/decide/permits"
+	"dandelionsill.org/decide/topology"
 	"dandelionsill.org/gateway/forward"
 	"dandelionsill.org/gateway/permits"
 	"dandelionsill.org/gateway/view"
@@ -18,9 +22,24 @@
 	"dandelionsill.org/wire/pb"
 )
 
-// newBroker returns the broker of a service.
-func newBroker(string) permits.Broker {
-	return decidepermits.New(decidepermits.DefaultConfig(), evidence.New(evidence.Default))
+// newBroker returns the broker of a service. ways are those of this process; nil: there is one
+// region.
+func newBroker(ways *topology.Ways) permits.Broker {
+	cfg := decidepermits.DefaultConfig()
+	if ways != nil {
+		cfg.Way = func(region string) time.Duration { return ways.Estimate(boottime.Now(), region) }
+	}
+	return decidepermits.New(cfg, evidence.New(evidence.Default))
+}
+
+// newWays returns the measured ways of a process to other regions; nil: there is one region.
+func newWays(places *topology.Topology, domain string) *topology.Ways {
+	if !places.HasSeveralRegions() {
+		return nil
+	}
+	ways := topology.NewWays(places.RegionOf(domain))
+	metrics.Gauge("permits_ways", func() any { return ways.All(boottime.Now()) })
+	return ways
 }
 
 // sharing holds the parts of a gateway by which the places at servers are shared out. A nil
@@ -40,25 +59,34 @@
 		return nil
 	}
 	servers := func(service string) []members.Server { return v.Current().Servers[service] }
-	newParts := func(members func() []decidepermits.Member, log *zap.Logger) (*permits.Server, *permits.Client) {
-		server := permits.NewServer(permits.ServerConfig{NewBroker: newBroker, Servers: servers, Logger: log})
+	places, ways := v.Topology, newWays(v.Topology, self.FailureDomain)
+	newParts := func(members func() []decidepermits.Member, byRegion bool, log *zap.Logger) (*permits.Server, *permits.Client) {
+		server := permits.NewServer(permits.ServerConfig{
+			NewBroker: func(string) permits.Broker { return newBroker(ways) }, Servers: servers, Topology: places, Logger: log,
+		})
 		return server, permits.NewClient(permits.Config{
 			VM: self.VM, Incarnation: incarnation, FailureDomain: self.FailureDomain, Servers: servers, Local: server, Members: members, Logger: log,
+			Topology: places, ByRegion: byRegion, Ways: ways,
 		})
 	}
 	s := &sharing{addr: cfg.Permits.Listen}
-	s.ownServer, s.ownClient = newParts(func() []decidepermits.Member { return brokers(self, nil) }, logs.Part(log, "own"))
+	s.ownServer, s.ownClient = newParts(func() []decidepermits.Member { return brokers(self, nil, places) }, false, logs.Part(log, "own"))
 	// Made last: the gauges are those of the newest server.
-	s.server, s.client = newParts(func() []decidepermits.Member { return brokers(self, peers.Members()) }, log)
+	s.server, s.client = newParts(func() []decidepermits.Member { return brokers(self, peers.Members(), places) }, cfg.Permits.ByRegion, log)
 	return s
 }
 
-// brokers returns the gateways that serve brokers.
-func brokers(self decide.Member, others []decide.Member) []decidepermits.Member {
+// brokers returns the gateways that serve brokers. Their failure domains count if their regions are
+// known.
+func brokers(self decide.Member, others []decide.Member, places *topology.Topology) []decidepermits.Member {
 	found := make([]decidepermits.Member, 0, len(others)+1)
 	add := func(m decide.Member) {
 		if m.Permits != "" {
-			found = append(found, decidepermits.Member{VM: m.VM, Addr: m.Permits, Small: m.Small})
+			member := decidepermits.Member{VM: m.VM, Addr: m.Permits, Small: m.Small, Region: places.RegionOf(m.FailureDomain)}
+			if member.Region != "" {
+				member.Domain = m.FailureDomain
+			}
+			found = append(found, member)
 		}
 	}
 	add(self)
--- a/gateway/server/settings.go
+++ b/gateway/server/settings.go
@@ -88,6 +88,7 @@
 // a service.
 type Permits struct {
 	Listen      string  `ini:"permits.listen" kind:"ip:port" help:"IP:port where other gateways ask this one for permits; empty: this process neither grants nor asks for any"`
+	ByRegion    bool    `ini:"permits.by_region" default:"true" help:"with several regions, the servers of each one have a broker of their own, and a request takes the way to another region only if its own has no place in time; false: one broker for all"`
 	MaxPatience float64 `ini:"permits.max_patience" default:"10" min:"1" max:"1000000" help:"a service's places are shared out if a route to it has a timeout of at most this many objectives"`
 }
 
--- a/soak/burst_test.go
+++ b/soak/burst_test.go
@@ -52,7 +52,7 @@
 		members = append(members, permits.Member{VM: g.name})
 		byName[g.name] = g
 	}
-	return byName[permits.Ranked(plainService, 0, members)[0].VM]
+	return byName[permits.Ranked(plainService, "", 0, members)[0].VM]
 }
 
 // burst is the callers of all organisations, who send more than the servers can take.
