--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -452,18 +452,11 @@
 	if c.permit != nil {
 		c.permit.Done(o.took, outcomeOf(&o))
 	}
+	f.countCrossing(&call, &o)
 	f.serverStats.attemptEnded(service, server.ID, o.took, !o.ctxDone && (o.err != nil || o.reply.Status >= http.StatusInternalServerError))
 	return o
 }
 
-// ServerCrashed reports whether the server's process ended, after a connection broke
-// while it carried a request. A leaving server is expected to end, so its end is not
-// counted as a crash.
-func (f *Forwarder) ServerCrashed(ctx context.Context, service string, server members.Server) bool {
-	listed, known := f.View.Current().Server(service, server.ID)
-	return known && !listed.Leaving && f.Pool.ServerEnded(ctx, server.Addr)
-}
-
 func (f *Forwarder) exchange(ctx context.Context, call Call, server members.Server) (*Reply, error) {
 	answer, err := f.open(ctx, call, server)
 	if err != nil {
--- a/gateway/forward/permits.go
+++ b/gateway/forward/permits.go
@@ -161,7 +161,7 @@
 		}
 	default:
 		s.forwarder.log.Info("Permit refused.", zap.String("id", s.call.ID), zap.String("service", s.service), zap.String("organisation", s.call.Organisation),
-			zap.String("why", string(a.refusal.Kind)), zap.String("reason", a.refusal.Reason), zap.String("broker", a.refusal.Broker),
+			zap.String("why", string(a.refusal.Kind)), zap.String("reason", a.refusal.Reason), zap.String("broker", a.refusal.Broker), nonEmpty(zap.String("region", a.refusal.Region)),
 			zap.Duration("retry_after", a.refusal.RetryAfter), zap.Duration("wait", a.refusal.Wait), zap.Bool("hedge", a.noWait), zap.Duration("took", a.took))
 		s.refusal = a.refusal
 	}
@@ -224,12 +224,20 @@
 }
 
 // permitFields returns the fields of a log line on an attempt: which broker granted its permit
-// and how long that took.
+// how long that took, of which region it is, and why not of the own one.
 func permitFields(c *choice) []zap.Field {
 	if c.permit == nil {
 		return nil
 	}
-	return []zap.Field{zap.String("broker", c.permit.Broker), zap.Duration("waited", c.asked)}
+	return []zap.Field{zap.String("broker", c.permit.Broker), zap.Duration("waited", c.asked), nonEmpty(zap.String("region", c.permit.Region)), nonEmpty(zap.String("spilled", string(c.permit.Spilled)))}
+}
+
+// nonEmpty returns a string field, which is left out if its value is empty.
+func nonEmpty(f zap.Field) zap.Field {
+	if f.String == "" {
+		return zap.Skip()
+	}
+	return f
 }
 
 // outcomeOf returns how an attempt ended, as evidence on its server.
--- a/gateway/forward/quarantine.go
+++ b/gateway/forward/quarantine.go
@@ -1,10 +1,12 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 
 	"go.uber.org/zap"
 
+	"dandelionsill.org/decide/members"
 	"dandelionsill.org/decide/poison"
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/quarantine"
@@ -51,3 +53,11 @@
 	}
 	return s.refuse(kinds.Quarantined, "each server that ran request "+string(s.subject.Fingerprint())+" crashed").WithRetryAfter(s.subject.RecordRefusal())
 }
+
+// ServerCrashed reports whether the server's process ended, after a connection broke
+// while it carried a request. A leaving server is expected to end, so its end is not
+// counted as a crash.
+func (f *Forwarder) ServerCrashed(ctx context.Context, service string, server members.Server) bool {
+	listed, known := f.View.Current().Server(service, server.ID)
+	return known && !listed.Leaving && f.Pool.ServerEnded(ctx, server.Addr)
+}
