--- a/ctl/logscan/line.go
+++ b/ctl/logscan/line.go
@@ -63,6 +63,8 @@
 	OldestWait    duration `json:"oldest_wait"`
 	Age           duration `json:"age"`
 	Hedge         bool     `json:"hedge"`
+	Region        string   `json:"region"`
+	Spilled       string   `json:"spilled"`
 }
 
 // duration is a time.Duration in the format of the logs ("1.5s").
--- a/ctl/logscan/permits_test.go
+++ b/ctl/logscan/permits_test.go
@@ -87,3 +87,16 @@
 	require.Len(t, places.Ejected(), maxPlaces)
 	require.Equal(t, 2*maxPlaces, places.Dropped)
 }
+
+// Regions: each has a broker of its own, and what crosses is counted by its reason.
+func TestPlacesOfRegions(t *testing.T) {
+	places := NewPlaces()
+	sent := func(ms int, region, spilled string) string {
+		return record(ms, "forward: Try.", fmt.Sprintf(`"id":"r","service":"ledger","region":"%s","spilled":"%s"`, region, spilled))
+	}
+	scanText(t, record(0, "permits: A server is ejected.", `"service":"ledger#0/2@b","server":"i-1","why":"slow","age":"1ms"`)+
+		sent(1, "a", "")+sent(2, "b", "refused")+sent(3, "b", "queued")+sent(4, "b", "queued")+sent(5, "b", "slow")+
+		record(6, "permits: Another region has no place.", `"service":"ledger","region":"b","near":"a","why":"queued"`), places.Add)
+	require.True(t, places.hasEjected("ledger"))
+	require.Equal(t, []Crossing{{Service: "ledger", Region: "b", Refused: 1, Queued: 2, Slow: 1, NoPlace: 1}}, places.Crossings())
+}
--- a/ctl/logscan/places.go
+++ b/ctl/logscan/places.go
@@ -23,13 +23,15 @@
 	stateProbation = "on probation"
 )
 
-// maxPlaces is the maximum number of brokers, and of ejected servers, that are kept.
+// maxPlaces is the maximum number of brokers, of ejected servers, and of services and regions that
+// are kept.
 const maxPlaces = 1000
 
 // Places holds what brokers have last logged.
 type Places struct {
 	services map[placeKey]*ServicePlaces
 	ejected  map[ejectedKey]*EjectedServer
+	crossing map[crossingKey]*Crossing
 	last     time.Time // of all lines
 	// Dropped counts the lines that were ignored because a limit was reached.
 	Dropped int
@@ -69,7 +71,7 @@
 
 // NewPlaces returns an empty Places.
 func NewPlaces() *Places {
-	return &Places{services: map[placeKey]*ServicePlaces{}, ejected: map[ejectedKey]*EjectedServer{}}
+	return &Places{services: map[placeKey]*ServicePlaces{}, ejected: map[ejectedKey]*EjectedServer{}, crossing: map[crossingKey]*Crossing{}}
 }
 
 // Add processes the next line.
@@ -78,6 +80,8 @@
 	switch l.Message {
 	case messageLoad:
 		p.addLoad(l)
+	case "Try.", "Try failed.", messageNoPlaceThere:
+		p.addCrossing(l)
 	case messageEjected:
 		p.eject(l)
 	case messageProbation:
@@ -157,8 +161,11 @@
 }
 
 // serviceOf returns the service of a broker's name for what it decides for, which is the
-// service's name, and "#shard/shards" if it has several brokers.
+// service's name, "#shard/shards" if it has several brokers, and "@region" if each region has some.
 func serviceOf(name string) string {
+	if at := strings.LastIndexByte(name, '@'); at >= 0 {
+		name = name[:at]
+	}
 	service, _, _ := strings.Cut(name, "#")
 	return service
 }
--- a/ctl/permits.go
+++ b/ctl/permits.go
@@ -26,13 +26,27 @@
 				return t.printJSON(struct {
 					Services []logscan.ServicePlaces `json:"services"`
 					Ejected  []logscan.EjectedServer `json:"ejected"`
+					Crossing []logscan.Crossing      `json:"crossing"`
 					Read     logscan.Stats           `json:"read"`
-				}{places.Services(), places.Ejected(), stats})
+				}{places.Services(), places.Ejected(), places.Crossings(), stats})
 			}
 			return t.printPlaces(places)
 		})
 }
 
+// printCrossings shows what left its region, and why.
+func (t *tool) printCrossings(crossings []logscan.Crossing) error {
+	if len(crossings) == 0 {
+		return nil
+	}
+	rows := make([][]string, len(crossings))
+	for i, c := range crossings {
+		rows[i] = []string{c.Service, c.Region, strconv.Itoa(c.Refused), strconv.Itoa(c.Queued), strconv.Itoa(c.Slow), strconv.Itoa(c.NoPlace)}
+	}
+	fmt.Fprintln(t.stdout)
+	return t.printTable([]string{"SERVICE", "SENT TO REGION", "OWN REFUSED", "OWN QUEUED", "OWN SLOW", "NO PLACE THERE"}, rows)
+}
+
 func (t *tool) printPlaces(places *logscan.Places) error {
 	const clock = "15:04:05.000"
 	var rows [][]string
@@ -46,6 +60,9 @@
 	if err := t.printTable(header, rows); err != nil {
 		return err
 	}
+	if err := t.printCrossings(places.Crossings()); err != nil {
+		return err
+	}
 	ejected := places.Ejected()
 	if len(ejected) == 0 {
 		return nil
