gateway/permits: a region's slow servers and late waits count against the way

Callers of a region whose servers are slow were given slow places while the other region had fast ones, since a broker compares its own servers only; and those who waited longer than estimated were sent on when it was too late. The gateway compares a grant with the shortest time that it was told lately, and asks the other region while an answer from there can still be in time.

--- a/gateway/permits/client.go
+++ b/gateway/permits/client.go
@@ -68,6 +68,7 @@
 	shards   map[shardKey]*shardClient
 	byRegion map[string]regionalServers // by service
 	full     map[place]fullRegion
+	fastest  map[string]fastest // by route
 }
 
 // NewClient returns a client without streams. Run must be called.
@@ -78,7 +79,7 @@
 	if cfg.Open == nil {
 		cfg.Open = openGRPC
 	}
-	c := &Client{cfg: cfg, shards: map[shardKey]*shardClient{}, byRegion: map[string]regionalServers{}, full: map[place]fullRegion{}}
+	c := &Client{cfg: cfg, shards: map[shardKey]*shardClient{}, byRegion: map[string]regionalServers{}, full: map[place]fullRegion{}, fastest: map[string]fastest{}}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
--- a/gateway/permits/spill.go
+++ b/gateway/permits/spill.go
@@ -21,7 +21,8 @@
 	SpillRefused Spill = "refused"
 	// SpillQueued: the own region's broker had the ask in its queue for longer than the way costs.
 	SpillQueued Spill = "queued"
-	// SpillSlow: the own region's broker had only a server that would answer late or is ejected.
+	// SpillSlow: the own region's broker had only a server that is ejected, was tried or is slower by
+	// more than the way costs.
 	SpillSlow Spill = "slow"
 )
 
@@ -35,6 +36,10 @@
 	// internalPatience is the part of its objective, one out of so many, that a call of a sample
 	// waits in its own region at least: its body is long. At half of it, it would go before callers.
 	internalPatience = 4
+	// fastestMemory is how long the shortest time of a route holds, and maxFastest the number of
+	// routes that are remembered.
+	fastestMemory = 10 * time.Second
+	maxFastest    = 1024
 	// fullLogInterval is the least time between two log lines on a region without a place.
 	fullLogInterval = time.Second
 )
@@ -71,11 +76,14 @@
 		if other := s.try(ctx, SpillRefused); other != nil {
 			permit, refusal = other, nil
 		}
-	case permit != nil && permit.Spilled == "" && s.isPoor(permit):
+	case permit != nil && permit.Spilled == "" && !ask.NoWait && s.isPoor(permit):
 		if other := s.try(ctx, SpillSlow); other != nil {
 			permit = s.better(permit, other)
 		}
 	}
+	if permit != nil {
+		c.observe(ask.Route, permit.expected)
+	}
 	if permit != nil && permit.Spilled != "" {
 		spilled[permit.Spilled].Add(1)
 	}
@@ -139,10 +147,9 @@
 	for {
 		worth, way := s.worth()
 		waited := s.client.cfg.Now() - s.startedAt
-		pause := worth - waited
+		pause := s.patience(worth) - waited
 		if estimate > worth {
-			pause = 0
-			estimate = 0 // from now on by what it has waited
+			pause, estimate = 0, 0 // from now on by what it has waited
 		}
 		if !sleep(ctx, pause) {
 			return nil
@@ -167,15 +174,23 @@
 	return wait, way
 }
 
-// isPoor reports whether a permit is for a server that is ejected or was to be avoided, or whose
-// answer is expected after the objective while one of another region could still come before it.
-func (s *spiller) isPoor(p *Permit) bool {
-	if p.lastChoice {
-		return true
+// patience returns after which wait another region is asked whose wait was not expected to be that
+// long: as long as an answer from there can still be in time.
+func (s *spiller) patience(worth time.Duration) time.Duration {
+	if s.ask.Internal || s.ask.Objective <= 0 {
+		return worth
 	}
-	left := s.ask.Objective - (s.client.cfg.Now() - s.startedAt)
+	way := s.client.cfg.Ways.Estimate(s.client.cfg.Now(), s.others[0])
+	inTime := s.ask.Objective - time.Duration(spillMargin*spillTrips*float64(way)) - spillTrips*s.client.fastestOf(s.ask.Route)
+	return min(worth, max(inTime, way))
+}
+
+// isPoor reports whether a permit is for a server that is ejected or was to be avoided, or for one
+// that is slower than the fastest by more than the way to another region costs.
+func (s *spiller) isPoor(p *Permit) bool {
 	worth, _ := s.worth()
-	return !s.ask.NoWait && p.expected > left && left > worth
+	fastest := s.client.fastestOf(s.ask.Route)
+	return p.lastChoice || fastest > 0 && p.expected > fastest+worth
 }
 
 // try asks the brokers of the other regions for a free place, one after the other; nil: none has
@@ -225,6 +240,35 @@
 	return near
 }
 
+// fastest is the shortest time in which an answer was expected lately.
+type fastest struct {
+	expected, at time.Duration
+}
+
+// observe records when an answer is expected.
+func (c *Client) observe(route string, expected time.Duration) {
+	if expected <= 0 {
+		return
+	}
+	now := c.cfg.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known, ok := c.fastest[route]; ok && now-known.at <= fastestMemory && known.expected <= expected {
+		return
+	}
+	if len(c.fastest) >= maxFastest {
+		clear(c.fastest)
+	}
+	c.fastest[route] = fastest{expected, now}
+}
+
+// fastestOf returns the shortest time in which an answer was expected lately; 0: unknown.
+func (c *Client) fastestOf(route string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fastest[route].expected
+}
+
 // fullRegion is a region that had no place for requests of this one.
 type fullRegion struct {
 	until    time.Duration // it is not asked before
