gateway/permits: a silent broker of another region is not replaced by its standby

Property found: after a cut link the far gateways used the standby of the near region's broker while the near ones kept the first, so that both granted the same places (18 requests at a server that may have 14). A broken stream still leads to the standby.

--- a/gateway/permits/shard.go
+++ b/gateway/permits/shard.go
@@ -52,9 +52,13 @@
 	broker   string                // VM of the broker that was last chosen
 }
 
+// whySilent is why a broker counts as lost that answers nothing.
+const whySilent = "it is silent"
+
 type lostBroker struct {
-	until time.Duration
-	last  time.Duration
+	until    time.Duration
+	last     time.Duration
+	isSilent bool // rather than its stream broken
 }
 
 func newShardClient(c *Client, key shardKey) *shardClient {
@@ -190,7 +194,7 @@
 	defer s.mu.Unlock()
 	w.session.silences++
 	if w.session.silences >= maxSilences {
-		s.fail(w.session, "it is silent")
+		s.fail(w.session, whySilent)
 	}
 	return r
 }
@@ -227,7 +231,7 @@
 		return nil
 	}
 	if s.next != nil && now-s.next.openedAt > s.next.silenceLimit(now) {
-		s.fail(s.next, "it is silent")
+		s.fail(s.next, whySilent)
 	}
 	if s.current == nil && s.next != nil {
 		s.current, s.next = s.next, nil
@@ -247,7 +251,9 @@
 	return s.current
 }
 
-// best returns the first broker in rank that does not count as lost.
+// best returns the first broker in rank that does not count as lost. If one of another region is
+// silent, the link to it may be cut, while the gateways there go on with it: its standby would
+// grant the same places.
 func (s *shardClient) best(now time.Duration) (decide.Member, bool) {
 	if !s.isRanked || now-s.rankedAt >= rankInterval {
 		s.ranked = decide.Ranked(s.key.service, s.key.region, s.key.shard, s.client.cfg.Members())
@@ -257,10 +263,18 @@
 		if now >= s.lost[member.VM].until {
 			return member, true
 		}
+		if s.isOtherRegion() && s.lost[member.VM].isSilent {
+			break
+		}
 	}
 	return decide.Member{}, false
 }
 
+// isOtherRegion reports whether the shard's servers are in another region than this process.
+func (s *shardClient) isOtherRegion() bool {
+	return s.key.region != "" && s.key.region != s.client.region()
+}
+
 // promote makes the next session the current one.
 func (s *shardClient) promote() {
 	if s.current != nil {
@@ -288,7 +302,7 @@
 	now := s.client.cfg.Now()
 	if !slices.Contains(s.retired, failed) {
 		duration := min(maxLostTime, max(minLostTime, 2*s.lost[failed.member.VM].last))
-		s.lost[failed.member.VM] = lostBroker{until: now + duration, last: duration}
+		s.lost[failed.member.VM] = lostBroker{until: now + duration, last: duration, isSilent: why == whySilent}
 	}
 	brokersLost.Add(1)
 	s.log.Warn("A broker is lost.", failed.describe(now, why)...)
--- a/gateway/permits/world_test.go
+++ b/gateway/permits/world_test.go
@@ -94,7 +94,11 @@
 	return w
 }
 
-func (w *world) list(string) []members.Server { return w.servers }
+func (w *world) list(string) []members.Server {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.servers
+}
 
 func (w *world) open(ctx context.Context, region, addr string) (Stream, error) {
 	inner := openLocal(ctx, w.nodes[addr])
