gateway/permits: a request that may be late at a slow server asks the other region too

Requests of one route differ: one of twice the usual length is late at a server that takes half of the objective for a usual one, and not across the link.

--- a/gateway/permits/spill.go
+++ b/gateway/permits/spill.go
@@ -36,6 +36,8 @@
 	// internalPatience is the part of its objective, one out of so many, that a call of a sample
 	// waits in its own region at least: its body is long. At half of it, it would go before callers.
 	internalPatience = 4
+	// longRequest is how many times its usual time a request may well take.
+	longRequest = 2
 	// fastestMemory is how long the shortest time of a route holds, and maxFastest the number of
 	// routes that are remembered.
 	fastestMemory = 10 * time.Second
@@ -186,11 +188,20 @@
 }
 
 // isPoor reports whether a permit is for a server that is ejected or was to be avoided, or for one
-// that is slower than the fastest by more than the way to another region costs.
+// that is slower than the fastest by more than the way to another region costs, or so slow that a
+// request of some length would be late there, but not in the other region.
 func (s *spiller) isPoor(p *Permit) bool {
 	worth, _ := s.worth()
 	fastest := s.client.fastestOf(s.ask.Route)
-	return p.lastChoice || fastest > 0 && p.expected > fastest+worth
+	switch {
+	case p.lastChoice:
+		return true
+	case fastest <= 0 || p.expected <= fastest:
+		return false
+	}
+	left := s.ask.Objective - (s.client.cfg.Now() - s.startedAt)
+	isRisky := !s.ask.Internal && longRequest*p.expected > left && longRequest*fastest+worth < left
+	return isRisky || p.expected > fastest+worth
 }
 
 // try asks the brokers of the other regions for a free place, one after the other; nil: none has
