--- a/gateway/permits/client.go
+++ b/gateway/permits/client.go
@@ -22,6 +22,9 @@
 const (
 	// idleTimeout is how long a stream stays open without asks and permits.
 	idleTimeout = 5 * time.Second
+	// regionalIdleTimeout is that of a stream to a region's broker. To open one takes three round
+	// trips, which a spilled request has no time for; open, it costs a ping in ten seconds.
+	regionalIdleTimeout = 30 * time.Second
 	// cleanInterval is how often streams are checked for it.
 	cleanInterval = time.Second
 	// maxShardsAsked bounds the shards that are asked for one request. A service with several
--- a/gateway/permits/regions_test.go
+++ b/gateway/permits/regions_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"dandelionsill.org/decide/evidence"
 	decide "dandelionsill.org/decide/permits"
 	"dandelionsill.org/decide/residency"
 	"dandelionsill.org/wire/pb"
@@ -191,3 +192,26 @@
 		require.Equal(t, map[string]bool{"n0": true, "f0": true}, seen)
 	})
 }
+
+// Guards against each ask of a quiet gateway paying for a new stream, and against streams that stay
+// open for ever.
+func TestStreamsToRegionsStayOpenForAWhile(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, true, 1, 1)
+		c := w.clients["near"][0]
+		ask := decide.Ask{Deadline: time.Second, Regions: residency.Only([]string{"far"})}
+		for range 2 {
+			if o := acquire(t.Context(), c, ask); o.permit != nil { // not if the stream took too long to open
+				o.permit.Done(0, evidence.Unused)
+			}
+		}
+		time.Sleep(regionalIdleTimeout / 2)
+		start := time.Now()
+		o := acquire(t.Context(), c, ask)
+		require.NotNil(t, o.permit)
+		require.Equal(t, 2*oneWay, time.Since(start))
+		o.permit.Done(0, evidence.Unused)
+		time.Sleep(2 * regionalIdleTimeout)
+		require.Empty(t, c.shard(shardKey{service: "echo", region: "far", shards: 1}).sessions())
+	})
+}
--- a/gateway/permits/shard.go
+++ b/gateway/permits/shard.go
@@ -334,10 +334,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.client.cfg.Now()
+	timeout := idleTimeout
+	if s.key.region != "" {
+		timeout = regionalIdleTimeout
+	}
 	for _, session := range s.sessions() {
 		isUnused := len(session.waiting)+len(session.holds) == 0 && session.isSent()
 		isRetired := slices.Contains(s.retired, session)
-		if isUnused && (isRetired || now-max(session.openedAt, session.lastAskAt) >= idleTimeout) {
+		if isUnused && (isRetired || now-max(session.openedAt, session.lastAskAt) >= timeout) {
 			s.end(session)
 		}
 	}
