--- a/decide/route/route.go
+++ b/decide/route/route.go
@@ -9,18 +9,8 @@
 	"time"
 
 	"dandelionsill.org/decide/residency"
-)
-
-// Distance is the network distance between an entry and a server.
-type Distance uint8
 
-const (
-	// SameDomain means the entry's own failure domain.
-	SameDomain Distance = iota
-	// SameRegion means another failure domain in the entry's region.
-	SameRegion
-	// OtherRegion means a region other than the entry's.
-	OtherRegion
+	"dandelionsill.org/decide/topology"
 )
 
 // Candidate is what an entry knows of one server at the time of a decision.
@@ -28,8 +18,8 @@
 	Name          string
 	Hash          uint64 // Hash(Name), for rendezvous hashing
 	FailureDomain string
-	Region        string // of FailureDomain; empty: unknown
-	Distance      Distance
+	Region        string            // of FailureDomain; empty: unknown
+	Distance      topology.Distance // from the entry
 	Ready         bool
 	Leaving       bool // it takes no new work: it leaves, or its failure domain is evacuated
 	Ejected       bool
--- a/gateway/permits/broker.go
+++ b/gateway/permits/broker.go
@@ -43,11 +43,11 @@
 
 // gateway is what a broker keeps of a gateway.
 type gateway struct {
-	name, domain string
-	subscriber   *subscriber // nil: it has no stream
-	lostAt       time.Time   // when it lost its stream
-	waiting      map[uint64]struct{}
-	held         map[uint64]string // server by permit
+	name, domain, region string
+	subscriber           *subscriber // nil: it has no stream
+	lostAt               time.Time   // when it lost its stream
+	waiting              map[uint64]struct{}
+	held                 map[uint64]string // server by permit
 }
 
 func newBroker(key shardKey, cfg ServerConfig) *broker {
@@ -71,6 +71,7 @@
 		b.detach(now, g, "a newer stream of the gateway")
 	}
 	g.domain = first.GetFailureDomain()
+	g.region = b.cfg.Topology.RegionOf(g.domain)
 	g.subscriber = newSubscriber(g, now)
 	b.reconcile(now, g, first.GetInUse())
 	b.process(now, g, first)
@@ -124,7 +125,7 @@
 			continue
 		}
 		b.setWaiting(g, ask.GetId(), true)
-		b.deliver(now, b.decider.Ask(now, decodeAsk(g.name, g.domain, ask)))
+		b.deliver(now, b.decider.Ask(now, decodeAsk(g, ask)))
 	}
 }
 
@@ -242,11 +243,11 @@
 	b.servers, b.rampAt = servers, time.Time{}
 	var own []decide.Server
 	for _, s := range servers {
-		if b.key.has(s) {
+		if b.key.has(s, b.cfg.Topology) {
 			if s.IsRamping(now) {
 				b.rampAt = now.Add(rampInterval)
 			}
-			own = append(own, decide.Server{ID: s.ID, Name: s.Name, Domain: s.FailureDomain, Slots: s.SlotsAt(now), Leaving: !s.TakesWork(), Evacuated: s.Evacuated})
+			own = append(own, decide.Server{ID: s.ID, Name: s.Name, Domain: s.FailureDomain, Region: s.Region, Slots: s.SlotsAt(now), Leaving: !s.TakesWork(), Evacuated: s.Evacuated})
 		}
 	}
 	b.deliver(now, b.decider.SetServers(now, own))
--- a/gateway/permits/shard.go
+++ b/gateway/permits/shard.go
@@ -14,11 +14,12 @@
 )
 
 const (
-	// answerTimeout is how long an ask may stay without an answer. It is short against the time in
-	// which an answer to a caller is in time, and long against a round trip between regions.
+	// answerTimeout is how long an ask may stay without an answer of a broker in the own region. It
+	// is short against the time in which an answer to a caller is in time. The way to another region
+	// is added.
 	answerTimeout = 50 * time.Millisecond
 	// silenceTimeout is how long a broker with a queued ask may send nothing: two of its
-	// heartbeats and some delay.
+	// heartbeats and some delay. The way to another region is added.
 	silenceTimeout = 250 * time.Millisecond
 	// maxSilences is the number of asks without an answer, nothing else being received between
 	// them, after which a broker counts as lost. A single one may be due to a short pause.
@@ -51,9 +52,13 @@
 	broker   string                // VM of the broker that was last chosen
 }
 
+// whySilent is why a broker counts as lost that answers nothing.
+const whySilent = "it is silent"
+
 type lostBroker struct {
-	until time.Duration
-	last  time.Duration
+	until    time.Duration
+	last     time.Duration
+	isSilent bool // rather than its stream broken
 }
 
 func newShardClient(c *Client, key shardKey) *shardClient {
@@ -65,9 +70,10 @@
 
 // acquire asks for a permit and waits for the decision. If a broker's stream breaks, the next one
 // is asked.
-func (s *shardClient) acquire(ctx context.Context, ask decide.Ask) (*Permit, *Refusal, error) {
+func (s *shardClient) acquire(ctx context.Context, ask decide.Ask, onQueued func(time.Duration)) (*Permit, *Refusal, error) {
 	startedAt := s.client.cfg.Now()
-	answerBy := startedAt + answerTimeout
+	since := startedAt // the limit counts from here
+	answerBy := since + answerTimeout
 	for range maxBrokersAsked {
 		now := s.client.cfg.Now()
 		if now >= answerBy {
@@ -77,12 +83,14 @@
 		if w == nil {
 			break
 		}
-		result := s.wait(ctx, w, answerBy-now)
+		answerBy = max(answerBy, since+w.limit)
+		result := s.wait(ctx, w, answerBy-now, onQueued)
 		if !result.isLost {
 			return s.use(result)
 		}
 		if result.wasQueued {
-			answerBy = s.client.cfg.Now() + answerTimeout
+			since = s.client.cfg.Now()
+			answerBy = since + answerTimeout
 		}
 	}
 	return nil, nil, errors.Trace(ErrNoBroker)
@@ -109,7 +117,7 @@
 	}
 	s.lastID++
 	ask.ID.Number = s.lastID
-	w := &waiter{id: s.lastID, route: ask.Route, session: session, askedAt: now, results: make(chan result, 1), queued: make(chan struct{}, 1)}
+	w := &waiter{id: s.lastID, route: ask.Route, session: session, askedAt: now, results: make(chan result, 1), queued: make(chan time.Duration, 1), limit: session.answerLimit(now)}
 	session.waiting[w.id] = w
 	session.lastAskAt = now
 	session.pending.Asks = append(session.pending.Asks, encodeAsk(ask))
@@ -118,7 +126,7 @@
 }
 
 // wait waits for the decision on an ask, whose first answer must come within a time.
-func (s *shardClient) wait(ctx context.Context, w *waiter, answerWithin time.Duration) result {
+func (s *shardClient) wait(ctx context.Context, w *waiter, answerWithin time.Duration, onQueued func(time.Duration)) result {
 	timer := time.NewTimer(answerWithin)
 	defer timer.Stop()
 	isQueued := false
@@ -126,9 +134,12 @@
 		select {
 		case r := <-w.results:
 			return r
-		case <-w.queued:
+		case estimate := <-w.queued:
 			isQueued = true
-			timer.Reset(silenceTimeout)
+			timer.Reset(s.silentIn(w))
+			if onQueued != nil {
+				onQueued(estimate)
+			}
 		case <-w.session.ended:
 			return s.withdraw(w, result{isLost: true, wasQueued: isQueued})
 		case <-ctx.Done():
@@ -151,7 +162,8 @@
 func (s *shardClient) silentIn(w *waiter) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return w.session.heardAt + silenceTimeout - s.client.cfg.Now()
+	now := s.client.cfg.Now()
+	return w.session.heardAt + w.session.silenceLimit(now) - now
 }
 
 // withdraw ends the wait for a decision, and returns the decision if there is one already.
@@ -182,7 +194,7 @@
 	defer s.mu.Unlock()
 	w.session.silences++
 	if w.session.silences >= maxSilences {
-		s.fail(w.session, "it is silent")
+		s.fail(w.session, whySilent)
 	}
 	return r
 }
@@ -218,8 +230,8 @@
 	if s.client.ctx.Err() != nil {
 		return nil
 	}
-	if s.next != nil && now-s.next.openedAt > silenceTimeout {
-		s.fail(s.next, "it is silent")
+	if s.next != nil && now-s.next.openedAt > s.next.silenceLimit(now) {
+		s.fail(s.next, whySilent)
 	}
 	if s.current == nil && s.next != nil {
 		s.current, s.next = s.next, nil
@@ -239,20 +251,30 @@
 	return s.current
 }
 
-// best returns the first broker in rank that does not count as lost.
+// best returns the first broker in rank that does not count as lost. If one of another region is
+// silent, the link to it may be cut, while the gateways there go on with it: its standby would
+// grant the same places.
 func (s *shardClient) best(now time.Duration) (decide.Member, bool) {
 	if !s.isRanked || now-s.rankedAt >= rankInterval {
-		s.ranked = decide.Ranked(s.key.service, s.key.shard, s.client.cfg.Members())
+		s.ranked = decide.Ranked(s.key.service, s.key.region, s.key.shard, s.client.cfg.Members())
 		s.rankedAt, s.isRanked = now, len(s.ranked) > 0
 	}
 	for _, member := range s.ranked {
 		if now >= s.lost[member.VM].until {
 			return member, true
 		}
+		if s.isOtherRegion() && s.lost[member.VM].isSilent {
+			break
+		}
 	}
 	return decide.Member{}, false
 }
 
+// isOtherRegion reports whether the shard's servers are in another region than this process.
+func (s *shardClient) isOtherRegion() bool {
+	return s.key.region != "" && s.key.region != s.client.region()
+}
+
 // promote makes the next session the current one.
 func (s *shardClient) promote() {
 	if s.current != nil {
@@ -280,7 +302,7 @@
 	now := s.client.cfg.Now()
 	if !slices.Contains(s.retired, failed) {
 		duration := min(maxLostTime, max(minLostTime, 2*s.lost[failed.member.VM].last))
-		s.lost[failed.member.VM] = lostBroker{until: now + duration, last: duration}
+		s.lost[failed.member.VM] = lostBroker{until: now + duration, last: duration, isSilent: why == whySilent}
 	}
 	brokersLost.Add(1)
 	s.log.Warn("A broker is lost.", failed.describe(now, why)...)
@@ -312,10 +334,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.client.cfg.Now()
+	timeout := idleTimeout
+	if s.key.region != "" {
+		timeout = regionalIdleTimeout
+	}
 	for _, session := range s.sessions() {
 		isUnused := len(session.waiting)+len(session.holds) == 0 && session.isSent()
 		isRetired := slices.Contains(s.retired, session)
-		if isUnused && (isRetired || now-max(session.openedAt, session.lastAskAt) >= idleTimeout) {
+		if isUnused && (isRetired || now-max(session.openedAt, session.lastAskAt) >= timeout) {
 			s.end(session)
 		}
 	}
