Engines follow the models that their region needs

Agents now ask a gateway of their region which regions need each model, and take its window there, as large as before.

--- a/decide/loads/loads.go
+++ b/decide/loads/loads.go
@@ -35,8 +35,11 @@
 
 // Fleet is the engines of a service and the models that they share.
 type Fleet struct {
+	// Engines are the engines that a model's samples may use.
 	Engines []string
 	Models  []string
+	// Total is the number of engines of the service, if they are more than Engines.
+	Total int
 	// LoadTime is the duration of a weight load, and NamingInterval the time between
 	// versions of a model; 0 if not known.
 	LoadTime, NamingInterval time.Duration
@@ -73,8 +76,9 @@
 // load at the same time that each load took longer than the interval to the next
 // version, and hardly any engine would be fresh enough.
 func (f Fleet) windowSize() int {
-	n, models := len(f.Engines), len(f.Models)
-	size := max(1, min(n, modelsPerEngine*n/models))
+	models, usable := len(f.Models), len(f.Engines)
+	n := max(f.Total, usable)
+	size := max(1, min(usable, modelsPerEngine*n/models))
 	if f.LoadTime <= 0 || f.NamingInterval <= 0 {
 		return size
 	}
--- a/decide/loads/loads_test.go
+++ b/decide/loads/loads_test.go
@@ -209,3 +209,26 @@
 	c.VersionNamed(start.Add(20*time.Second), 1)
 	require.Equal(t, 6*time.Second, c.NamingInterval())
 }
+
+// A model's samples may use half of the engines only. Guards against a step whose samples share a few
+// engines because most of those that follow the model may not be used: as many follow it as without
+// the limit, if there are that many, and both parities do.
+func TestModelOfSomeEnginesIsFollowedByThem(t *testing.T) {
+	all := engineIDs(32)
+	for _, usable := range []int{32, 24, 16, 8, 2} {
+		fleet := Fleet{Engines: all[32-usable:], Models: []string{"a", "b", "c"}, Total: 32}
+		for _, model := range fleet.Models {
+			var followers []string
+			parities := map[Parity]int{}
+			for _, e := range all {
+				if fleet.Serves(e, model) {
+					followers = append(followers, e)
+					parities[fleet.Parity(e, model)]++
+				}
+			}
+			require.Len(t, followers, min(usable, 21))
+			require.Subset(t, fleet.Engines, followers)
+			require.InDelta(t, parities[0], parities[1], 1)
+		}
+	}
+}
--- a/gateway/jobs/held_texts.go
+++ b/gateway/jobs/held_texts.go
@@ -76,6 +76,9 @@
 func (f *textFill) askHolders(ctx context.Context, regions string, missing []*jobs.Result) error {
 	var err error = errNoHolder
 	for _, addr := range f.cache.holders(regions) {
+		if ctx.Err() != nil {
+			return errors.Trace(ctx.Err())
+		}
 		for _, call := range groupTextCalls(missing, func(string) string { return addr }) {
 			var returned []returnedText
 			if returned, err = f.cache.callHolder(ctx, call); err != nil {
@@ -97,7 +100,7 @@
 func (c *TextCache) callHolder(ctx context.Context, call textCall) ([]returnedText, error) {
 	heldReads.Add(1)
 	returned, err := c.callPeer(ctx, c.holderHTTP, PathHeldTexts, call)
-	if err != nil {
+	if err != nil && ctx.Err() == nil { // otherwise the client has gone
 		heldFailures.Add(1)
 		c.zlog.Info("A process in the regions of texts did not return them.", zap.String("addr", call.addr), zap.Int("texts", len(call.texts)), zap.Error(err))
 	}
--- a/gateway/jobs/regions_test.go
+++ b/gateway/jobs/regions_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
@@ -272,3 +273,23 @@
 		}
 	})
 }
+
+// Guards against engines of all regions that load a model which only some regions need, and against
+// engines that drop one which a job without allowed regions needs too.
+func TestModelRegionsAreThoseOfAllItsJobs(t *testing.T) {
+	index := NewIndex(nil, zap.NewNop())
+	for i, j := range []struct {
+		model   string
+		regions []string
+	}{{"a", []string{"a"}}, {"ab", []string{"a"}}, {"ab", []string{"b"}}, {"any", []string{"a"}}, {"any", nil}, {"any", []string{"b"}}} {
+		id := strconv.Itoa(i)
+		index.state.Apply(uint64(i), &jobs.Record{Writer: jobs.Writer{VM: "a0"}, Acceptance: &jobs.Acceptance{
+			Spec: jobs.Spec{ID: id, Host: "h", Path: "/job/" + id, Model: j.model, Regions: j.regions}, Parts: 1, Items: []jobs.ItemRef{{ID: id}},
+		}})
+	}
+	a, ab := residency.Only([]string{"a"}), residency.Only([]string{"a", "b"})
+	require.Equal(t, map[string]residency.Regions{"a": a, "ab": ab}, index.ModelRegions(nil))
+	w := httptest.NewRecorder()
+	index.ServeModelRegions(func() *table.Table { return tableOf(t, []string{"a"}, nil) })(w, nil)
+	require.JSONEq(t, `{"a": "a", "ab": "a", "any": "a"}`, w.Body.String(), "the current configuration binds")
+}
--- a/gateway/orders/orders.go
+++ b/gateway/orders/orders.go
@@ -16,6 +16,7 @@
 	"dandelionsill.org/base/sleep"
 	"dandelionsill.org/decide/loads"
 	"dandelionsill.org/decide/members"
+	"dandelionsill.org/decide/residency"
 	"dandelionsill.org/decide/table"
 	"dandelionsill.org/fold/jobs"
 	gatewayjobs "dandelionsill.org/gateway/jobs"
@@ -63,6 +64,9 @@
 	Engine      Engine
 	Log         platform.Log
 	Logger      *zap.Logger
+	// ModelRegions returns the allowed regions of the models whose samples all have some;
+	// nil: none has.
+	ModelRegions func() map[string]residency.Regions
 }
 
 // Agent orders one engine to load weights. All fields belong to the goroutine of Run; maps
@@ -238,12 +242,14 @@
 // chooseLoad returns the load to do next, over all models of the engine; nil: there is none.
 // Urgent loads come first, then the one that is due earliest.
 func (a *Agent) chooseLoad(snap *view.Snapshot, self *members.Server, peers []string, report hosted.EngineReport) *loads.Target {
-	fleet := loads.Fleet{Engines: peers, Models: slices.Collect(maps.Keys(report.Versions)), LoadTime: a.loadTime.LoadTime()}
+	fleet := loads.Fleet{Models: slices.Collect(maps.Keys(report.Versions)), LoadTime: a.loadTime.LoadTime(), Total: len(peers)}
+	regions := a.modelRegions()
 	var chosen *loads.Target
 	for _, model := range slices.Sorted(maps.Keys(report.Versions)) {
 		if snap.Versions[model] == 0 {
 			continue
 		}
+		fleet.Engines = enginesIn(peers, snap.Servers[self.Service], regions[model])
 		fleet.NamingInterval = a.cadence[model].NamingInterval()
 		a.logFollowing(fleet, self.ID, model)
 		target := fleet.Choose(self.ID, report.Versions[model], model, snap.Versions[model], a.parityOf(fleet, self.ID, model))
@@ -258,6 +264,31 @@
 	return chosen
 }
 
+// modelRegions returns the allowed regions of models.
+func (a *Agent) modelRegions() map[string]residency.Regions {
+	if a.cfg.ModelRegions == nil {
+		return nil
+	}
+	return a.cfg.ModelRegions()
+}
+
+// enginesIn returns the engines in the regions; all if there are none there.
+func enginesIn(ids []string, servers []members.Server, regions residency.Regions) []string {
+	if !regions.IsRestricted() {
+		return ids
+	}
+	var inside []string
+	for i := range servers {
+		if regions.Allows(servers[i].Region) && slices.Contains(ids, servers[i].ID) {
+			inside = append(inside, servers[i].ID)
+		}
+	}
+	if len(inside) == 0 {
+		return ids
+	}
+	return inside
+}
+
 // logFollowing logs whether the engine loads a model's new versions or leaves them to other
 // engines, when that is first determined and when it changes.
 func (a *Agent) logFollowing(fleet loads.Fleet, server, model string) {
--- a/gateway/orders/orders_test.go
+++ b/gateway/orders/orders_test.go
@@ -9,6 +9,8 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"dandelionsill.org/decide/residency"
+	"dandelionsill.org/decide/topology"
 	fold "dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/gatewaytest"
 	"dandelionsill.org/gateway/jobs"
@@ -187,3 +189,30 @@
 	orders := engine.Orders()
 	require.Zero(t, orders[len(orders)-1].Expect, "the order count restarts at zero")
 }
+
+// A model's samples may use one engine only. Guards against loads by the other one, which nobody needs.
+func TestEnginesOutsideAModelsRegionsDoNotFollowIt(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 3, 0)
+	pf.Topology = topology.New(map[string]string{"zone-a": "a", "zone-b": "b"})
+	for i, e := range pf.Engines {
+		e.FailureDomain = []string{"zone-a", "zone-b", "zone-a"}[i]
+		pf.Register(e, "ready")
+	}
+	for _, e := range pf.Engines {
+		p := pf.NewProcess(t)
+		agent := orders.New(orders.Config{
+			VM: "vm-" + e.ID, Incarnation: "1", Addr: e.Addr(), View: p.View, Engine: hosted.NewEngineClient(e.Addr()), Log: p.Store, Logger: zap.NewNop(),
+			ModelRegions: func() map[string]residency.Regions {
+				return map[string]residency.Regions{"m": residency.Only([]string{"a"})}
+			},
+		})
+		p.Go(agent.Run)
+	}
+	for version := 2; version <= 5; version++ {
+		nameVersion(pf, version)
+		require.Eventually(t, func() bool {
+			return max(servedVersion(t, pf.Engines[0]), servedVersion(t, pf.Engines[2])) == uint64(version)
+		}, gatewaytest.MaxWait, time.Millisecond)
+	}
+	require.Empty(t, pf.Engines[1].Orders())
+}
--- a/gateway/server/agent.go
+++ b/gateway/server/agent.go
@@ -22,13 +22,15 @@
 	self := decide.Member{VM: cfg.Process.Name, FailureDomain: cfg.Process.FailureDomain}
 	peers := newPeers(store, self, log)
 	v := newFollowedStore(store, peers, self, cfg.Store.ReadsPerS, log).newView(cfg.Topology.parse(), log)
+	regions := newModelRegions(v, func() []string { return nearestPeers(v.Topology, peers, cfg.Process.FailureDomain) }, log)
 	agent := orders.New(orders.Config{
 		VM: cfg.Process.Name, Incarnation: newIncarnation(), Addr: cfg.Engine.Address, View: v,
-		Engine: hosted.NewEngineClient(cfg.Engine.Address), Log: store, Logger: log,
+		Engine: hosted.NewEngineClient(cfg.Engine.Address), Log: store, Logger: log, ModelRegions: regions.get,
 	})
 	var loops sync.WaitGroup
 	loops.Go(func() { peers.Run(ctx) })
 	loops.Go(func() { v.Run(ctx) })
+	loops.Go(func() { regions.run(ctx) })
 	loops.Go(func() { agent.Run(ctx) })
 	log.Info("Starting.", zap.String("name", cfg.Process.Name), zap.String("engine", cfg.Engine.Address), zap.String("store", cfg.Store.Address))
 	var servers []transport.Server
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -115,7 +115,7 @@
 	loops.Go(func() { runner.Run(ctx) })
 	log.Info("Starting.", zap.String("name", writer.VM), zap.String("life", writer.Incarnation), zap.String("callers", cfg.Listen.Callers), zap.String("store", cfg.Store.Address))
 	return &run.Process{
-		Servers: append(gatewayServers(cfg, handler, newPeerHandler(index.Texts, forwarder.Quarantine, followed), ready), permits.servers()...),
+		Servers: append(gatewayServers(cfg, handler, newPeerHandler(index, handler.View, forwarder.Quarantine, followed), ready), permits.servers()...),
 		Ready: func(isReady bool) {
 			ready.serving.Store(isReady)
 			releaseWork(isReady, handler, runner, usage, scaling, permits)
@@ -168,11 +168,12 @@
 
 // newPeerHandler returns the handler for calls of other processes: texts of jobs, quarantined
 // requests, streams that all processes follow, and calls of the store that are relayed.
-func newPeerHandler(texts *gatewayjobs.TextCache, quarantineHandler http.Handler, store *followedStore) http.Handler {
+func newPeerHandler(index *gatewayjobs.Index, v *view.View, quarantineHandler http.Handler, store *followedStore) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(gatewayjobs.PathTexts, texts)
-	mux.HandleFunc(gatewayjobs.PathHeldTexts, texts.ServeHeldTexts)
-	mux.HandleFunc(gatewayjobs.PathHeldItem, texts.ServeHeldItem)
+	mux.Handle(gatewayjobs.PathTexts, index.Texts)
+	mux.HandleFunc(gatewayjobs.PathHeldTexts, index.Texts.ServeHeldTexts)
+	mux.HandleFunc(gatewayjobs.PathHeldItem, index.Texts.ServeHeldItem)
+	mux.HandleFunc(gatewayjobs.PathModelRegions, index.ServeModelRegions(func() *table.Table { return v.Current().Table }))
 	mux.Handle(quarantine.PathPeers, quarantineHandler)
 	mux.Handle(fanout.PathTail, store.tail)
 	mux.Handle("/", store.Relay())
--- a/gateway/server/places.go
+++ b/gateway/server/places.go
@@ -42,3 +42,14 @@
 func limitRelays(store *hosted.Store, t *topology.Topology, peers peerList) {
 	store.LimitPeers(func(topic string) []string { return peersIn(t, peers, gatewayjobs.RegionsOfTopic(topic)) })
 }
+
+// nearestPeers returns the addresses of the gateways in the region of a failure domain; of all if
+// there are none.
+func nearestPeers(t *topology.Topology, peers peerList, domain string) []string {
+	if region := t.RegionOf(domain); region != "" {
+		if addrs := peersIn(t, peers, residency.Only([]string{region})); len(addrs) > 0 {
+			return addrs
+		}
+	}
+	return peers.Addrs()
+}
--- a/gateway/server/places_test.go
+++ b/gateway/server/places_test.go
@@ -1,13 +1,19 @@
 package server
 
 import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
 	decide "dandelionsill.org/decide/fanout"
 	"dandelionsill.org/decide/residency"
 	"dandelionsill.org/decide/topology"
+	gatewayjobs "dandelionsill.org/gateway/jobs"
 )
 
 type fakePeers struct{ list []decide.Member }
@@ -42,3 +48,32 @@
 	require.Equal(t, []string{"x:1", "y:1", "z:1"}, places.PeersIn(residency.Regions{}))
 	require.Empty(t, places.PeersIn(residency.Only([]string{"c"})))
 }
+
+// Guards against an agent that forgets which models its region needs because a gateway does not answer
+// or sends something else.
+func TestAgentAsksForModelRegions(t *testing.T) {
+	answers := map[string]string{"good": `{"m": "a.b"}`, "bad": `{"m"`}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		require.Equal(t, gatewayjobs.PathModelRegions, r.URL.Path)
+		_, _ = w.Write([]byte(answers[r.Host]))
+	}))
+	t.Cleanup(server.Close)
+	m := newModelRegions(nil, nil, zap.NewNop())
+	m.http.Transport = &http.Transport{DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, network, server.Listener.Addr().String())
+	}}
+	regions, err := m.ask(t.Context(), "good")
+	require.NoError(t, err)
+	require.Equal(t, map[string]residency.Regions{"m": residency.Only([]string{"a", "b"})}, regions)
+	_, err = m.ask(t.Context(), "bad")
+	require.Error(t, err)
+	require.Empty(t, m.get())
+}
+
+func TestNearestPeers(t *testing.T) {
+	tp := topology.New(map[string]string{"a1": "a", "b1": "b", "c1": "c"})
+	peers := fakePeers{[]decide.Member{{VM: "x", Addr: "x:1", FailureDomain: "a1"}, {VM: "y", Addr: "y:1", FailureDomain: "b1"}}}
+	require.Equal(t, []string{"x:1"}, nearestPeers(tp, peers, "a1"))
+	require.Equal(t, []string{"x:1", "y:1"}, nearestPeers(tp, peers, "c1"))
+	require.Equal(t, []string{"x:1", "y:1"}, nearestPeers(nil, peers, "a1"))
+}
