gateway/jobs: engines that may be cold get what owners' shares allow

A sample is counted when it is placed, and again when its connection took long to open: the check stands right before the write (backend.Request.BeforeSend). What a share lacks waits with its owner. Known cold engines are used once the others are full, and get a part of the rate. Services without a rate for cold servers are placed as before.

--- a/decide/place/place.go
+++ b/decide/place/place.go
@@ -25,6 +25,8 @@
 	// Loading holds the version of each model that is being loaded. These models are
 	// not in Versions.
 	Loading map[string]uint64
+	// Cold means that the engine has just started and takes few requests a second.
+	Cold bool
 }
 
 // Sample is a sample to be placed on an engine.
@@ -77,6 +79,8 @@
 	// higher penalty would rely too much on loads that are out of date, because slots
 	// just taken by other processes become known late.
 	slowPacePenalty = 2
+	// coldPenalty is the penalty of a cold engine: it is used once the others are full.
+	coldPenalty = 1
 )
 
 // maxSlowShare is the share of the time until the due time within which a sample must
@@ -123,6 +127,9 @@
 // score rates an engine; lower is better.
 func score(e *Engine, median float64) float64 {
 	load := float64(e.Load+1) / float64(max(1, e.Slots))
+	if e.Cold {
+		load += coldPenalty
+	}
 	if e.Pace > 0 && median > 0 {
 		return load + slowPacePenalty*(e.Pace/median-1)
 	}
--- a/gateway/backend/backend.go
+++ b/gateway/backend/backend.go
@@ -30,6 +30,9 @@
 	ErrNotSent  = errors.New("backend: not sent")
 	ErrBroken   = errors.New("backend: connection broke before the whole answer")
 	ErrMismatch = errors.New("backend: the answer belongs to another request")
+	// ErrWithheld comes with ErrNotSent if Request.BeforeSend did not allow the request. It says
+	// nothing of the server.
+	ErrWithheld = errors.New("backend: withheld")
 )
 
 // Limits of connections.
@@ -68,6 +71,9 @@
 	Body   []byte
 	// ID identifies the request. If the answer carries an id, it must be the same.
 	ID string
+	// BeforeSend is called when a connection is open and the request would be written now; false
+	// withholds it. nil: it is always written.
+	BeforeSend func() bool
 }
 
 // Answer is the head of a server's answer, with the body still to be read.
@@ -119,6 +125,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if req.BeforeSend != nil && !req.BeforeSend() {
+		p.putUnused(addr, c)
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrWithheld)
+	}
 	// A read or write of the connection can only be interrupted by closing it.
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	resp, err := p.roundTrip(c, req)
@@ -237,6 +247,14 @@
 	return len(idle) > 0 && time.Now().Before(idle[len(idle)-1].expires)
 }
 
+// putUnused keeps a connection on which nothing was sent.
+func (p *Pool) putUnused(addr string, c *conn) {
+	if c.expires.IsZero() {
+		c.expires = time.Now().Add(defaultKeepAlive)
+	}
+	p.putIdle(addr, c)
+}
+
 // putIdle adds an idle connection, or closes it if there are maxIdlePerServer already.
 func (p *Pool) putIdle(addr string, c *conn) {
 	p.mu.Lock()
--- /dev/null
+++ b/gateway/jobs/cold.go
@@ -0,0 +1,229 @@
+package jobs
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dandelionsill.org/base/boottime"
+	"dandelionsill.org/base/logs"
+	"dandelionsill.org/base/metrics"
+	"dandelionsill.org/decide/cold"
+	"dandelionsill.org/decide/members"
+	"dandelionsill.org/decide/place"
+	"dandelionsill.org/decide/table"
+	"dandelionsill.org/fold/jobs"
+)
+
+// withheldLogInterval is how often it is logged that samples wait for engines that may be cold.
+const withheldLogInterval = time.Second
+
+var (
+	coldSamplesSent     = metrics.Counter("jobs_cold_engine_sends_total")
+	coldSamplesWithheld = metrics.Counter("jobs_cold_withheld_total")
+)
+
+// recordSenders records which processes may send samples, by the record at an offset; mu is held.
+func (x *Index) recordSenders(offset uint64, writer jobs.Writer, change *jobs.Change, now time.Time) {
+	for _, changed := range [][]string{change.Accepted, change.Owned} {
+		for _, id := range changed {
+			if j := x.state.Jobs[id]; j != nil && !j.Released {
+				x.senders.Enter(j.Owner.VM, offset, now)
+			}
+		}
+	}
+	x.senders.Heard(writer.VM, offset, now, func() bool { return x.hasOpenJob(writer.VM) })
+}
+
+// hasOpenJob reports whether a process of the VM owns a job that is open; mu is held.
+func (x *Index) hasOpenJob(vm string) bool {
+	owns := false
+	x.state.Each(func(j *jobs.Job) { owns = owns || j.Owner.VM == vm && !j.Released && j.IsOpen() })
+	return owns
+}
+
+// coldSamples bounds what this process sends to engines that may become cold. The runner's mutex
+// guards it.
+type coldSamples struct {
+	runner        *Runner
+	excess, slack float64
+	sends         *cold.Sends
+	standing      cold.Standing
+	place         cold.Place // among the processes that send samples
+	shownRank     atomic.Int64
+	log           *zap.Logger
+
+	toldMu sync.Mutex // guards standing, which the outbox tells
+
+	warmFrom  map[string]time.Time       // when an engine whose evacuation has ended counts as warm
+	evacuated map[string]map[string]bool // engines, by service, that were evacuated when last seen
+	// careFor is the table for which isNeeded holds.
+	careFor  *table.Table
+	isNeeded bool
+}
+
+func (c *coldSamples) init(r *Runner) {
+	c.runner, c.excess, c.sends = r, 1, cold.NewSends(time.Now())
+	c.log = logs.Limited(r.zlog, withheldLogInterval)
+	c.warmFrom, c.evacuated = map[string]time.Time{}, map[string]map[string]bool{}
+	metrics.Gauge("jobs_cold_rank", func() any { return c.shownRank.Load() })
+	r.out.onAppended = func(sentAt time.Duration, offset uint64) {
+		c.toldMu.Lock()
+		defer c.toldMu.Unlock()
+		c.standing.Told(sentAt, offset)
+	}
+}
+
+// SetColdBounds sets by which factor, and by how many requests more, one second may exceed the rate
+// at which cold engines take requests. It must be called before Run.
+func (r *Runner) SetColdBounds(excess, slack float64) { r.cold.excess, r.cold.slack = excess, slack }
+
+// check determines this process's rank.
+func (c *coldSamples) check(now time.Time) {
+	if !c.needsCare() {
+		return
+	}
+	x := c.runner.index
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	vm := c.runner.writer.VM
+	hasWork := len(c.runner.active) > 0 || x.hasOpenJob(vm)
+	c.toldMu.Lock()
+	from, may := c.standing.Check(boottime.Now(), now.Sub(x.asOf), x.nextOffset, hasWork, func() { x.senders.Leave(vm) })
+	c.toldMu.Unlock()
+	before := c.place.Rank
+	c.place = cold.Place{}
+	if may {
+		c.place = c.standing.Amend(x.senders.Place(vm, from, x.asOf, now))
+		c.place.Fresh = c.place.Fresh && !x.missedRecords(now)
+	}
+	if before != c.place.Rank && hasWork {
+		c.runner.zlog.Info("Rank among the processes that send samples.", zap.Int("rank", c.place.Rank), zap.Int("before", before), zap.Int("owners", c.place.Known),
+			zap.Bool("known_to_others", may), zap.Duration("log_age", now.Sub(x.asOf)))
+	}
+	c.shownRank.Store(int64(c.place.Rank))
+}
+
+// needsCare reports whether the engines of any service may be cold.
+func (c *coldSamples) needsCare() bool {
+	t := c.runner.view.Current().Table
+	if t == c.careFor {
+		return c.isNeeded
+	}
+	c.careFor, c.isNeeded = t, false
+	for _, s := range t.Services {
+		c.isNeeded = c.isNeeded || s.Slots > 0 && s.Cold != nil
+	}
+	return c.isNeeded
+}
+
+// uses returns by which ways requests reach the servers of a service.
+func (c *coldSamples) uses(service string) cold.Uses {
+	t := c.runner.view.Current().Table
+	if t == nil {
+		return cold.Uses{Samples: true}
+	}
+	uses := cold.UsesOf(t, service, c.runner.forward.IsShared(service))
+	uses.Samples = true // also those of jobs whose route was removed
+	return uses
+}
+
+// careOf returns what servers of the service need; nil: no care.
+func (c *coldSamples) careOf(service string) *table.Cold {
+	if t := c.runner.view.Current().Table; t != nil {
+		if s, known := t.Services[service]; known {
+			return s.Cold
+		}
+	}
+	return nil
+}
+
+// share returns how many samples this process may send to an engine in any second, and whether the
+// engine is or may be cold.
+func (c *coldSamples) share(care *table.Cold, uses cold.Uses, server *members.Server, now time.Time) (int, bool) {
+	isCold := now.Before(server.ColdUntil) || now.Before(c.warmFrom[server.ID])
+	bound := cold.Bound{Rate: care.Rate, Excess: c.excess, Slack: c.slack}
+	if !c.standing.IsCurrent(boottime.Now()) {
+		return 0, isCold
+	}
+	return bound.SampleShare(uses, c.place, isCold), isCold
+}
+
+// observe records which engines' failure domains are evacuated: those of a domain that is taken
+// back may be cold.
+func (c *coldSamples) observe(service string, care *table.Cold, servers []members.Server, now time.Time) map[string]*members.Server {
+	byID, evacuated := make(map[string]*members.Server, len(servers)), map[string]bool{}
+	for i := range servers {
+		s := &servers[i]
+		byID[s.ID] = s
+		switch {
+		case s.Evacuated:
+			evacuated[s.ID] = true
+		case c.evacuated[service][s.ID]:
+			c.warmFrom[s.ID] = now.Add(care.Duration)
+		}
+	}
+	c.evacuated[service] = evacuated
+	maps.DeleteFunc(c.warmFrom, func(_ string, at time.Time) bool { return !now.Before(at) })
+	return byID
+}
+
+// limit bounds the free slots of engines by what this process may send them now, while samples wait.
+func (c *coldSamples) limit(service string, servers []members.Server, engines []place.Engine, waiting int, now time.Time) {
+	care := c.careOf(service)
+	if care == nil {
+		return
+	}
+	byID, uses := c.observe(service, care, servers, now), c.uses(service)
+	for i := range engines {
+		e := &engines[i]
+		share, isCold := c.share(care, uses, byID[e.ID], now)
+		e.Cold = isCold
+		left := c.sends.Left(e.ID, share, now)
+		if e.Load+left >= e.Slots {
+			continue
+		}
+		e.Slots = e.Load + left
+		if left == 0 && waiting > 0 {
+			coldSamplesWithheld.Add(1)
+			c.log.Info("An engine that may be cold gets no more samples now.", zap.String("server", e.ID), zap.Bool("cold", isCold),
+				zap.Int("share", share), zap.Int("rank", c.place.Rank), zap.Float64("rate", care.Rate), zap.Int("waiting", waiting))
+		}
+	}
+}
+
+// reserve counts a sample that is about to be sent to an engine; false: it may not be.
+func (c *coldSamples) reserve(service string, server members.Server, now time.Time) bool {
+	care := c.careOf(service)
+	if care == nil {
+		return true
+	}
+	share, isCold := c.share(care, c.uses(service), &server, now)
+	if !c.sends.Take(server.ID, share, now) {
+		return false
+	}
+	if isCold {
+		coldSamplesSent.Add(1)
+	}
+	return true
+}
+
+// beforeSend returns the check right before a sample is written to an engine: what was counted too
+// long ago, because a connection had to be opened, is counted again. nil: the engine needs no care.
+func (c *coldSamples) beforeSend(a *activeItem, server members.Server, reservedAt time.Time) func() bool {
+	if c.careOf(a.service) == nil {
+		return nil
+	}
+	return func() bool {
+		now := time.Now()
+		if now.Sub(reservedAt) < cold.MaxSendDelay {
+			return true
+		}
+		c.runner.mu.Lock()
+		defer c.runner.mu.Unlock()
+		return c.reserve(a.service, server, now)
+	}
+}
--- a/gateway/jobs/index.go
+++ b/gateway/jobs/index.go
@@ -14,6 +14,7 @@
 
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/base/sleep"
+	"dandelionsill.org/decide/cold"
 	"dandelionsill.org/decide/gather"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/signal"
@@ -65,6 +66,8 @@
 
 	mu    sync.Mutex
 	state *jobs.State
+	// senders are the processes that may send samples, by VM.
+	senders *cold.Senders
 	// lastRecordAt is when this process read the newest record of each writer.
 	lastRecordAt map[jobs.Writer]time.Time
 	// engineReportedAt is when this process read the newest report about an engine.
@@ -95,7 +98,7 @@
 	return &Index{
 		Texts: newTextCache(reader, zlog), readInterval: func() time.Duration { return 0 }, log: reader, zlog: zlog, state: jobs.New(),
 		lastRecordAt: map[jobs.Writer]time.Time{}, engineReportedAt: map[jobs.EngineKey]time.Time{}, acceptedAt: map[string]time.Time{},
-		stepTimes: map[string]*gather.StepTimes{}, satisfied: map[string]bool{},
+		stepTimes: map[string]*gather.StepTimes{}, senders: cold.NewSenders(), satisfied: map[string]bool{},
 	}
 }
 
@@ -274,6 +277,7 @@
 		x.engineReportedAt[jobs.EngineKey{Server: e.Server, Model: e.Model}] = now
 	}
 	change := x.state.Apply(rec.Offset, r)
+	x.recordSenders(rec.Offset, r.Writer, &change, now)
 	if x.asOf.IsZero() {
 		return // past changes were logged when they happened
 	}
--- a/gateway/jobs/outbox.go
+++ b/gateway/jobs/outbox.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"dandelionsill.org/base/boottime"
 	"dandelionsill.org/base/logs"
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/base/sleep"
@@ -73,6 +74,10 @@
 	// onTextAppended is called with each text that the log has stored.
 	onTextAppended func(textKey, string)
 
+	// onAppended is called with each append of records to the jobs' stream that the log has stored: when
+	// it was sent, by boottime, and the offset of its first record. nil: nothing is.
+	onAppended func(sentAt time.Duration, offset uint64)
+
 	// lastAppendNanos is the duration of the last successful append, in nanoseconds.
 	lastAppendNanos atomic.Int64
 	// appendingBytes is the size of the texts that are being appended.
@@ -207,10 +212,13 @@
 func (o *outbox) append(ctx context.Context, stream string, records [][]byte) (uint64, bool) {
 	delay := minRetryDelay
 	for {
-		start := time.Now()
+		start, sentAt := time.Now(), boottime.Now()
 		offset, err := o.appendOnce(ctx, stream, records)
 		if err == nil {
 			o.lastAppendNanos.Store(int64(time.Since(start)))
+			if o.onAppended != nil {
+				o.onAppended(sentAt, offset)
+			}
 			return offset, true
 		}
 		if errors.Is(err, platform.ErrLogRefused) {
--- a/gateway/jobs/placing.go
+++ b/gateway/jobs/placing.go
@@ -71,7 +71,7 @@
 		}
 	}
 	for service, active := range byService {
-		r.placeService(ctx, snap.Servers[service], active, now)
+		r.placeService(ctx, service, snap.Servers[service], active, now)
 	}
 }
 
@@ -92,7 +92,7 @@
 	return true
 }
 
-func (r *Runner) placeService(ctx context.Context, servers []members.Server, active []*activeItem, now time.Time) {
+func (r *Runner) placeService(ctx context.Context, service string, servers []members.Server, active []*activeItem, now time.Time) {
 	slices.SortFunc(active, func(x, y *activeItem) int { return cmp.Compare(x.item.ID, y.item.ID) })
 	engines, usable := r.usableEngines(servers, now)
 	samples := r.samples(active, engines, now)
@@ -106,8 +106,12 @@
 			queue, queued = append(queue, a), append(queued, samples[i])
 		}
 	}
+	r.cold.limit(service, servers, engines, len(queue), now)
 	for _, c := range place.Assign(engines, queued) {
 		a, e := queue[c.Sample], engines[c.Engine]
+		if !r.cold.reserve(service, usable[e.ID], now) {
+			continue
+		}
 		a.pace = e.Pace
 		r.startStream(ctx, a, usable[e.ID], now)
 		r.zlog.Info("Sample starts.", zap.String("id", a.item.ID), zap.String("job", a.job.ID), zap.String("server", e.ID),
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -104,7 +104,9 @@
 	gaps           int                  // gaps of the index that were handled
 	lastOwned      time.Time            // when this process last owned a job
 	draining       bool
-	tasks          sync.WaitGroup
+	// cold bounds what engines get that may be cold.
+	cold  coldSamples
+	tasks sync.WaitGroup
 }
 
 // NewRunner returns a runner that owns nothing yet. partitions is the number of partitions of
@@ -119,6 +121,7 @@
 	}
 	r.out = newOutbox(log, writer, partitions, r.needsHeartbeat, index.Texts.put, zlog)
 	r.out.capacity = capacity
+	r.cold.init(r)
 	return r
 }
 
@@ -178,6 +181,7 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	r.reconcileJobs(ctx, now)
+	r.cold.check(now)
 	if len(r.active) == 0 {
 		return
 	}
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -33,10 +33,11 @@
 	tooOld                 // the engine's weights are older than the job allows
 	wrongVersion           // the weights are not those that started the text
 	superseded             // this process has ended the stream
+	withheld               // the engine may be cold and has got its requests of this second
 )
 
 var endReasonNames = map[endReason]string{
-	complete: "complete", broken: "broken", refused: "refused", unreachable: "unreached", misdirected: "misdirected", failed: "failed", impossible: "never", tooOld: "too_old", wrongVersion: "mixed", superseded: "outdated",
+	complete: "complete", broken: "broken", refused: "refused", unreachable: "unreached", misdirected: "misdirected", failed: "failed", impossible: "never", tooOld: "too_old", wrongVersion: "mixed", superseded: "outdated", withheld: "withheld",
 }
 
 // startStream opens a stream of an item at an engine; r.mu is held.
@@ -56,7 +57,7 @@
 		a.textSince, a.eventsBefore = now, len(a.events)
 	}
 	streamsStarted.Add(1)
-	s := &stream{runner: r, active: a, number: a.streamNumber, server: server.ID, serverName: server.Name, addr: server.Addr, resumedAfter: len(a.events), requiredVersion: a.requiredVersion(), subject: r.subject(a)}
+	s := &stream{runner: r, active: a, number: a.streamNumber, server: server.ID, serverName: server.Name, addr: server.Addr, resumedAfter: len(a.events), requiredVersion: a.requiredVersion(), subject: r.subject(a), beforeSend: r.cold.beforeSend(a, server, now)}
 	r.report(a, true)
 	service := a.service
 	r.tasks.Go(func() {
@@ -88,6 +89,7 @@
 	resumedAfter    int // number of events from earlier streams
 	requiredVersion uint64
 	subject         *quarantine.TrackedRequest
+	beforeSend      func() bool // nil: the engine needs no care
 }
 
 // request returns the request for the engine.
@@ -103,7 +105,7 @@
 	if s.resumedAfter > 0 {
 		hosted.SetLastEventID(header, s.resumedAfter)
 	}
-	return &backend.Request{Method: http.MethodPost, URI: item.Path, Host: item.Host, Header: header, Body: item.Body, ID: item.ID}
+	return &backend.Request{Method: http.MethodPost, URI: item.Path, Host: item.Host, Header: header, Body: item.Body, ID: item.ID, BeforeSend: s.beforeSend}
 }
 
 func (s *stream) run(ctx context.Context) (endReason, int, error) {
@@ -111,6 +113,9 @@
 		oteltrace.WithAttributes(attribute.String("id", s.active.item.ID), attribute.String("server", s.server)))
 	defer span.End()
 	answer, err := s.runner.pool.Do(ctx, s.addr, s.request())
+	if errors.Is(err, backend.ErrWithheld) {
+		return withheld, 0, err
+	}
 	if errors.Is(err, backend.ErrNotSent) {
 		return unreachable, 0, err
 	}
@@ -249,6 +254,9 @@
 	case unreachable:
 		r.exclude(s.server, r.probation.RecordFailure(s.server), now)
 		r.requeue(a, avoidFailed, now)
+	case withheld:
+		a.brokenStreams-- // the text is no worse for it
+		r.requeue(a, avoidFull, now)
 	case misdirected:
 		r.exclude(s.server, replacedCooldown, now)
 		r.requeue(a, avoidFailed, now)
