gateway/forward, gateway/permits: plain servers that may be cold

The broker grants a server a part of its total in any 1.11 s, less while it may not be the only broker; a permit is used within 100 ms of its grant, as measured by the gateway that asked. Without a grant a process sends the share that all such shares together allow, and refuses the rest at once as not run.

--- a/decide/permits/broker.go
+++ b/decide/permits/broker.go
@@ -88,6 +88,7 @@
 	returns       returns
 	stats         stats
 	refusals      refusals
+	grants        grants
 	turnedAway    time.Time // when a caller's ask that could be in time was last refused
 }
 
@@ -109,6 +110,7 @@
 		lanes:    newLanes(cfg),
 
 		connections: connections{},
+		grants:      grants{},
 	}
 }
 
@@ -134,6 +136,7 @@
 			}
 		}
 	}
+	b.grants.retain(b.index)
 	b.evidence.SetServers(now, known)
 	b.refresh(now)
 	if b.capacity.places == 0 {
@@ -257,6 +260,9 @@
 	if w := b.waiters[id]; w != nil {
 		b.drop(w)
 	}
+	if i, known := b.index[serverID]; known {
+		b.grants.add(now, &b.servers[i]) // it may have been sent within the last second
+	}
 	expires := now.Add(b.cfg.TakeoverTimeout)
 	b.hold(id, &permit{server: serverID, takenOver: true, deadline: expires, expires: expires})
 	b.refresh(now)
@@ -302,6 +308,7 @@
 		share: int(wholePlace / b.servers[i].standing.Pace), deadline: w.deadline, expires: w.deadline.Add(expiryGrace),
 	})
 	b.capacity.take(&b.servers[i])
+	b.grants.add(b.now, &b.servers[i])
 	b.connections.taken(w.ID.Gateway, b.servers[i].ID)
 	return Decision{ID: w.ID, Kind: Granted, Server: b.servers[i].ID, Wait: b.now.Sub(w.arrived), Reason: why}
 }
--- a/decide/permits/permits.go
+++ b/decide/permits/permits.go
@@ -83,6 +83,9 @@
 	Domain  string // failure domain
 	Slots   int
 	Leaving bool // it takes no new work: it leaves, or its failure domain is evacuated
+	// IsBounded means that the server may be cold, and gets at most Grants permits in any GrantWindow.
+	IsBounded bool
+	Grants    int
 }
 
 // Evidence is what is known of the servers. *evidence.Pool implements it.
--- a/decide/permits/pick.go
+++ b/decide/permits/pick.go
@@ -144,7 +144,7 @@
 // usable reports whether server i has a free place for the ask.
 func (b *Broker) usable(w *waiter, i int, u use) (evidence.Standing, bool) {
 	s := &b.servers[i]
-	if !b.capacity.counts(s) || s.inUse >= s.standing.Limit {
+	if !b.capacity.counts(s) || s.inUse >= s.standing.Limit || !b.grants.allow(b.now, s) {
 		return evidence.Standing{}, false
 	}
 	if s.helpsOut {
--- a/gateway/forward/export_test.go
+++ b/gateway/forward/export_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dandelionsill.org/decide/evidence"
+	"dandelionsill.org/decide/members"
 	"dandelionsill.org/gateway/backend"
 	broker "dandelionsill.org/gateway/permits"
 )
@@ -51,3 +52,14 @@
 func UnsentOutcome(ctxDone bool, took time.Duration) evidence.Outcome {
 	return outcomeOf(&outcome{err: backend.ErrNotSent, notRun: true, ctxDone: ctxDone, took: took})
 }
+
+// IsChecked reports whether requests to the server are checked before they are sent.
+func (f *Forwarder) IsChecked(server members.Server) bool {
+	return f.cold.beforeSend(&Call{}, server) != nil
+}
+
+// MaySend reports whether a call with a permit that was granted at a time may be sent to the server now.
+func (f *Forwarder) MaySend(call Call, server members.Server, grantedAt time.Time) bool {
+	call.grantedAt = grantedAt
+	return f.cold.beforeSend(&call, server)()
+}
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -87,6 +87,9 @@
 	// Paced means that writes to the caller fail if it reads too slowly.
 	Paced   bool
 	replies *replySet
+	// grantedAt is when the service's broker granted the permit for this attempt, at the earliest; zero:
+	// there is none.
+	grantedAt time.Time
 }
 
 // Reply is the answer of a server, complete unless Call.PassOn is set.
@@ -118,6 +121,7 @@
 	serverStats *serverStats
 	policy      *route.Policy
 	sharing     *sharing // nil: no service is shared
+	cold        *coldSends
 }
 
 // New returns a forwarder for a process in the failure domain.
@@ -127,7 +131,7 @@
 		Scorers: []route.Scorer{route.LoadScore{}, route.DistanceScore{}, route.ConnectScore{}},
 		Picker:  route.LowestScore{},
 	}
-	return &Forwarder{View: v, Pool: pool, Quarantine: quarantine.New(logs.Part(log, "quarantine")), domain: domain, log: log, serverStats: newServerStats(), policy: policy}
+	return &Forwarder{View: v, Pool: pool, Quarantine: quarantine.New(logs.Part(log, "quarantine")), domain: domain, log: log, serverStats: newServerStats(), policy: policy, cold: &coldSends{}}
 }
 
 // Send forwards the call and returns a server's answer, or the error to report to the
@@ -154,6 +158,7 @@
 	reason          string         // why the policy picked the server
 	skippedEjection bool           // the policy had to skip the filter of ejected servers
 	permit          *broker.Permit // nil: the server was picked without a broker
+	grantedAt       time.Time      // as Call.grantedAt
 	asked           time.Duration  // how long its broker was asked for it
 }
 
@@ -199,6 +204,7 @@
 	withoutBroker bool
 	refusal       *broker.Refusal // the broker's latest
 	hedge         *time.Timer
+	withheld      int // servers that may be cold and had got their requests at the last pick
 }
 
 func (f *Forwarder) newCallState(call Call) *callState {
@@ -405,7 +411,9 @@
 	if (c.permit != nil || s.withoutBroker) && s.inFlight == 1 { // it waited for its broker
 		s.hedge.Reset(s.hedgeDelay())
 	}
-	go func() { s.outcomes <- s.forwarder.attempt(ctx, s.call, s.service, c) }()
+	call := s.call
+	call.grantedAt = c.grantedAt
+	go func() { s.outcomes <- s.forwarder.attempt(ctx, call, s.service, c) }()
 }
 
 // pick chooses the server of the next attempt; false means that none is eligible.
@@ -416,6 +424,7 @@
 		candidates[i].Connected = s.forwarder.Pool.HasIdle(servers[i].Addr)
 	}
 	s.forwarder.Bodies.markFull(candidates, len(s.call.Body))
+	s.withheld = s.forwarder.cold.markWithheld(s.service, servers, candidates, time.Now())
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	picked := s.forwarder.policy.Pick(&route.Request{Tried: s.tried}, candidates, rng, &route.Scratch{})
 	if picked.Index < 0 {
@@ -442,6 +451,9 @@
 	start = time.Now()
 	o.reply, o.err = f.exchange(ctx, call, server)
 	f.Bodies.release(server.ID, len(call.Body))
+	if errors.Is(o.err, backend.ErrWithheld) {
+		return f.endWithoutRoom(o, start)
+	}
 	o.took = time.Since(start)
 	o.notRun = errors.Is(o.err, backend.ErrNotSent) || o.err == nil && hosted.NotExecuted(o.reply.Status, o.reply.Header)
 	o.ctxDone = ctx.Err() != nil
@@ -479,20 +491,3 @@
 	}
 	return &Reply{Status: answer.Status, Header: answer.Header, Body: body, Server: server.ID}, nil
 }
-
-// logAttempt logs why the server of an attempt was picked and how the attempt ended.
-func (f *Forwarder) logAttempt(call *Call, service string, o *outcome) {
-	status := 0
-	if o.reply != nil {
-		status = o.reply.Status
-	}
-	message := "Try."
-	if o.err != nil || status >= http.StatusMultipleChoices {
-		message = "Try failed."
-	}
-	fields := []zap.Field{zap.String("id", call.ID), zap.String("service", service), zap.String("server", o.server.ID),
-		zap.Uint64("config", f.View.Current().Table.Version), zap.Int("listed", o.listed), zap.Int("left", o.eligible), zap.Int("load", o.load),
-		zap.String("picked", o.reason), zap.Bool("outliers_too", o.skippedEjection), zap.Int("status", status), zap.Bool("not_run", o.notRun),
-		zap.Duration("took", o.took), zap.Error(o.err)}
-	f.log.Info(message, append(fields, permitFields(&o.choice)...)...)
-}
--- a/gateway/forward/permits.go
+++ b/gateway/forward/permits.go
@@ -15,6 +15,7 @@
 	"dandelionsill.org/decide/evidence"
 	"dandelionsill.org/decide/permits"
 	"dandelionsill.org/decide/table"
+	"dandelionsill.org/gateway/backend"
 	broker "dandelionsill.org/gateway/permits"
 	"dandelionsill.org/kinds"
 )
@@ -194,6 +195,9 @@
 	server, known := s.forwarder.View.Current().Server(s.service, a.permit.Server)
 	if known && server.TakesWork() && s.mayRepeat() && !s.isQuarantined() && (s.inFlight == 0 || !s.isSuspect()) {
 		c := choice{server: server, eligible: 1, listed: len(s.forwarder.View.Current().Servers[s.service]), reason: "permit: " + a.permit.Reason, permit: a.permit, asked: a.took}
+		if !a.permit.IsOwn {
+			c.grantedAt = time.Now().Add(-a.permit.Age)
+		}
 		if s.inFlight > 0 {
 			hedges.Add(1)
 		}
@@ -236,7 +240,7 @@
 func outcomeOf(o *outcome) evidence.Outcome {
 	isUnsent := o.err != nil && o.notRun
 	switch {
-	case errors.Is(o.err, errNoRoom):
+	case errors.Is(o.err, errNoRoom), errors.Is(o.err, backend.ErrWithheld):
 		return evidence.Unused
 	case isUnsent && (!o.ctxDone || o.took >= darkAfter):
 		return evidence.Unreachable
--- a/gateway/forward/quarantine.go
+++ b/gateway/forward/quarantine.go
@@ -46,8 +46,11 @@
 // noServerError returns the error of a request for which no server is left, or which is
 // quarantined.
 func (s *callState) noServerError() *kinds.Error {
-	if !s.isQuarantined() {
-		return s.refuse(kinds.NoServer, "no server of the service takes work")
+	switch {
+	case s.isQuarantined():
+		return s.refuse(kinds.Quarantined, "each server that ran request "+string(s.subject.Fingerprint())+" crashed").WithRetryAfter(s.subject.RecordRefusal())
+	case s.withheld > 0:
+		return s.refuse(kinds.Overloaded, "the servers may be cold and have got their requests of this second")
 	}
-	return s.refuse(kinds.Quarantined, "each server that ran request "+string(s.subject.Fingerprint())+" crashed").WithRetryAfter(s.subject.RecordRefusal())
+	return s.refuse(kinds.NoServer, "no server of the service takes work")
 }
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -243,5 +243,6 @@
 	hosted.SetOrganisation(header, call.Organisation)
 	return f.Pool.Do(ctx, server.Addr, &backend.Request{
 		Method: call.Method, URI: call.URI, Host: call.Host, Header: header, Body: call.Body, ID: call.ID,
+		BeforeSend: f.cold.beforeSend(&call, server),
 	})
 }
--- a/gateway/permits/broker.go
+++ b/gateway/permits/broker.go
@@ -239,7 +239,11 @@
 	var own []decide.Server
 	for _, s := range servers {
 		if b.key.has(s) {
-			own = append(own, decide.Server{ID: s.ID, Name: s.Name, Domain: s.FailureDomain, Slots: s.Slots, Leaving: !s.TakesWork()})
+			server := decide.Server{ID: s.ID, Name: s.Name, Domain: s.FailureDomain, Slots: s.Slots, Leaving: !s.TakesWork()}
+			if b.cfg.Grants != nil {
+				server.Grants, server.IsBounded = b.cfg.Grants(&s, b.key.shard, now)
+			}
+			own = append(own, server)
 		}
 	}
 	b.deliver(now, b.decider.SetServers(now, own))
--- a/gateway/permits/fallback.go
+++ b/gateway/permits/fallback.go
@@ -23,5 +23,9 @@
 	if ask.NoWait || ctx.Err() != nil || !errors.Is(err, ErrNoBroker) {
 		return permit, refusal, err
 	}
-	return f.Own.Acquire(ctx, service, withTimeLeft(ask, time.Since(start)))
+	permit, refusal, err = f.Own.Acquire(ctx, service, withTimeLeft(ask, time.Since(start)))
+	if permit != nil {
+		permit.IsOwn = true
+	}
+	return permit, refusal, err
 }
--- a/gateway/permits/permits.go
+++ b/gateway/permits/permits.go
@@ -50,6 +50,9 @@
 	Server string // incarnation
 	Reason string // why this server, for logs
 	Broker string // VM of the gateway that granted it
+	IsOwn  bool   // granted by this process for itself alone
+	// Age is how long ago, at most, the permit was granted when it arrived.
+	Age time.Duration
 
 	id    uint64
 	route string
--- a/gateway/permits/server.go
+++ b/gateway/permits/server.go
@@ -36,6 +36,9 @@
 	NewBroker func(service string) Broker
 	// Servers returns the servers of a service. A list is replaced when it changes, not modified.
 	Servers func(service string) []members.Server
+	// Grants returns how many permits for a server of a shard its broker may grant in any
+	// decide.GrantWindow; false: any number. nil: any number at all.
+	Grants func(server *members.Server, shard int, now time.Time) (int, bool)
 	// Now reads a monotonic clock; nil: time.Now.
 	Now    func() time.Time
 	Logger *zap.Logger
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -77,9 +77,11 @@
 	v.UseCopies = true
 	pool := backend.NewPool(hosted.AttemptID)
 	forwarder := forward.New(v, pool, cfg.Process.FailureDomain, logs.Part(log, "forward"))
+	forwarder.UseColdBounds(cfg.Cold.Excess, cfg.Cold.Slack, cfg.Process.Name, func() []string { return forwarders(peers, cfg.Process.Name) })
 	forwarder.Quarantine.EnableSharing(store, quarantine.NewHTTPPeers(peers.Addrs), cfg.Store.ReadsPerS)
 	index := gatewayjobs.NewIndex(followed, logs.Part(log, "jobs"))
 	runner := gatewayjobs.NewRunner(index, store, forwarder, writer, cfg.Store.Parts, capacity, logs.Part(log, "runner"))
+	runner.SetColdBounds(cfg.Cold.Excess, cfg.Cold.Slack)
 	runner.SetCandidate(func() bool { return gatewayjobs.IsCandidate(writer.VM, processCount()) })
 	handler := &front.Front{
 		View: v, Forward: forwarder, Log: logs.Part(log, "front"), Latency: metrics.NewHistogram("front_latency"),
@@ -96,7 +98,7 @@
 	if usage != nil {
 		forwarder.Usage = usage.counter
 	}
-	permits := newSharing(&cfg, self, writer.Incarnation, peers, v, logs.Part(log, "permits"))
+	permits := newSharing(&cfg, self, writer.Incarnation, peers, v, forwarder, logs.Part(log, "permits"))
 	permits.use(forwarder, cfg.Permits.MaxPatience)
 	scaling := newScaling(&cfg, lease.Holder(writer), store, v, index, permits.brokers(), processCount, log)
 	var loops sync.WaitGroup
--- a/gateway/server/permits.go
+++ b/gateway/server/permits.go
@@ -35,21 +35,22 @@
 }
 
 // newSharing returns the parts for permits of a process; nil if they are disabled in the settings.
-func newSharing(cfg *Gateway, self decide.Member, incarnation string, peers *hosted.Peers, v *view.View, log *zap.Logger) *sharing {
+func newSharing(cfg *Gateway, self decide.Member, incarnation string, peers *hosted.Peers, v *view.View, f *forward.Forwarder, log *zap.Logger) *sharing {
 	if cfg.Permits.Listen == "" {
 		return nil
 	}
 	servers := func(service string) []members.Server { return v.Current().Servers[service] }
-	newParts := func(members func() []decidepermits.Member, log *zap.Logger) (*permits.Server, *permits.Client) {
-		server := permits.NewServer(permits.ServerConfig{NewBroker: newBroker, Servers: servers, Logger: log})
+	newParts := func(members func() []decidepermits.Member, grants grantsFunc, log *zap.Logger) (*permits.Server, *permits.Client) {
+		server := permits.NewServer(permits.ServerConfig{NewBroker: newBroker, Servers: servers, Grants: grants, Logger: log})
 		return server, permits.NewClient(permits.Config{
 			VM: self.VM, Incarnation: incarnation, FailureDomain: self.FailureDomain, Servers: servers, Local: server, Members: members, Logger: log,
 		})
 	}
 	s := &sharing{addr: cfg.Permits.Listen}
-	s.ownServer, s.ownClient = newParts(func() []decidepermits.Member { return brokers(self, nil) }, logs.Part(log, "own"))
+	s.ownServer, s.ownClient = newParts(func() []decidepermits.Member { return brokers(self, nil) }, ownGrants(f), logs.Part(log, "own"))
 	// Made last: the gauges are those of the newest server.
-	s.server, s.client = newParts(func() []decidepermits.Member { return brokers(self, peers.Members()) }, log)
+	members := func() []decidepermits.Member { return brokers(self, peers.Members()) }
+	s.server, s.client = newParts(members, fleetGrants(f, v, self.VM, members), log)
 	return s
 }
 
