--- a/decide/permits/broker.go
+++ b/decide/permits/broker.go
@@ -93,6 +93,7 @@
 	returns       returns
 	stats         stats
 	refusals      refusals
+	grants        grants
 	turnedAway    time.Time // when a caller's ask that could be in time was last refused
 }
 
@@ -114,6 +115,7 @@
 		lanes:    newLanes(cfg),
 
 		connections: connections{},
+		grants:      grants{},
 	}
 }
 
@@ -140,6 +142,7 @@
 			}
 		}
 	}
+	b.grants.retain(b.index)
 	b.evidence.SetServers(now, known)
 	b.refresh(now)
 	if b.capacity.places == 0 {
@@ -272,6 +275,9 @@
 	if w := b.waiters[id]; w != nil {
 		b.drop(w)
 	}
+	if i, known := b.index[serverID]; known {
+		b.grants.add(now, &b.servers[i]) // it may have been sent within the last second
+	}
 	expires := now.Add(b.cfg.TakeoverTimeout)
 	b.hold(id, &permit{server: serverID, takenOver: true, deadline: expires, expires: expires})
 	b.refresh(now)
@@ -319,6 +325,7 @@
 	if b.capacity.counts(&b.servers[i]) {
 		b.capacity.take(&b.servers[i])
 	}
+	b.grants.add(b.now, &b.servers[i])
 	b.connections.taken(w.ID.Gateway, b.servers[i].ID)
 	d := Decision{ID: w.ID, Kind: Granted, Server: b.servers[i].ID, Wait: b.now.Sub(w.arrived), Reason: why}
 	if b.cfg.Way != nil { // the gateway compares regions
--- a/decide/permits/permits.go
+++ b/decide/permits/permits.go
@@ -96,6 +96,9 @@
 	Leaving bool // it takes no new work: it leaves, or its failure domain is evacuated
 	// Evacuated means that it takes no new work because its failure domain is evacuated.
 	Evacuated bool
+	// IsBounded means that the server may be cold, and gets at most Grants permits in any GrantWindow.
+	IsBounded bool
+	Grants    int
 }
 
 // Evidence is what is known of the servers. *evidence.Pool implements it.
--- a/gateway/forward/bodies.go
+++ b/gateway/forward/bodies.go
@@ -108,8 +108,8 @@
 	}
 }
 
-// endUnsent ends an attempt whose server had no room for the body or is evacuated, which says nothing
-// of the server's health.
+// endUnsent ends an attempt that was withheld from its server: the server has no room for the body,
+// is evacuated, or may be cold. That says nothing of its health.
 func (f *Forwarder) endUnsent(o outcome, start time.Time) outcome {
 	o.notRun, o.took = true, time.Since(start)
 	if o.permit != nil {
--- a/gateway/permits/broker.go
+++ b/gateway/permits/broker.go
@@ -247,7 +247,11 @@
 			if s.IsRamping(now) {
 				b.rampAt = now.Add(rampInterval)
 			}
-			own = append(own, decide.Server{ID: s.ID, Name: s.Name, Domain: s.FailureDomain, Region: s.Region, Slots: s.SlotsAt(now), Leaving: !s.TakesWork(), Evacuated: s.Evacuated})
+			server := decide.Server{ID: s.ID, Name: s.Name, Domain: s.FailureDomain, Region: s.Region, Slots: s.SlotsAt(now), Leaving: !s.TakesWork(), Evacuated: s.Evacuated}
+			if b.cfg.Grants != nil {
+				server.Grants, server.IsBounded = b.cfg.Grants(&s, b.key.region, b.key.shard, now)
+			}
+			own = append(own, server)
 		}
 	}
 	b.deliver(now, b.decider.SetServers(now, own))
--- a/gateway/permits/server.go
+++ b/gateway/permits/server.go
@@ -39,6 +39,9 @@
 	Servers func(service string) []members.Server
 	// Topology says in which regions gateways are; nil: in one.
 	Topology *topology.Topology
+	// Grants returns how many permits for a server of a region's shard its broker may grant in any
+	// decide.GrantWindow; false: any number. nil: any number at all.
+	Grants func(server *members.Server, region string, shard int, now time.Time) (int, bool)
 	// Now reads a monotonic clock; nil: time.Now.
 	Now    func() time.Time
 	Logger *zap.Logger
--- a/gateway/server/permits.go
+++ b/gateway/server/permits.go
@@ -54,15 +54,15 @@
 }
 
 // newSharing returns the parts for permits of a process; nil if they are disabled in the settings.
-func newSharing(cfg *Gateway, self decide.Member, incarnation string, peers *hosted.Peers, v *view.View, log *zap.Logger) *sharing {
+func newSharing(cfg *Gateway, self decide.Member, incarnation string, peers *hosted.Peers, v *view.View, f *forward.Forwarder, log *zap.Logger) *sharing {
 	if cfg.Permits.Listen == "" {
 		return nil
 	}
 	servers := func(service string) []members.Server { return v.Current().Servers[service] }
 	places, ways := v.Topology, newWays(v.Topology, self.FailureDomain)
-	newParts := func(members func() []decidepermits.Member, byRegion bool, log *zap.Logger) (*permits.Server, *permits.Client) {
+	newParts := func(members func() []decidepermits.Member, byRegion bool, grants grantsFunc, log *zap.Logger) (*permits.Server, *permits.Client) {
 		server := permits.NewServer(permits.ServerConfig{
-			NewBroker: func(string) permits.Broker { return newBroker(ways) }, Servers: servers, Topology: places, Logger: log,
+			NewBroker: func(string) permits.Broker { return newBroker(ways) }, Servers: servers, Topology: places, Grants: grants, Logger: log,
 		})
 		return server, permits.NewClient(permits.Config{
 			VM: self.VM, Incarnation: incarnation, FailureDomain: self.FailureDomain, Servers: servers, Local: server, Members: members, Logger: log,
@@ -70,9 +70,10 @@
 		})
 	}
 	s := &sharing{addr: cfg.Permits.Listen}
-	s.ownServer, s.ownClient = newParts(func() []decidepermits.Member { return brokers(self, nil, places) }, false, logs.Part(log, "own"))
+	s.ownServer, s.ownClient = newParts(func() []decidepermits.Member { return brokers(self, nil, places) }, false, ownGrants(f), logs.Part(log, "own"))
 	// Made last: the gauges are those of the newest server.
-	s.server, s.client = newParts(func() []decidepermits.Member { return brokers(self, peers.Members(), places) }, cfg.Permits.ByRegion, log)
+	members := func() []decidepermits.Member { return brokers(self, peers.Members(), places) }
+	s.server, s.client = newParts(members, cfg.Permits.ByRegion, fleetGrants(f, v, self.VM, members), log)
 	return s
 }
 
