forward: a first hedge leaves the failure domain that is silent

A request of a shared service was hedged to whichever server the broker chose. The first hedge now asks for a server of another failure domain, if one takes work; a later one for any.

--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -177,14 +177,16 @@
 // callState is the state of one call that is being forwarded. All fields belong to the
 // goroutine of run or Stream.
 type callState struct {
-	forwarder *Forwarder
-	call      Call
-	held      *kinds.Held
-	service   string
-	tried     map[string]bool
-	asked     []string // ids of the servers asked, in that order
-	outcomes  chan outcome
-	start     time.Time
+	forwarder       *Forwarder
+	call            Call
+	held            *kinds.Held
+	service         string
+	tried           map[string]bool
+	asked           []string // ids of the servers asked, in that order
+	askedDomains    []string // their failure domains
+	hedgedElsewhere bool     // a hedge was asked for that avoids askedDomains
+	outcomes        chan outcome
+	start           time.Time
 
 	inFlight    int // attempts without an outcome
 	mayHaveRun  int // attempts that may have run, those in flight included
@@ -398,7 +400,7 @@
 // startAttempt sends the request to the chosen server.
 func (s *callState) startAttempt(ctx context.Context, c choice) {
 	s.tried[c.server.ID] = true
-	s.asked = append(s.asked, c.server.ID)
+	s.asked, s.askedDomains = append(s.asked, c.server.ID), append(s.askedDomains, c.server.FailureDomain)
 	s.inFlight++
 	s.mayHaveRun++
 	attempts.Add(1)
--- a/gateway/forward/permits.go
+++ b/gateway/forward/permits.go
@@ -100,10 +100,37 @@
 	elapsed := time.Since(s.start) + sharing.sinceFirstAttempt(s.forwarder.View.Current().Table, c.Route, c.CallerTimeout)
 	return permits.Ask{
 		Domain: s.forwarder.domain, Route: c.Route.Name, Organisation: c.Organisation, Internal: c.Internal, Priority: c.Priority,
-		Objective: max(0, c.Route.LatencyObjective-elapsed), Deadline: time.Until(c.Deadline), Repeatable: c.Route.Repeatable(), NoWait: noWait, Avoid: slices.Clone(s.asked),
+		Objective: max(0, c.Route.LatencyObjective-elapsed), Deadline: time.Until(c.Deadline), Repeatable: c.Route.Repeatable(), NoWait: noWait, Avoid: s.avoid(noWait),
 	}
 }
 
+// maxAvoidedServers bounds the servers that an ask names for their failure domain.
+const maxAvoidedServers = 64
+
+// avoid returns the servers that the next attempt must not go to: those asked before, and for the
+// first hedge all of the failure domains that are silent, so that a request is not sent twice into
+// a domain that is cut off. It names no domains if no server would be left.
+func (s *callState) avoid(isHedge bool) []string {
+	avoid := slices.Clone(s.asked)
+	if !isHedge || s.inFlight == 0 || s.hedgedElsewhere {
+		return avoid
+	}
+	s.hedgedElsewhere = true
+	servers, left := s.forwarder.View.Current().Servers[s.service], false
+	for i := range servers {
+		switch {
+		case !slices.Contains(s.askedDomains, servers[i].FailureDomain):
+			left = left || servers[i].TakesWork()
+		case !slices.Contains(s.asked, servers[i].ID):
+			avoid = append(avoid, servers[i].ID)
+		}
+	}
+	if !left || len(avoid) > maxAvoidedServers {
+		return slices.Clone(s.asked)
+	}
+	return avoid
+}
+
 // permitAnswer is the answer to an ask.
 type permitAnswer struct {
 	permit  *broker.Permit
