A cut-off process says so, lost owners are claimed by rank, samples avoid a lost failure domain

The owner of all steps was in the cut domain; its successor started samples at engines there, each for 0.3 s, domain by engine.

- decide/isolation, gateway/reach: neither the store nor a probe of other failure domains answers: not ready, calls about jobs that wait are answered at once ("not run" only where proven), answers close their connections.
Only the store away, or no peer known elsewhere: never cut off.
- decide/owners: who claims a lost owner's jobs: by rank, 60 ms apart, processes of the owner's failure domain last, another order for each owner.
- decide/place: failure domains under suspicion cost a full engine's worth; engines of another region too.
- gateway/jobs: in a deployment with several regions a new job goes to an owner of the caller's region.

--- a/decide/place/place.go
+++ b/decide/place/place.go
@@ -25,6 +25,8 @@
 	// Loading holds the version of each model that is being loaded. These models are
 	// not in Versions.
 	Loading map[string]uint64
+	// Cost is added to the engine's score; see the function Cost.
+	Cost float64
 }
 
 // Sample is a sample to be placed on an engine.
@@ -122,7 +124,7 @@
 
 // score rates an engine; lower is better.
 func score(e *Engine, median float64) float64 {
-	load := float64(e.Load+1) / float64(max(1, e.Slots))
+	load := float64(e.Load+1)/float64(max(1, e.Slots)) + e.Cost
 	if e.Pace > 0 && median > 0 {
 		return load + slowPacePenalty*(e.Pace/median-1)
 	}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -22,6 +22,7 @@
 	"dandelionsill.org/gateway/forward"
 	"dandelionsill.org/gateway/jobs"
 	"dandelionsill.org/gateway/pace"
+	"dandelionsill.org/gateway/reach"
 	"dandelionsill.org/gateway/view"
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/platform/hosted"
@@ -60,6 +61,9 @@
 	Bodies *budget.Share
 	// ReadTime is the time that readers have for a part of an answer, pace.MinTime but for tests.
 	ReadTime time.Duration
+	// Reach tells when this process is cut off; nil: never. Callers that open a new connection may then
+	// get another process.
+	Reach *reach.Monitor
 
 	inFlight atomic.Int64
 	draining atomic.Bool
@@ -81,7 +85,7 @@
 		oteltrace.WithAttributes(attribute.String("id", hosted.AttemptID(r.Header))))
 	defer span.End()
 	r = r.WithContext(ctx)
-	if f.draining.Load() {
+	if f.draining.Load() || f.Reach.IsIsolated() {
 		w.Header().Set("Connection", "close")
 	}
 	if f.Bodies != nil {
--- a/gateway/jobs/active_item.go
+++ b/gateway/jobs/active_item.go
@@ -48,6 +48,7 @@
 	reportedServer string // server that was last reported to the log
 
 	server          string
+	domain          string    // failure domain of the server
 	pace            float64   // seconds per event at the server when the stream started
 	stop            func()    // ends the stream; nil unless running
 	streamNumber    uint64    // counts the streams of this item
--- a/gateway/jobs/api.go
+++ b/gateway/jobs/api.go
@@ -12,8 +12,8 @@
 
 	"dandelionsill.org/base/sleep"
 	"dandelionsill.org/decide/gather"
-	"dandelionsill.org/decide/route"
 	"dandelionsill.org/fold/jobs"
+	"dandelionsill.org/gateway/reach"
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/platform"
 )
@@ -62,6 +62,8 @@
 	// capacity is how many items this process can run.
 	capacity    int
 	submissions atomic.Uint64 // by this process
+	reach       *reach.Monitor
+	neighbours  *Neighbours // nil: unknown
 }
 
 // NewService returns the service that answers from index. partitions is the number of
@@ -77,6 +79,8 @@
 	if s.hasJob(spec.ID) {
 		return s.checkSameJob(&spec)
 	}
+	ctx, cancel := s.reach.Bound(ctx)
+	defer cancel()
 	if s.index.HasMissedRecords() {
 		// The job may be stored already. If it were accepted a second time, this process
 		// would number its results differently from all others.
@@ -141,6 +145,9 @@
 // have accepted an earlier submission of it since this process last read the log; then
 // "not run" would be wrong.
 func (s *Service) isProvenAbsent(ctx context.Context, job string) bool {
+	if s.reach.IsIsolated() {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), maxProofWait)
 	defer cancel()
 	return s.index.Sync(ctx) && !s.hasJob(job)
@@ -230,64 +237,6 @@
 	return records, nil
 }
 
-// chooseOwner chooses the process that runs a job with that many items; nil: this process.
-// It prefers an owner of earlier jobs with a recent heartbeat and enough capacity: such an
-// owner has connections to the engines, and knows their pace and what else runs there.
-// With a new owner for each step, seven of ten connections were opened for that alone.
-// Otherwise the owner is this process, or another process with enough capacity if this one
-// is too small.
-func (s *Service) chooseOwner(items int) *jobs.Writer {
-	s.index.mu.Lock()
-	defer s.index.mu.Unlock()
-	var candidate *jobs.Writer
-	for _, o := range s.index.state.EligibleOwners() {
-		silence := s.index.silenceOf(o.Owner, time.Now())
-		switch {
-		case o.Items+items > capacityOrDefault(o.Capacity):
-		case o.Items > 0 && silence <= maxOwnerSilence, silence <= maxOwnerSilence && o.Capacity >= fullStepItems:
-			return &o.Owner
-		case candidate == nil && silence <= maxCandidateSilence && o.Capacity >= fullStepItems:
-			candidate = &o.Owner
-		}
-	}
-	if s.capacity >= items {
-		return nil
-	}
-	return candidate
-}
-
-func capacityOrDefault(reported int) int {
-	if reported == 0 {
-		return defaultOwnerCapacity
-	}
-	return reported
-}
-
-// Capacity returns how many items a VM can own at a time. A stream has 27 events of 350 B a
-// second, which are appended to the log, and takes about 0.1% of a core. Items beyond the
-// engines' slots only wait, for 3 KB of memory each. One owner with all steps of a service
-// can choose among all of their items, while two owners compete for slots, so that fewer
-// groups are complete in time. A share of processor and link is left for callers.
-func Capacity(cpuShare, linkMbps float64) int {
-	const (
-		itemsPerCore = 2000
-		itemsPerMbps = 2
-		maxItems     = 1600
-	)
-	return int(min(maxItems, itemsPerCore*cpuShare, itemsPerMbps*linkMbps))
-}
-
-// maxCandidates is the mean number of idle processes that append heartbeats in a large fleet. Each
-// heartbeat is read by all gateways: those of all gateways would cost the square of the fleet, and
-// take the time that the stream's appends have.
-const maxCandidates = 48
-
-// IsCandidate reports whether the process of a VM is one of those that append heartbeats while
-// they are idle, so that a step can be given to them. processes is the number of gateways.
-func IsCandidate(vm string, processes int) bool {
-	return route.Hash(vm)%uint64(max(1, processes)) < maxCandidates
-}
-
 // appendUntil appends records until the log accepts them, done reports that they are no
 // longer needed, or ctx ends. It returns the offset of the first record.
 func (s *Service) appendUntil(ctx context.Context, stream string, records [][]byte, done func() bool) (uint64, *kinds.Error) {
@@ -317,6 +266,8 @@
 
 // End ends a job durably. It returns kinds.NotFound if the job does not exist.
 func (s *Service) End(ctx context.Context, job string) *kinds.Error {
+	ctx, cancel := s.reach.Bound(ctx)
+	defer cancel()
 	if err := s.checkExists(ctx, job); err != nil {
 		return err
 	}
@@ -345,8 +296,10 @@
 	if s.hasJob(job) && s.index.CaughtUp() {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, maxSyncWait)
+	ctx, cancel := s.reach.Bound(ctx)
 	defer cancel()
+	ctx, cancelSync := context.WithTimeout(ctx, maxSyncWait)
+	defer cancelSync()
 	if !s.index.Sync(ctx) {
 		return notFollowing()
 	}
@@ -367,6 +320,8 @@
 		return 0, nil, err
 	}
 	start := time.Now()
+	ctx, cancel := s.reach.Bound(ctx)
+	defer cancel()
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
@@ -377,6 +332,12 @@
 		if closed && read.Empty {
 			hold = 0
 		}
+		if s.reach.IsIsolated() { // no result comes any more
+			if read.Empty {
+				return 0, nil, notFollowing()
+			}
+			hold = 0
+		}
 		if hold <= 0 {
 			return s.answerWithTexts(ctx, job, after, total, results)
 		}
@@ -385,7 +346,10 @@
 		case <-changed:
 		case <-timeout.C:
 		case <-ctx.Done():
-			return total, nil, nil
+			if s.reach.IsIsolated() {
+				continue
+			}
+			return total, nil, s.checkUpToDate()
 		}
 	}
 }
--- a/gateway/jobs/ownership.go
+++ b/gateway/jobs/ownership.go
@@ -54,18 +54,22 @@
 		silence -= smallProcessDelay
 	}
 	if j.Released { // half the spread: the job is free, even if its owner still runs
-		return silence > r.takeOverDelay(j.Owner)/2
+		return silence > r.takeOverDelay(j.Owner, now)/2
 	}
 	// If appends are slow, so are an owner's heartbeats.
 	appendDelay := appendTimeFactor * time.Duration(r.out.lastAppendNanos.Load())
-	return silence > takeOverAfter+appendDelay+r.takeOverDelay(j.Owner)
+	return silence > takeOverAfter+appendDelay && silence > takeOverAfter+appendDelay+r.takeOverDelay(j.Owner, now)
 }
 
 // takeOverDelay returns how long this process lets others claim an owner's jobs first. It is
 // the same for all jobs of that owner, so that they continue in one process, which knows
 // everything that it runs. With a delay drawn for each job, six steps went to five processes,
-// which competed for slots and each had to learn the pace of every engine again.
-func (r *Runner) takeOverDelay(owner jobs.Writer) time.Duration {
+// which competed for slots and each had to learn the pace of every engine again. index.mu is held.
+func (r *Runner) takeOverDelay(owner jobs.Writer, now time.Time) time.Duration {
+	if r.neighbours != nil {
+		recent := r.index.recentWriters(now)
+		return r.neighbours.claimDelay(owner, func(vm string) bool { return recent[vm] })
+	}
 	const resolution = 1 << 16
 	return time.Duration(route.Hash(owner.VM+owner.Incarnation+r.writer.VM)%resolution) * takeOverSpread / resolution
 }
@@ -75,6 +79,9 @@
 	r.claimedAt[j.ID] = now
 	r.zlog.Info("Claiming a batch job.", zap.String("job", j.ID), zap.String("owner", j.Owner.VM), zap.Uint64("prior", j.Claim),
 		zap.Bool("released", j.Released), zap.Duration("silent", now.Sub(r.index.lastRecordAt[j.Owner])))
+	if domain := r.neighbours.domainOf(j.Owner.VM); !j.Released && domain != "" && domain != r.neighbours.domain() {
+		r.domains.Suspect(domain, now) // the owner may be lost with its failure domain
+	}
 	r.out.add(true, func(rec *jobs.Record) {
 		rec.Claims = append(rec.Claims, jobs.Claim{Job: j.ID, PriorOffset: j.Claim})
 	})
--- a/gateway/jobs/placing.go
+++ b/gateway/jobs/placing.go
@@ -31,6 +31,7 @@
 			r.streamTimeouts.ObserveTimeout(silence, beforeFirst)
 			r.paces.Observe(a.server, silence, now) // an event takes at least that long
 			if beforeFirst {
+				r.domains.RecordFailure(a.domain, a.server, now)
 				r.exclude(a.server, r.probation.RecordFailure(a.server), now)
 			}
 			r.zlog.Info("Sample leaves a silent engine.", zap.String("id", a.item.ID), zap.String("job", a.job.ID),
@@ -195,6 +196,7 @@
 		usable[s.ID] = s
 		load := own[s.ID] + others[s.ID]
 		e := place.Engine{ID: s.ID, Slots: r.probation.Slots(s.ID, s.Slots, load, own[s.ID]), Load: load, Pace: paces[s.ID]}
+		e.Cost = place.Cost(r.neighbours.regions().Distance(r.neighbours.domain(), s.FailureDomain), r.domains.IsSuspect(s.FailureDomain, now))
 		e.Versions, e.Loading = r.versions(s, now)
 		out = append(out, e)
 	}
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -79,6 +79,7 @@
 	pool    *backend.Pool
 	// quarantine keeps items that crash engines away from all of them.
 	quarantine    *quarantine.Quarantine
+	neighbours    *Neighbours // nil: unknown
 	zlog          *zap.Logger
 	writer        jobs.Writer
 	out           *outbox
@@ -91,6 +92,8 @@
 	paces          place.PaceEstimator               // seconds per event, by engine
 	lengths        map[string]*place.LengthEstimator // events of a text, by model
 	streamTimeouts place.StreamTimeouts
+	// domains are the failure domains that may be lost or cut off.
+	domains place.Domains
 	// probation limits the samples of engines that did not respond.
 	probation        place.Probation
 	observedVersions map[jobs.EngineKey]uint64 // as returned in answers
@@ -126,6 +129,9 @@
 // idle. It must be called before Run.
 func (r *Runner) SetCandidate(isCandidate func() bool) { r.out.isCandidate = isCandidate }
 
+// SetNeighbours sets what is known of the other gateways. It must be called before Run.
+func (r *Runner) SetNeighbours(n *Neighbours) { r.neighbours = n }
+
 // needsHeartbeat reports whether this process has to send heartbeats: while it owns jobs, and
 // for heartbeatLinger after that, so that it can be given the next step.
 func (r *Runner) needsHeartbeat() bool {
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -42,7 +42,7 @@
 // startStream opens a stream of an item at an engine; r.mu is held.
 func (r *Runner) startStream(parent context.Context, a *activeItem, server members.Server, now time.Time) {
 	ctx, stop := context.WithCancel(parent)
-	a.phase, a.server, a.stop = running, server.ID, stop
+	a.phase, a.server, a.domain, a.stop = running, server.ID, server.FailureDomain, stop
 	a.streamStartedAt, a.lastEventAt, a.streamEvents = now, now, 0
 	if a.streamNumber == 0 {
 		a.firstStreamAt = now
@@ -205,6 +205,7 @@
 	now := time.Now()
 	delete(r.refusals, s.server)
 	r.probation.RecordSuccess(s.server)
+	r.domains.RecordEvent(a.domain)
 	if gap := now.Sub(a.lastEventAt); a.streamEvents > 0 {
 		r.paces.Observe(a.server, gap, now)
 		r.streamTimeouts.ObserveNext(gap)
@@ -247,6 +248,7 @@
 		r.exclude(s.server, fullCooldown<<(r.refusals[s.server]-1), now)
 		r.requeue(a, avoidFull, now)
 	case unreachable:
+		r.domains.RecordFailure(a.domain, a.server, now)
 		r.exclude(s.server, r.probation.RecordFailure(s.server), now)
 		r.requeue(a, avoidFailed, now)
 	case misdirected:
