fanout: common streams cross the link between regions once

Below 100 gateways no tree was used, above it each failure domain had three roots. Now the gateways of a far region form one tree with one root; another becomes root when it is silent or behind. Far is what the shortest round trip to the store says (time to open a connection, which a slow store does not lengthen), and only where the settings name several regions; all else reads as before.

--- a/gateway/fanout/reader.go
+++ b/gateway/fanout/reader.go
@@ -19,6 +19,7 @@
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/base/sleep"
 	"dandelionsill.org/decide/fanout"
+	"dandelionsill.org/decide/topology"
 	"dandelionsill.org/platform"
 )
 
@@ -81,6 +82,11 @@
 	// Now reads a clock that continues while the VM is suspended.
 	Now    func() time.Duration
 	Logger *zap.Logger
+	// Regions says where failure domains are, and RoundTrip returns the shortest round trip to the
+	// log; 0: unknown. In regions that are far from the log one process reads it for all. nil: all
+	// are near.
+	Regions   *topology.Topology
+	RoundTrip func() time.Duration
 	// Transport carries the reads from parents; nil: HTTP over TCP.
 	Transport http.RoundTripper
 }
@@ -106,6 +112,7 @@
 	mu         sync.Mutex
 	tree       *fanout.Tree
 	members    []fanout.Member // of tree
+	far        bool            // tree is that of a region far from the log
 	failures   fanout.Failures
 	parent     string                   // VM, as last logged
 	staleSince map[string]time.Duration // by stream; missing: a gateway follows it
@@ -159,14 +166,26 @@
 
 // updateTree makes the tree that of the current list; r.mu is held.
 func (r *Reader) updateTree() {
-	members := r.cfg.Gateways.Members()
-	if len(members) == len(r.members) && (len(members) == 0 || &members[0] == &r.members[0]) {
+	members, far := r.cfg.Gateways.Members(), r.isFar()
+	if far == r.far && len(members) == len(r.members) && (len(members) == 0 || &members[0] == &r.members[0]) {
+		return
+	}
+	if far != r.far {
+		r.log.Info("The way to the log was measured.", zap.Bool("far", far), zap.Duration("round_trip", r.cfg.RoundTrip()))
+	}
+	r.members, r.far = members, far
+	if far {
+		r.tree = fanout.NewRegionTree(r.cfg.Self, members, r.cfg.Regions)
 		return
 	}
-	r.members = members
 	r.tree = fanout.NewTree(r.cfg.Self, members)
 }
 
+// isFar reports whether this process is in a region that is far from the log.
+func (r *Reader) isFar() bool {
+	return r.cfg.RoundTrip != nil && fanout.IsFar(r.cfg.Regions, r.cfg.RoundTrip())
+}
+
 // Read implements platform.Tail. Reads that do not wait for a record are sent to the log,
 // because they ask for its current end.
 func (r *Reader) Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (platform.Page, error) {
--- a/gateway/server/agent.go
+++ b/gateway/server/agent.go
@@ -21,7 +21,8 @@
 	store := hosted.NewStore(cfg.Store.Address)
 	self := decide.Member{VM: cfg.Process.Name, FailureDomain: cfg.Process.FailureDomain}
 	peers := newPeers(store, self, log)
-	v := newFollowedStore(store, peers, self, cfg.Store.ReadsPerS, log).newView(cfg.Topology.parse(), log)
+	regions := cfg.Topology.parse()
+	v := newFollowedStore(store, peers, self, regions, cfg.Store.ReadsPerS, log).newView(regions, log)
 	agent := orders.New(orders.Config{
 		VM: cfg.Process.Name, Incarnation: newIncarnation(), Addr: cfg.Engine.Address, View: v,
 		Engine: hosted.NewEngineClient(cfg.Engine.Address), Log: store, Logger: log,
--- a/gateway/server/follow.go
+++ b/gateway/server/follow.go
@@ -43,13 +43,14 @@
 }
 
 // newFollowedStore returns the followed store of the process self.
-func newFollowedStore(store *hosted.Store, gateways *hosted.Peers, self decide.Member, readsPerS float64, log *zap.Logger) *followedStore {
+func newFollowedStore(store *hosted.Store, gateways *hosted.Peers, self decide.Member, regions *topology.Topology, readsPerS float64, log *zap.Logger) *followedStore {
 	streams := []fanout.Stream{{Name: gatewayjobs.Stream}}
 	for _, name := range hosted.FeedStreams {
 		streams = append(streams, fanout.Stream{Name: name, KeyOf: hosted.SplitKey, IsRepeat: hosted.IsRepeatedEntry})
 	}
 	tail := fanout.NewReader(fanout.Config{
 		Self: self, Log: store, Gateways: gateways, Streams: streams, Now: boottime.Now, Logger: logs.Part(log, "fanout"),
+		Regions: regions, RoundTrip: store.RoundTrip,
 	})
 	return &followedStore{Store: store, tail: tail, gateways: gateways, readsPerS: readsPerS}
 }
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -27,6 +27,7 @@
 	"dandelionsill.org/gateway/front"
 	gatewayjobs "dandelionsill.org/gateway/jobs"
 	"dandelionsill.org/gateway/pace"
+	"dandelionsill.org/gateway/reach"
 	"dandelionsill.org/gateway/view"
 	"dandelionsill.org/platform/hosted"
 	"dandelionsill.org/quarantine"
@@ -72,8 +73,9 @@
 	self := decide.Member{VM: cfg.Process.Name, Addr: cfg.Listen.Peers, FailureDomain: cfg.Process.FailureDomain, Small: cfg.VM.CPUShare < smallVMCores, Permits: cfg.Permits.Listen}
 	peers := newPeers(store, self, log)
 	processCount := func() int { return len(peers.Addrs()) + 1 }
-	followed := newFollowedStore(store, peers, self, cfg.Store.ReadsPerS, log)
-	v := followed.newView(cfg.Topology.parse(), log)
+	regions := cfg.Topology.parse()
+	followed := newFollowedStore(store, peers, self, regions, cfg.Store.ReadsPerS, log)
+	v := followed.newView(regions, log)
 	v.UseCopies = true
 	pool := backend.NewPool(hosted.AttemptID)
 	forwarder := forward.New(v, pool, cfg.Process.FailureDomain, logs.Part(log, "forward"))
@@ -87,6 +89,12 @@
 	}
 	ready := &readiness{view: v, index: index, quarantine: forwarder.Quarantine}
 	index.Texts.SetPeers(peers.Addr)
+	monitor := reach.New(reach.Config{FailureDomain: self.FailureDomain, Peers: peers.Members, SinceAnswer: store.SinceAnswer, Logger: logs.Part(log, "reach")})
+	ready.reach, handler.Reach = monitor, monitor
+	handler.Jobs.SetReach(monitor)
+	neighbours := &gatewayjobs.Neighbours{Self: self, Others: peers.Members, Regions: regions}
+	handler.Jobs.SetNeighbours(neighbours)
+	runner.SetNeighbours(neighbours)
 	held := newHeldMemory(cfg.VM.MemoryMB)
 	handler.Bodies, forwarder.Answers, handler.ReadTime = held.bodies, held.answers, pace.MinTime
 	index.Texts.SetRoom(held.texts)
@@ -104,6 +112,7 @@
 	permits.run(ctx, loops.Go)
 	scaling.run(ctx, loops.Go)
 	loops.Go(func() { peers.Run(ctx) })
+	loops.Go(func() { monitor.Run(ctx) })
 	loops.Go(func() { v.Run(ctx) })
 	loops.Go(func() { v.RunCopies(ctx, processCount) })
 	loops.Go(func() { forwarder.Quarantine.Run(ctx) })
@@ -219,12 +228,13 @@
 	view       *view.View
 	index      *gatewayjobs.Index
 	quarantine *quarantine.Quarantine
+	reach      *reach.Monitor
 	serving    atomic.Bool // the servers listen and the process is not stopping
 }
 
 // serve answers 200 if this process is ready and 503 otherwise.
 func (r *readiness) serve(w http.ResponseWriter, _ *http.Request) {
-	if !r.serving.Load() || r.view.Current().Table == nil || !r.index.CaughtUp() || !r.quarantine.Initialized() {
+	if !r.serving.Load() || r.view.Current().Table == nil || !r.index.CaughtUp() || !r.quarantine.Initialized() || r.reach.IsIsolated() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
