A cut is noticed after a second; a cut process uses its own servers; bytes over links by kind

A cut process waited 1.3 s until it knew (0.7 s of silence, two rounds of probes 0.1 s apart): now 1.0 s; what it reads through others counts as contact, so that processes of a far region probe nobody. Requests to services without permits go to servers of the own failure domain while it is cut off (TestCutProcessUsesServersOfItsDomain). link_bytes_by_kind counts what crosses links. Claim delays are worked out once an owner and plan.

--- a/decide/isolation/isolation.go
+++ b/decide/isolation/isolation.go
@@ -13,7 +13,7 @@
 	// MaxSilence is how long nothing may be heard from outside before peers are probed. It is
 	// longer than a read of the log waits for a record, so that a process that follows the log
 	// and reaches it probes nobody.
-	MaxSilence = 700 * time.Millisecond
+	MaxSilence = 600 * time.Millisecond
 	// minFailedRounds is the number of rounds of probes without an answer after which the process
 	// counts as cut off. A single round may fall into a burst of lost packets.
 	minFailedRounds = 2
--- a/gateway/fanout/reader.go
+++ b/gateway/fanout/reader.go
@@ -232,6 +232,19 @@
 	})
 }
 
+// SinceEnd returns how long ago the log was last known to end where this process has read it to, be
+// it through others.
+func (r *Reader) SinceEnd() time.Duration {
+	now := r.cfg.Now()
+	since := now - r.started
+	for _, b := range r.buffers {
+		if age, known := b.endAge(now); known {
+			since = min(since, age)
+		}
+	}
+	return since
+}
+
 // IsLeaf reports whether this process serves no other one.
 func (r *Reader) IsLeaf() bool {
 	served := time.Duration(r.lastServed.Load())
--- a/gateway/forward/domain_test.go
+++ b/gateway/forward/domain_test.go
@@ -4,10 +4,14 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
+	"dandelionsill.org/decide/fanout"
 	"dandelionsill.org/gateway/gatewaytest"
+	"dandelionsill.org/gateway/reach"
 	"dandelionsill.org/platform/hosted/hostedtest"
 )
 
@@ -27,3 +31,31 @@
 		reply.Close()
 	}
 }
+
+// Guards against requests of a process that is cut off which wait for servers of other failure
+// domains while one of its own domain answers. Load: thirty requests one after the other, two of
+// three servers out of reach.
+func TestCutProcessUsesServersOfItsDomain(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 3)
+	for _, i := range []int{0, 1} {
+		pf.Servers[i].FailureDomain = "zone-b"
+		pf.Servers[i].Fail(hostedtest.ServerFaults{Unresponsive: true})
+		pf.Register(pf.Servers[i], "ready")
+	}
+	p := pf.NewProcess(t)
+	p.Forward.Reach = reach.New(reach.Config{
+		FailureDomain: "zone-a", SinceAnswer: func() time.Duration { return time.Hour }, Logger: zap.NewNop(),
+		Peers: func() []fanout.Member { return []fanout.Member{{VM: "b", Addr: "b:1", FailureDomain: "zone-b"}} },
+		Dial:  func(context.Context, string) error { return context.DeadlineExceeded },
+	})
+	p.Go(p.Forward.Reach.Run)
+	require.Eventually(t, p.Forward.Reach.IsIsolated, gatewaytest.MaxWait, time.Millisecond)
+	for i := range 30 {
+		reply, err := p.Forward.Send(t.Context(), newCall(t, p, fmt.Sprint("r", i), "/score/x"))
+		require.Nil(t, err)
+		require.Equal(t, "p2", reply.Server)
+		reply.Close()
+	}
+	require.Empty(t, pf.Servers[0].Arrivals())
+	require.Empty(t, pf.Servers[1].Arrivals())
+}
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -24,6 +24,7 @@
 	"dandelionsill.org/decide/table"
 	"dandelionsill.org/gateway/backend"
 	broker "dandelionsill.org/gateway/permits"
+	"dandelionsill.org/gateway/reach"
 	"dandelionsill.org/gateway/usage"
 	"dandelionsill.org/gateway/view"
 	"dandelionsill.org/kinds"
@@ -112,6 +113,7 @@
 	Answers *budget.Share
 	// Bodies bounds the bodies that one server holds; nil: nothing does.
 	Bodies *ServerBodies
+	Reach  *reach.Monitor // tells when this process is cut off; nil: never
 
 	domain      string
 	log         *zap.Logger
@@ -414,9 +416,7 @@
 func (s *callState) pick() (choice, bool) {
 	servers := s.forwarder.View.Current().Servers[s.service]
 	candidates := s.forwarder.serverStats.candidates(s.service, s.forwarder.domain, servers, time.Now())
-	for i := range candidates {
-		candidates[i].Connected = s.forwarder.Pool.HasIdle(servers[i].Addr)
-	}
+	s.forwarder.markReach(candidates, servers)
 	s.forwarder.Bodies.markFull(candidates, len(s.call.Body))
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	picked := s.forwarder.policy.Pick(&route.Request{Tried: s.tried}, candidates, rng, &route.Scratch{})
@@ -448,7 +448,7 @@
 	o.notRun = errors.Is(o.err, backend.ErrNotSent) || o.err == nil && hosted.NotExecuted(o.reply.Status, o.reply.Header)
 	o.ctxDone = ctx.Err() != nil
 	o.crashed = !o.ctxDone && errors.Is(o.err, backend.ErrBroken) && f.ServerCrashed(ctx, service, server)
-	if c.permit != nil {
+	if f.countLinkBytes(&call, &o); c.permit != nil {
 		c.permit.Done(o.took, outcomeOf(&o))
 	}
 	f.serverStats.attemptEnded(service, server.ID, o.took, !o.ctxDone && (o.err != nil || o.reply.Status >= http.StatusInternalServerError))
--- a/gateway/forward/stats.go
+++ b/gateway/forward/stats.go
@@ -7,6 +7,8 @@
 	"dandelionsill.org/decide/eject"
 	"dandelionsill.org/decide/members"
 	"dandelionsill.org/decide/route"
+	"dandelionsill.org/decide/topology"
+	"dandelionsill.org/gateway/link"
 )
 
 // ejectionConfig configures the ejection of outliers among the servers that
@@ -89,3 +91,25 @@
 	p.AddCost(server, took.Seconds())
 	p.AddResult(server, failed)
 }
+
+// countLinkBytes counts what an attempt sent over a link between regions, and its answer.
+func (f *Forwarder) countLinkBytes(call *Call, o *outcome) {
+	if f.View.Topology.Distance(f.domain, o.server.FailureDomain) != topology.OtherRegion {
+		return
+	}
+	bytes := len(call.Body)
+	if o.reply != nil {
+		bytes += max(0, int(o.reply.Length()))
+	}
+	link.Record(link.Requests, bytes)
+}
+
+// markReach marks the servers to which a connection is open. While this process is cut off, servers
+// of other failure domains count as ejected, because requests to them would wait for an answer.
+func (f *Forwarder) markReach(candidates []route.Candidate, servers []members.Server) {
+	isIsolated := f.Reach.IsIsolated()
+	for i := range candidates {
+		candidates[i].Connected = f.Pool.HasIdle(servers[i].Addr)
+		candidates[i].Ejected = candidates[i].Ejected || isIsolated && servers[i].FailureDomain != f.domain
+	}
+}
--- a/gateway/jobs/neighbours.go
+++ b/gateway/jobs/neighbours.go
@@ -49,6 +49,24 @@
 	return n.Regions
 }
 
+// isFar reports whether a failure domain lies in another region than this process.
+func (n *Neighbours) isFar(domain string) bool {
+	return n.regions().Distance(n.domain(), domain) == topology.OtherRegion
+}
+
+// isFarAddr reports whether the gateway at an address lies in another region.
+func (n *Neighbours) isFarAddr(addr string) bool {
+	if !n.regions().HasSeveralRegions() {
+		return false
+	}
+	for _, m := range n.Others() {
+		if m.Addr == addr {
+			return n.isFar(m.FailureDomain)
+		}
+	}
+	return false
+}
+
 // splitOwners divides owners into those in the region of this process and the others.
 func (n *Neighbours) splitOwners(all []jobs.OwnerLoad) (near, far []jobs.OwnerLoad) {
 	return owners.Split(all, func(o jobs.OwnerLoad) string { return n.domainOf(o.Owner.VM) }, n.domain(), n.regions())
--- a/gateway/jobs/ownership.go
+++ b/gateway/jobs/ownership.go
@@ -17,6 +17,7 @@
 func (r *Runner) reconcileJobs(ctx context.Context, now time.Time) {
 	r.index.mu.Lock()
 	defer r.index.mu.Unlock()
+	clear(r.claimDelays)
 	if r.index.gaps != r.gaps {
 		r.gaps = r.index.gaps
 		r.releaseAfterGap()
@@ -67,8 +68,13 @@
 // which competed for slots and each had to learn the pace of every engine again. index.mu is held.
 func (r *Runner) takeOverDelay(owner jobs.Writer, now time.Time) time.Duration {
 	if r.neighbours != nil {
-		recent := r.index.recentWriters(now)
-		return r.neighbours.claimDelay(owner, func(vm string) bool { return recent[vm] })
+		delay, known := r.claimDelays[owner]
+		if !known {
+			recent := r.index.recentWriters(now)
+			delay = r.neighbours.claimDelay(owner, func(vm string) bool { return recent[vm] })
+			r.claimDelays[owner] = delay
+		}
+		return delay
 	}
 	const resolution = 1 << 16
 	return time.Duration(route.Hash(owner.VM+owner.Incarnation+r.writer.VM)%resolution) * takeOverSpread / resolution
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -100,12 +100,13 @@
 	// deniedAt is when an answer contained older weights than expected of an engine: earlier
 	// reports about it are no longer valid.
 	deniedAt       map[jobs.EngineKey]time.Time
-	excludedUntil  map[string]time.Time // when an engine may get samples again
-	refusals       map[string]int       // in succession, by engine
-	claimedAt      map[string]time.Time // when this process last claimed a job
-	releasedClaims map[string]uint64    // claims that this process has released, by job
-	gaps           int                  // gaps of the index that were handled
-	lastOwned      time.Time            // when this process last owned a job
+	excludedUntil  map[string]time.Time          // when an engine may get samples again
+	refusals       map[string]int                // in succession, by engine
+	claimedAt      map[string]time.Time          // when this process last claimed a job
+	claimDelays    map[jobs.Writer]time.Duration // of owners, as of this plan
+	releasedClaims map[string]uint64             // claims that this process has released, by job
+	gaps           int                           // gaps of the index that were handled
+	lastOwned      time.Time                     // when this process last owned a job
 	draining       bool
 	tasks          sync.WaitGroup
 }
@@ -118,7 +119,7 @@
 		index: index, view: f.View, forward: f, pool: f.Pool, quarantine: f.Quarantine, zlog: zlog, writer: writer,
 		planRequested: make(chan struct{}, 1),
 		active:        map[string]map[string]*activeItem{}, loading: map[string]bool{}, reusable: map[string]reusableText{}, lengths: map[string]*place.LengthEstimator{},
-		observedVersions: map[jobs.EngineKey]uint64{}, deniedAt: map[jobs.EngineKey]time.Time{}, excludedUntil: map[string]time.Time{}, refusals: map[string]int{}, claimedAt: map[string]time.Time{}, releasedClaims: map[string]uint64{},
+		observedVersions: map[jobs.EngineKey]uint64{}, deniedAt: map[jobs.EngineKey]time.Time{}, excludedUntil: map[string]time.Time{}, refusals: map[string]int{}, claimedAt: map[string]time.Time{}, claimDelays: map[jobs.Writer]time.Duration{}, releasedClaims: map[string]uint64{},
 	}
 	r.out = newOutbox(log, writer, partitions, r.needsHeartbeat, index.Texts.put, zlog)
 	r.out.capacity = capacity
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -15,6 +15,7 @@
 	"dandelionsill.org/decide/members"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/backend"
+	"dandelionsill.org/gateway/link"
 	"dandelionsill.org/platform/hosted"
 	"dandelionsill.org/quarantine"
 )
@@ -56,7 +57,7 @@
 		a.textSince, a.eventsBefore = now, len(a.events)
 	}
 	streamsStarted.Add(1)
-	s := &stream{runner: r, active: a, number: a.streamNumber, server: server.ID, serverName: server.Name, addr: server.Addr, resumedAfter: len(a.events), requiredVersion: a.requiredVersion(), subject: r.subject(a)}
+	s := &stream{runner: r, active: a, number: a.streamNumber, server: server.ID, serverName: server.Name, addr: server.Addr, resumedAfter: len(a.events), requiredVersion: a.requiredVersion(), isFar: r.neighbours.isFar(server.FailureDomain), subject: r.subject(a)}
 	r.report(a, true)
 	service := a.service
 	r.tasks.Go(func() {
@@ -87,6 +88,7 @@
 	addr            string
 	resumedAfter    int // number of events from earlier streams
 	requiredVersion uint64
+	isFar           bool // the engine is in another region
 	subject         *quarantine.TrackedRequest
 }
 
@@ -110,6 +112,7 @@
 	ctx, span := trace.Tracer("gateway: jobs").Start(ctx, "jobs.stream",
 		oteltrace.WithAttributes(attribute.String("id", s.active.item.ID), attribute.String("server", s.server)))
 	defer span.End()
+	s.recordBytes(len(s.active.item.Body))
 	answer, err := s.runner.pool.Do(ctx, s.addr, s.request())
 	if errors.Is(err, backend.ErrNotSent) {
 		return unreachable, 0, err
@@ -166,6 +169,7 @@
 			return broken, errors.Errorf("event %d instead of event %d", event.ID, next)
 		}
 		next++
+		s.recordBytes(len(event.Data))
 		if event.Version > 0 {
 			version = event.Version
 		}
@@ -184,6 +188,13 @@
 	}
 }
 
+// recordBytes counts bytes that go to the engine or come from it.
+func (s *stream) recordBytes(n int) {
+	if s.isFar {
+		link.Record(link.Samples, n)
+	}
+}
+
 // recordVersion records that an engine's answer had other weights than expected when it was
 // chosen.
 func (r *Runner) recordVersion(s *stream, version uint64) {
--- a/gateway/jobs/text_cache.go
+++ b/gateway/jobs/text_cache.go
@@ -34,9 +34,10 @@
 // from the log. So a step that was complete just before an outage of the store can be read
 // during it; texts that the writer has dropped are read from the log.
 type TextCache struct {
-	log  *reader
-	http *http.Client
-	zlog *zap.Logger
+	neighbours *Neighbours // nil: unknown
+	log        *reader
+	http       *http.Client
+	zlog       *zap.Logger
 	// peerAddr returns the address, IP:port, at which a VM's process serves texts; empty:
 	// unknown.
 	peerAddr func(node string) string
@@ -84,6 +85,9 @@
 	return c.bytes
 }
 
+// SetNeighbours sets what is known of the other gateways. It must be called before the first call.
+func (c *TextCache) SetNeighbours(n *Neighbours) { c.neighbours = n }
+
 // SetPeers sets the function that returns the address at which the process of another VM
 // serves texts. It must be called before the first use.
 func (c *TextCache) SetPeers(addr func(node string) string) { c.peerAddr = addr }
--- a/gateway/jobs/textcalls.go
+++ b/gateway/jobs/textcalls.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"dandelionsill.org/fold/jobs"
+	"dandelionsill.org/gateway/link"
 )
 
 // Limits of calls for texts.
@@ -93,8 +94,12 @@
 		c.zlog.Info("Fetching texts from their writer failed.", zap.String("addr", call.addr), zap.Int("texts", len(call.texts)), zap.Error(err))
 		return
 	}
+	isFar := c.neighbours.isFarAddr(call.addr)
 	for _, text := range returned {
 		textsFromPeer.Add(1)
+		if isFar {
+			link.Record(link.Texts, len(text.Text))
+		}
 		c.put(textKey{text.Part, text.Offset, text.Item}, text.Text)
 	}
 }
--- a/gateway/reach/reach.go
+++ b/gateway/reach/reach.go
@@ -23,7 +23,7 @@
 const (
 	checkInterval = 100 * time.Millisecond
 	// probeTimeout is several round trips between regions.
-	probeTimeout = 250 * time.Millisecond
+	probeTimeout = 200 * time.Millisecond
 )
 
 var (
@@ -35,7 +35,7 @@
 type Config struct {
 	FailureDomain string // of this process
 	// Peers returns the other processes, and SinceAnswer the time since the store last answered
-	// this process.
+	// this process, or one that this process reads through.
 	Peers       func() []fanout.Member
 	SinceAnswer func() time.Duration
 	// Dial opens a connection to an address and closes it; nil: TCP.
@@ -81,16 +81,18 @@
 			m.recordContact()
 			continue
 		}
-		m.probe(ctx)
+		for !m.probe(ctx) && !m.state.IsIsolated() && ctx.Err() == nil { // at once, until it is sure
+		}
 	}
 }
 
-// probe makes one round of probes.
-func (m *Monitor) probe(ctx context.Context) {
+// probe makes one round of probes, and reports whether any was answered or this process can't
+// tell.
+func (m *Monitor) probe(ctx context.Context) bool {
 	targets := isolation.Targets(m.cfg.FailureDomain, m.cfg.Peers(), rand.IntN(1<<16))
 	if len(targets) == 0 {
-		m.recordContact() // it can't tell
-		return
+		m.recordContact()
+		return true
 	}
 	probes.Add(int64(len(targets)))
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -105,11 +107,12 @@
 		if err == nil || errors.Is(err, syscall.ECONNREFUSED) { // its machine answers
 			m.heardAt = time.Now()
 			m.recordContact()
-			return
+			return true
 		}
 		failure = err
 	}
 	m.recordSilence(targets, failure)
+	return false
 }
 
 func (m *Monitor) recordContact() {
--- a/gateway/server/follow.go
+++ b/gateway/server/follow.go
@@ -60,6 +60,10 @@
 	return s.tail.Read(ctx, stream, from, max, wait)
 }
 
+// sinceAnswer returns how long ago the store last answered this process or one that it reads
+// through.
+func (s *followedStore) sinceAnswer() time.Duration { return min(s.SinceAnswer(), s.tail.SinceEnd()) }
+
 // newView returns a view of the store's feeds.
 func (s *followedStore) newView(topology *topology.Topology, log *zap.Logger) *view.View {
 	v := view.New(hosted.NewFeeds(s.Store, s.tail), logs.Part(log, "view"))
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -89,12 +89,13 @@
 	}
 	ready := &readiness{view: v, index: index, quarantine: forwarder.Quarantine}
 	index.Texts.SetPeers(peers.Addr)
-	monitor := reach.New(reach.Config{FailureDomain: self.FailureDomain, Peers: peers.Members, SinceAnswer: store.SinceAnswer, Logger: logs.Part(log, "reach")})
-	ready.reach, handler.Reach = monitor, monitor
+	monitor := reach.New(reach.Config{FailureDomain: self.FailureDomain, Peers: peers.Members, SinceAnswer: followed.sinceAnswer, Logger: logs.Part(log, "reach")})
+	ready.reach, handler.Reach, forwarder.Reach = monitor, monitor, monitor
 	handler.Jobs.SetReach(monitor)
 	neighbours := &gatewayjobs.Neighbours{Self: self, Others: peers.Members, Regions: regions}
 	handler.Jobs.SetNeighbours(neighbours)
 	runner.SetNeighbours(neighbours)
+	index.Texts.SetNeighbours(neighbours)
 	held := newHeldMemory(cfg.VM.MemoryMB)
 	handler.Bodies, forwarder.Answers, handler.ReadTime = held.bodies, held.answers, pace.MinTime
 	index.Texts.SetRoom(held.texts)
