--- a/decide/place/place.go
+++ b/decide/place/place.go
@@ -27,6 +27,8 @@
 	Loading map[string]uint64
 	// Cold means that the engine has just started and takes few requests a second.
 	Cold bool
+	// Cost is added to the engine's score; see the function Cost.
+	Cost float64
 }
 
 // Sample is a sample to be placed on an engine.
@@ -126,7 +128,7 @@
 
 // score rates an engine; lower is better.
 func score(e *Engine, median float64) float64 {
-	load := float64(e.Load+1) / float64(max(1, e.Slots))
+	load := float64(e.Load+1)/float64(max(1, e.Slots)) + e.Cost
 	if e.Cold {
 		load += coldPenalty
 	}
--- a/gateway/forward/crossing.go
+++ b/gateway/forward/crossing.go
@@ -4,6 +4,7 @@
 	"expvar"
 
 	"dandelionsill.org/base/metrics"
+	"dandelionsill.org/gateway/link"
 	broker "dandelionsill.org/gateway/permits"
 )
 
@@ -15,16 +16,13 @@
 	crossedLoad      crossing = "load"      // picked without a broker of the region: all others are fuller or were tried
 )
 
-var (
-	crossedBytes = metrics.Counter("forward_other_region_bytes_total")
-	crossed      = map[crossing]*expvar.Int{
-		crossing(broker.SpillRefused): metrics.Counter("forward_other_region_refused_total"),
-		crossing(broker.SpillQueued):  metrics.Counter("forward_other_region_queued_total"),
-		crossing(broker.SpillSlow):    metrics.Counter("forward_other_region_slow_total"),
-		crossedResidency:              metrics.Counter("forward_other_region_residency_total"),
-		crossedLoad:                   metrics.Counter("forward_other_region_load_total"),
-	}
-)
+var crossed = map[crossing]*expvar.Int{
+	crossing(broker.SpillRefused): metrics.Counter("forward_other_region_refused_total"),
+	crossing(broker.SpillQueued):  metrics.Counter("forward_other_region_queued_total"),
+	crossing(broker.SpillSlow):    metrics.Counter("forward_other_region_slow_total"),
+	crossedResidency:              metrics.Counter("forward_other_region_residency_total"),
+	crossedLoad:                   metrics.Counter("forward_other_region_load_total"),
+}
 
 // crossingOf returns why an attempt goes to another region; empty: it does not.
 func (f *Forwarder) crossingOf(call *Call, c *choice) crossing {
@@ -53,7 +51,7 @@
 	}
 	bytes := len(call.Body)
 	if o.reply != nil {
-		bytes += len(o.reply.Body)
+		bytes += max(0, int(o.reply.Length()))
 	}
-	crossedBytes.Add(int64(bytes))
+	link.Record(link.Requests, bytes)
 }
--- a/gateway/forward/crossing_test.go
+++ b/gateway/forward/crossing_test.go
@@ -11,6 +11,7 @@
 	"dandelionsill.org/decide/residency"
 	"dandelionsill.org/decide/route"
 	"dandelionsill.org/decide/topology"
+	"dandelionsill.org/gateway/link"
 	broker "dandelionsill.org/gateway/permits"
 	"dandelionsill.org/gateway/view"
 )
@@ -37,8 +38,8 @@
 	require.Equal(t, crossedLoad, f.crossingOf(&Call{}, &far))
 	require.Equal(t, crossing("queued"), f.crossingOf(&Call{}, &spilled))
 	require.Equal(t, crossedResidency, f.crossingOf(&Call{Regions: residency.Only([]string{"b"})}, &spilled))
-	before := crossedBytes.Value()
+	before := link.Bytes()["requests"]
 	f.countCrossing(&Call{Body: make([]byte, 10)}, &outcome{choice: spilled, reply: &Reply{Body: make([]byte, 5)}})
 	f.countCrossing(&Call{Body: make([]byte, 10)}, &outcome{choice: spilled, notRun: true})
-	require.EqualValues(t, 15, crossedBytes.Value()-before)
+	require.EqualValues(t, 15, link.Bytes()["requests"]-before)
 }
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -25,6 +25,7 @@
 	"dandelionsill.org/decide/table"
 	"dandelionsill.org/gateway/backend"
 	broker "dandelionsill.org/gateway/permits"
+	"dandelionsill.org/gateway/reach"
 	"dandelionsill.org/gateway/usage"
 	"dandelionsill.org/gateway/view"
 	"dandelionsill.org/kinds"
@@ -124,6 +125,7 @@
 	Answers *budget.Share
 	// Bodies bounds the bodies that one server holds; nil: nothing does.
 	Bodies *ServerBodies
+	Reach  *reach.Monitor // tells when this process is cut off; nil: never
 
 	domain      string
 	log         *zap.Logger
@@ -192,14 +194,16 @@
 // callState is the state of one call that is being forwarded. All fields belong to the
 // goroutine of run or Stream.
 type callState struct {
-	forwarder *Forwarder
-	call      Call
-	held      *kinds.Held
-	service   string
-	tried     map[string]bool
-	asked     []string // ids of the servers asked, in that order
-	outcomes  chan outcome
-	start     time.Time
+	forwarder       *Forwarder
+	call            Call
+	held            *kinds.Held
+	service         string
+	tried           map[string]bool
+	asked           []string // ids of the servers asked, in that order
+	askedDomains    []string // their failure domains
+	hedgedElsewhere bool     // a hedge was asked for that avoids askedDomains
+	outcomes        chan outcome
+	start           time.Time
 
 	inFlight    int // attempts without an outcome
 	mayHaveRun  int // attempts that may have run, those in flight included
@@ -374,7 +378,7 @@
 // startAttempt sends the request to the chosen server.
 func (s *callState) startAttempt(ctx context.Context, c choice) {
 	s.tried[c.server.ID] = true
-	s.asked = append(s.asked, c.server.ID)
+	s.asked, s.askedDomains = append(s.asked, c.server.ID), append(s.askedDomains, c.server.FailureDomain)
 	s.inFlight++
 	s.mayHaveRun++
 	attempts.Add(1)
@@ -390,9 +394,7 @@
 func (s *callState) pick() (choice, bool) {
 	servers := s.forwarder.View.Current().Servers[s.service]
 	candidates := s.forwarder.serverStats.candidates(s.service, s.forwarder.domain, s.forwarder.View.Topology, servers, time.Now())
-	for i := range candidates {
-		candidates[i].Connected = s.forwarder.Pool.HasIdle(servers[i].Addr)
-	}
+	s.forwarder.markReach(candidates, servers)
 	s.forwarder.Bodies.markFull(candidates, len(s.call.Body))
 	s.withheld = s.forwarder.cold.markWithheld(s.service, servers, candidates, time.Now())
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
--- a/gateway/forward/stats.go
+++ b/gateway/forward/stats.go
@@ -84,3 +84,13 @@
 	p.AddCost(server, took.Seconds())
 	p.AddResult(server, failed)
 }
+
+// markReach marks the servers to which a connection is open. While this process is cut off, servers
+// of other failure domains count as ejected, because requests to them would wait for an answer.
+func (f *Forwarder) markReach(candidates []route.Candidate, servers []members.Server) {
+	isIsolated := f.Reach.IsIsolated()
+	for i := range candidates {
+		candidates[i].Connected = f.Pool.HasIdle(servers[i].Addr)
+		candidates[i].Ejected = candidates[i].Ejected || isIsolated && servers[i].FailureDomain != f.domain
+	}
+}
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -83,6 +83,7 @@
 	pool    *backend.Pool
 	// quarantine keeps items that crash engines away from all of them.
 	quarantine    *quarantine.Quarantine
+	neighbours    *Neighbours // nil: unknown
 	zlog          *zap.Logger
 	writer        jobs.Writer
 	out           *outbox
@@ -95,19 +96,22 @@
 	paces          place.PaceEstimator               // seconds per event, by engine
 	lengths        map[string]*place.LengthEstimator // events of a text, by model
 	streamTimeouts place.StreamTimeouts
+	// domains are the failure domains that may be lost or cut off.
+	domains place.Domains
 	// probation limits the samples of engines that did not respond.
 	probation        place.Probation
 	observedVersions map[jobs.EngineKey]uint64 // as returned in answers
 	// deniedAt is when an answer contained older weights than expected of an engine: earlier
 	// reports about it are no longer valid.
 	deniedAt       map[jobs.EngineKey]time.Time
-	excludedUntil  map[string]time.Time // when an engine may get samples again
-	refusals       map[string]int       // in succession, by engine
-	claimedAt      map[string]time.Time // when this process last claimed a job
-	releasedClaims map[string]uint64    // claims that this process has released, by job
-	regionWaits    map[string]bool      // open jobs without an owner that this process may not own
-	gaps           int                  // gaps of the index that were handled
-	lastOwned      time.Time            // when this process last owned a job
+	excludedUntil  map[string]time.Time          // when an engine may get samples again
+	refusals       map[string]int                // in succession, by engine
+	claimedAt      map[string]time.Time          // when this process last claimed a job
+	claimDelays    map[jobs.Writer]time.Duration // of owners, as of this plan
+	releasedClaims map[string]uint64             // claims that this process has released, by job
+	regionWaits    map[string]bool               // open jobs without an owner that this process may not own
+	gaps           int                           // gaps of the index that were handled
+	lastOwned      time.Time                     // when this process last owned a job
 	draining       bool
 	// cold bounds what engines get that may be cold.
 	cold  coldSamples
@@ -122,7 +126,8 @@
 		index: index, view: f.View, forward: f, pool: f.Pool, quarantine: f.Quarantine, zlog: zlog, writer: writer,
 		planRequested: make(chan struct{}, 1),
 		active:        map[string]map[string]*activeItem{}, loading: map[string]bool{}, reusable: map[string]reusableText{}, lengths: map[string]*place.LengthEstimator{},
-		observedVersions: map[jobs.EngineKey]uint64{}, deniedAt: map[jobs.EngineKey]time.Time{}, excludedUntil: map[string]time.Time{}, refusals: map[string]int{}, claimedAt: map[string]time.Time{}, releasedClaims: map[string]uint64{}, regionWaits: map[string]bool{},
+		observedVersions: map[jobs.EngineKey]uint64{}, deniedAt: map[jobs.EngineKey]time.Time{}, excludedUntil: map[string]time.Time{}, refusals: map[string]int{}, claimedAt: map[string]time.Time{},
+		claimDelays: map[jobs.Writer]time.Duration{}, releasedClaims: map[string]uint64{}, regionWaits: map[string]bool{},
 	}
 	metrics.Gauge("jobs_waiting_for_region", func() any { return r.countRegionWaits() })
 	r.out = newOutbox(log, writer, partitions, r.needsHeartbeat, index.Texts.put, zlog)
@@ -135,6 +140,9 @@
 // idle. It must be called before Run.
 func (r *Runner) SetCandidate(isCandidate func() bool) { r.out.isCandidate = isCandidate }
 
+// SetNeighbours sets what is known of the other gateways. It must be called before Run.
+func (r *Runner) SetNeighbours(n *Neighbours) { r.neighbours = n }
+
 // needsHeartbeat reports whether this process has to send heartbeats: while it owns jobs, and
 // for heartbeatLinger after that, so that it can be given the next step.
 func (r *Runner) needsHeartbeat() bool {
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -15,6 +15,7 @@
 	"dandelionsill.org/decide/members"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/backend"
+	"dandelionsill.org/gateway/link"
 	"dandelionsill.org/platform/hosted"
 	"dandelionsill.org/quarantine"
 )
@@ -43,7 +44,7 @@
 // startStream opens a stream of an item at an engine; r.mu is held.
 func (r *Runner) startStream(parent context.Context, a *activeItem, server members.Server, now time.Time) {
 	ctx, stop := context.WithCancel(parent)
-	a.phase, a.server, a.stop = running, server.ID, stop
+	a.phase, a.server, a.domain, a.stop = running, server.ID, server.FailureDomain, stop
 	a.streamStartedAt, a.lastEventAt, a.streamEvents = now, now, 0
 	if a.streamNumber == 0 {
 		a.firstStreamAt = now
@@ -57,7 +58,10 @@
 		a.textSince, a.eventsBefore = now, len(a.events)
 	}
 	streamsStarted.Add(1)
-	s := &stream{runner: r, active: a, number: a.streamNumber, server: server.ID, serverName: server.Name, addr: server.Addr, resumedAfter: len(a.events), requiredVersion: a.requiredVersion(), subject: r.subject(a), beforeSend: r.cold.beforeSend(a, server, now)}
+	s := &stream{
+		runner: r, active: a, number: a.streamNumber, server: server.ID, serverName: server.Name, addr: server.Addr, resumedAfter: len(a.events),
+		requiredVersion: a.requiredVersion(), isFar: r.neighbours.isFar(server.FailureDomain), subject: r.subject(a), beforeSend: r.cold.beforeSend(a, server, now),
+	}
 	r.report(a, true)
 	service := a.service
 	r.tasks.Go(func() {
@@ -88,6 +92,7 @@
 	addr            string
 	resumedAfter    int // number of events from earlier streams
 	requiredVersion uint64
+	isFar           bool // the engine is in another region
 	subject         *quarantine.TrackedRequest
 	beforeSend      func() bool // nil: the engine needs no care
 }
@@ -112,6 +117,7 @@
 	ctx, span := trace.Tracer("gateway: jobs").Start(ctx, "jobs.stream",
 		oteltrace.WithAttributes(attribute.String("id", s.active.item.ID), attribute.String("server", s.server)))
 	defer span.End()
+	s.recordBytes(len(s.active.item.Body))
 	answer, err := s.runner.pool.Do(ctx, s.addr, s.request())
 	if errors.Is(err, backend.ErrWithheld) {
 		return withheld, 0, err
@@ -171,6 +177,7 @@
 			return broken, errors.Errorf("event %d instead of event %d", event.ID, next)
 		}
 		next++
+		s.recordBytes(len(event.Data))
 		if event.Version > 0 {
 			version = event.Version
 		}
@@ -189,6 +196,13 @@
 	}
 }
 
+// recordBytes counts bytes that go to the engine or come from it.
+func (s *stream) recordBytes(n int) {
+	if s.isFar {
+		link.Record(link.Samples, n)
+	}
+}
+
 // recordVersion records that an engine's answer had other weights than expected when it was
 // chosen.
 func (r *Runner) recordVersion(s *stream, version uint64) {
@@ -210,6 +224,7 @@
 	now := time.Now()
 	delete(r.refusals, s.server)
 	r.probation.RecordSuccess(s.server)
+	r.domains.RecordEvent(a.domain)
 	if gap := now.Sub(a.lastEventAt); a.streamEvents > 0 {
 		r.paces.Observe(a.server, gap, now)
 		r.streamTimeouts.ObserveNext(gap)
@@ -252,6 +267,7 @@
 		r.exclude(s.server, fullCooldown<<(r.refusals[s.server]-1), now)
 		r.requeue(a, avoidFull, now)
 	case unreachable:
+		r.domains.RecordFailure(a.domain, a.server, now)
 		r.exclude(s.server, r.probation.RecordFailure(s.server), now)
 		r.requeue(a, avoidFailed, now)
 	case withheld:
--- a/gateway/jobs/text_cache.go
+++ b/gateway/jobs/text_cache.go
@@ -34,8 +34,9 @@
 // from the log. So a step that was complete just before an outage of the store can be read
 // during it; texts that the writer has dropped are read from the log.
 type TextCache struct {
-	log  *reader
-	http *http.Client
+	neighbours *Neighbours // nil: unknown
+	log        *reader
+	http       *http.Client
 	// holderHTTP carries calls to processes that read texts which this one may not read.
 	holderHTTP *http.Client
 	zlog       *zap.Logger
@@ -88,6 +89,9 @@
 	return c.bytes
 }
 
+// SetNeighbours sets what is known of the other gateways. It must be called before the first call.
+func (c *TextCache) SetNeighbours(n *Neighbours) { c.neighbours = n }
+
 // SetPeers sets the function that returns the address at which the process of another VM
 // serves texts. It must be called before the first use.
 func (c *TextCache) SetPeers(addr func(node string) string) { c.peerAddr = addr }
--- a/gateway/jobs/textcalls.go
+++ b/gateway/jobs/textcalls.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"dandelionsill.org/fold/jobs"
+	"dandelionsill.org/gateway/link"
 )
 
 // Limits of calls for texts.
@@ -111,7 +112,15 @@
 	defer resp.Body.Close()
 	// A truncated answer is an error, because the answer states its length.
 	var returned []returnedText
-	return returned, errors.Trace(json.NewDecoder(resp.Body).Decode(&returned))
+	if err := json.NewDecoder(resp.Body).Decode(&returned); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if c.neighbours.isFarAddr(call.addr) {
+		for i := range returned {
+			link.Record(link.Texts, len(returned[i].Text))
+		}
+	}
+	return returned, nil
 }
 
 // post sends a value to a peer. The caller has to close the body of the answer, which is a success.
--- a/gateway/server/cold.go
+++ b/gateway/server/cold.go
@@ -33,7 +33,9 @@
 
 // ownGrants returns the grants of the broker that decides for this process alone.
 func ownGrants(f *forward.Forwarder) grantsFunc {
-	return func(server *members.Server, _ string, _ int, now time.Time) (int, bool) { return f.FloorGrants(server, now) }
+	return func(server *members.Server, _ string, _ int, now time.Time) (int, bool) {
+		return f.FloorGrants(server, now)
+	}
 }
 
 // fleetGrants returns the grants of this process's brokers for all gateways. A broker beside the first
--- a/gateway/server/follow.go
+++ b/gateway/server/follow.go
@@ -43,13 +43,14 @@
 }
 
 // newFollowedStore returns the followed store of the process self.
-func newFollowedStore(store *hosted.Store, gateways *hosted.Peers, self decide.Member, readsPerS float64, log *zap.Logger) *followedStore {
+func newFollowedStore(store *hosted.Store, gateways *hosted.Peers, self decide.Member, regions *topology.Topology, readsPerS float64, log *zap.Logger) *followedStore {
 	streams := []fanout.Stream{{Name: gatewayjobs.Stream}}
 	for _, name := range hosted.FeedStreams {
 		streams = append(streams, fanout.Stream{Name: name, KeyOf: hosted.SplitKey, IsRepeat: hosted.IsRepeatedEntry})
 	}
 	tail := fanout.NewReader(fanout.Config{
 		Self: self, Log: store, Gateways: gateways, Streams: streams, Now: boottime.Now, Logger: logs.Part(log, "fanout"),
+		Regions: regions, RoundTrip: store.RoundTrip,
 	})
 	return &followedStore{Store: store, tail: tail, gateways: gateways, readsPerS: readsPerS}
 }
@@ -59,6 +60,10 @@
 	return s.tail.Read(ctx, stream, from, max, wait)
 }
 
+// sinceAnswer returns how long ago the store last answered this process or one that it reads
+// through.
+func (s *followedStore) sinceAnswer() time.Duration { return min(s.SinceAnswer(), s.tail.SinceEnd()) }
+
 // newView returns a view of the store's feeds.
 func (s *followedStore) newView(topology *topology.Topology, log *zap.Logger) *view.View {
 	v := view.New(hosted.NewFeeds(s.Store, s.tail), logs.Part(log, "view"))
