decide/cold: owners that come together have their shares at once

A third newcomer waits because an owner that has been there for longer may not know it yet and use its share. Where all owners before it entered within a second of it, there is none such: the first of them uses unused shares only after 3 s, when it knows all of them if it is up to date. What a process reads after a gap of the log entered at an unknown time, so that the time of its last read counts, not that of this one. Ruled out: takeovers (none), stalled reads, the cut of machines (the owner was not among them).

--- a/decide/cold/senders.go
+++ b/decide/cold/senders.go
@@ -19,6 +19,9 @@
 	// maxNewcomers is how many processes may enter within newcomerTime and send at once; the others
 	// wait until they are no newcomers any more.
 	maxNewcomers = 2
+	// togetherTime is within which processes enter together: until the first of them is no newcomer any
+	// more, it knows all of them if it is up to date.
+	togetherTime = newcomerTime - 2*freshAge
 	// ownedInterval is how often the work of a process is looked at.
 	ownedInterval = time.Second
 )
@@ -39,27 +42,29 @@
 type sender struct {
 	since                       uint64 // position of the record with which it entered
 	enteredAt, heardAt, ownedAt time.Time
+	enteredAfter                time.Time // it entered later than this
 }
 
 // NewSenders returns a list without processes.
 func NewSenders() *Senders { return &Senders{byProcess: map[string]*sender{}} }
 
-// Enter records that the record at a position gave a process work.
-func (s *Senders) Enter(process string, position uint64, now time.Time) {
+// Enter records that the record at a position, which was appended after the given time, gave a process
+// work.
+func (s *Senders) Enter(process string, position uint64, after, now time.Time) {
 	if e := s.byProcess[process]; e != nil {
 		e.heardAt, e.ownedAt = now, now
 		return
 	}
-	s.byProcess[process] = &sender{since: position, enteredAt: now, heardAt: now, ownedAt: now}
+	s.byProcess[process] = &sender{since: position, enteredAt: now, heardAt: now, ownedAt: now, enteredAfter: after}
 }
 
-// Heard records that the record at a position is of a process. hasWork reports whether that has
-// work; a process that was not known to have some enters.
-func (s *Senders) Heard(process string, position uint64, now time.Time, hasWork func() bool) {
+// Heard records that the record at a position, which was appended after the given time, is of a process.
+// hasWork reports whether that has work; a process that was not known to have some enters.
+func (s *Senders) Heard(process string, position uint64, after, now time.Time, hasWork func() bool) {
 	e := s.byProcess[process]
 	if e == nil {
 		if hasWork() {
-			s.Enter(process, position, now)
+			s.Enter(process, position, after, now)
 		}
 		return
 	}
@@ -77,14 +82,15 @@
 	Rank      int  // 0: it may not send
 	Known     int  // processes that count, itself included
 	Newcomers int  // of these, that entered before it and within newcomerTime
+	IsFirst   bool // all others that entered before it entered together with it
 	Settled   bool // it is no newcomer
 	Fresh     bool // it is up to date
 }
 
 // Share returns the process's share of a total.
 func (p Place) Share(total int) int {
-	if p.Rank == 0 || !p.Settled && p.Newcomers >= maxNewcomers {
-		return 0
+	if p.Rank == 0 || !p.Settled && !p.IsFirst && p.Newcomers >= maxNewcomers {
+		return 0 // a process that has been there for longer may not know it, and use its share
 	}
 	shares := Shares(total)
 	share := 0
@@ -109,7 +115,7 @@
 		return Place{}
 	}
 	since := max(own.since, from)
-	p := Place{Rank: 1, Known: 1, Settled: now.Sub(own.enteredAt) >= newcomerTime, Fresh: now.Sub(asOf) <= freshAge}
+	p := Place{Rank: 1, Known: 1, IsFirst: true, Settled: now.Sub(own.enteredAt) >= newcomerTime, Fresh: now.Sub(asOf) <= freshAge}
 	for name, e := range s.byProcess {
 		if e == own {
 			continue
@@ -123,6 +129,7 @@
 			continue
 		}
 		p.Rank++
+		p.IsFirst = p.IsFirst && own.enteredAt.Sub(e.enteredAfter) <= togetherTime
 		if now.Sub(e.enteredAt) < newcomerTime {
 			p.Newcomers++
 		}
--- a/decide/cold/senders_test.go
+++ b/decide/cold/senders_test.go
@@ -38,17 +38,17 @@
 
 // read reads the log to its end.
 func (p *process) read(log *sharedLog, now time.Duration) {
-	at := epoch.Add(now)
+	at, after := epoch.Add(now), epoch.Add(p.readAt)
 	for ; p.next < len(log.records); p.next++ {
 		r, position := log.records[p.next], uint64(p.next)
 		if r.gives != "" {
 			p.working[r.gives] = true
-			p.senders.Enter(r.gives, position, at)
+			p.senders.Enter(r.gives, position, after, at)
 		}
 		if r.ends != "" {
 			delete(p.working, r.ends)
 		}
-		p.senders.Heard(r.writer, position, at, func() bool { return p.working[r.writer] })
+		p.senders.Heard(r.writer, position, after, at, func() bool { return p.working[r.writer] })
 	}
 	p.readAt = now
 }
@@ -242,3 +242,32 @@
 	again.read(log, now)
 	require.Equal(t, Shares(24)[1], again.step(24, now))
 }
+
+// Guards against steps of several trainers that start at once and are given to an owner each, of which
+// the later ones wait for seconds although no earlier owner is there.
+func TestOwnersThatComeTogetherHaveSharesAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		lag  time.Duration // of the first owner before the others
+		want int           // share of the fourth
+	}{{0, Shares(24)[3]}, {togetherTime / 2, Shares(24)[3]}, {2 * togetherTime, 0}} {
+		log := &sharedLog{}
+		var all []*process
+		for i := range 4 {
+			all = append(all, newProcess(fmt.Sprintf("vm-%d", i), 0))
+		}
+		now := 10 * time.Second
+		for i, p := range all {
+			for _, other := range all {
+				other.read(log, now)
+			}
+			p.tell(log, record{gives: p.name}, now)
+			if i == 0 {
+				now += c.lag
+			}
+		}
+		for _, p := range all {
+			p.read(log, now)
+		}
+		require.Equal(t, c.want, all[3].step(24, now), c.lag)
+	}
+}
