Agents ask at once which regions need each model, and a gateway that may not know all jobs does not say

After a loss of all processes engines loaded versions as if every region needed each model until the first ask, 2 s later.

--- a/gateway/jobs/model_regions.go
+++ b/gateway/jobs/model_regions.go
@@ -38,9 +38,13 @@
 }
 
 // ServeModelRegions returns the keys of the allowed regions, by model, under the configuration in
-// force.
+// force. It refuses while this process may not know all jobs.
 func (x *Index) ServeModelRegions(current func() *table.Table) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
+		if !x.CaughtUp() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		keys := map[string]string{}
 		for model, regions := range x.ModelRegions(current()) {
 			keys[model] = regions.Key()
--- a/gateway/jobs/regions_test.go
+++ b/gateway/jobs/regions_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
@@ -290,6 +291,9 @@
 	a, ab := residency.Only([]string{"a"}), residency.Only([]string{"a", "b"})
 	require.Equal(t, map[string]residency.Regions{"a": a, "ab": ab}, index.ModelRegions(nil))
 	w := httptest.NewRecorder()
+	index.ServeModelRegions(nil)(w, nil)
+	require.Equal(t, http.StatusServiceUnavailable, w.Code, "it may not know all jobs")
+	index.asOf, w = time.Now(), httptest.NewRecorder()
 	index.ServeModelRegions(func() *table.Table { return tableOf(t, []string{"a"}, nil) })(w, nil)
 	require.JSONEq(t, `{"a": "a", "ab": "a", "any": "a"}`, w.Body.String(), "the current configuration binds")
 }
--- a/gateway/server/model_regions.go
+++ b/gateway/server/model_regions.go
@@ -23,6 +23,9 @@
 	// modelRegionsInterval is the interval at which an agent asks for the allowed regions of
 	// models, while the configuration has allowed regions: a few times between two versions.
 	modelRegionsInterval = 2 * time.Second
+	// modelRegionsStart is the interval until the first answer: versions named before it are loaded
+	// as if all regions needed each model.
+	modelRegionsStart    = 200 * time.Millisecond
 	modelRegionsTimeout  = 500 * time.Millisecond
 	maxModelRegionsBytes = 1 << 20
 )
@@ -52,26 +55,39 @@
 
 // run follows the regions until ctx ends.
 func (m *modelRegions) run(ctx context.Context) {
-	for sleep.For(ctx, sleep.Jitter(modelRegionsInterval)) {
-		if t := m.view.Current().Table; t == nil || !t.HasRegions() {
-			m.current.Store(&map[string]residency.Regions{})
-			continue
+	wait := modelRegionsStart
+	for sleep.For(ctx, sleep.Jitter(wait)) {
+		if m.update(ctx) {
+			wait = modelRegionsInterval
 		}
-		addrs := m.addrs()
-		if len(addrs) == 0 {
-			continue
-		}
-		addr := addrs[rand.IntN(len(addrs))]
-		regions, err := m.ask(ctx, addr)
-		if err != nil {
-			modelRegionsFailed.Add(1)
-			m.log.Info("A gateway did not return the allowed regions of models.", zap.String("addr", addr), zap.Error(err))
-			continue
-		}
-		m.current.Store(&regions)
 	}
 }
 
+// update brings the regions up to date and reports whether it could.
+func (m *modelRegions) update(ctx context.Context) bool {
+	t := m.view.Current().Table
+	if t == nil {
+		return false
+	}
+	if !t.HasRegions() {
+		m.current.Store(&map[string]residency.Regions{})
+		return true
+	}
+	addrs := m.addrs()
+	if len(addrs) == 0 {
+		return false
+	}
+	addr := addrs[rand.IntN(len(addrs))]
+	regions, err := m.ask(ctx, addr)
+	if err != nil {
+		modelRegionsFailed.Add(1)
+		m.log.Info("A gateway did not return the allowed regions of models.", zap.String("addr", addr), zap.Error(err))
+		return false
+	}
+	m.current.Store(&regions)
+	return true
+}
+
 func (m *modelRegions) ask(ctx context.Context, addr string) (map[string]residency.Regions, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+gatewayjobs.PathModelRegions, nil)
 	if err != nil {
