--- a/decide/place/place.go
+++ b/decide/place/place.go
@@ -25,6 +25,10 @@
 	// Loading holds the version of each model that is being loaded. These models are
 	// not in Versions.
 	Loading map[string]uint64
+	// Cold means that the engine has just started and takes few requests a second.
+	Cold bool
+	// Cost is added to the engine's score; see the function Cost.
+	Cost float64
 }
 
 // Sample is a sample to be placed on an engine.
@@ -77,6 +81,8 @@
 	// higher penalty would rely too much on loads that are out of date, because slots
 	// just taken by other processes become known late.
 	slowPacePenalty = 2
+	// coldPenalty is the penalty of a cold engine: it is used once the others are full.
+	coldPenalty = 1
 )
 
 // maxSlowShare is the share of the time until the due time within which a sample must
@@ -122,7 +128,10 @@
 
 // score rates an engine; lower is better.
 func score(e *Engine, median float64) float64 {
-	load := float64(e.Load+1) / float64(max(1, e.Slots))
+	load := float64(e.Load+1)/float64(max(1, e.Slots)) + e.Cost
+	if e.Cold {
+		load += coldPenalty
+	}
 	if e.Pace > 0 && median > 0 {
 		return load + slowPacePenalty*(e.Pace/median-1)
 	}
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -25,6 +25,7 @@
 	"dandelionsill.org/decide/table"
 	"dandelionsill.org/gateway/backend"
 	broker "dandelionsill.org/gateway/permits"
+	"dandelionsill.org/gateway/reach"
 	"dandelionsill.org/gateway/usage"
 	"dandelionsill.org/gateway/view"
 	"dandelionsill.org/kinds"
@@ -96,6 +97,9 @@
 	// of its own.
 	OnBehalfOf string
 	replies    *replySet
+	// grantedAt is when the service's broker granted the permit for this attempt, at the earliest; zero:
+	// there is none.
+	grantedAt time.Time
 }
 
 // Reply is the answer of a server, complete unless Call.PassOn is set.
@@ -121,12 +125,14 @@
 	Answers *budget.Share
 	// Bodies bounds the bodies that one server holds; nil: nothing does.
 	Bodies *ServerBodies
+	Reach  *reach.Monitor // tells when this process is cut off; nil: never
 
 	domain      string
 	log         *zap.Logger
 	serverStats *serverStats
 	policy      *route.Policy
 	sharing     *sharing // nil: no service is shared
+	cold        *coldSends
 }
 
 // New returns a forwarder for a process in the failure domain.
@@ -137,7 +143,7 @@
 		Scorers: []route.Scorer{route.LoadScore{}, route.DistanceScore{}, route.ConnectScore{}},
 		Picker:  route.LowestScore{},
 	}
-	return &Forwarder{View: v, Pool: pool, Quarantine: quarantine.New(logs.Part(log, "quarantine")), domain: domain, log: log, serverStats: newServerStats(), policy: policy}
+	return &Forwarder{View: v, Pool: pool, Quarantine: quarantine.New(logs.Part(log, "quarantine")), domain: domain, log: log, serverStats: newServerStats(), policy: policy, cold: &coldSends{}}
 }
 
 // Send forwards the call and returns a server's answer, or the error to report to the
@@ -164,6 +170,7 @@
 	reason          string         // why the policy picked the server
 	skippedEjection bool           // the policy had to skip the filter of ejected servers
 	permit          *broker.Permit // nil: the server was picked without a broker
+	grantedAt       time.Time      // as Call.grantedAt
 	asked           time.Duration  // how long its broker was asked for it
 }
 
@@ -187,14 +194,16 @@
 // callState is the state of one call that is being forwarded. All fields belong to the
 // goroutine of run or Stream.
 type callState struct {
-	forwarder *Forwarder
-	call      Call
-	held      *kinds.Held
-	service   string
-	tried     map[string]bool
-	asked     []string // ids of the servers asked, in that order
-	outcomes  chan outcome
-	start     time.Time
+	forwarder       *Forwarder
+	call            Call
+	held            *kinds.Held
+	service         string
+	tried           map[string]bool
+	asked           []string // ids of the servers asked, in that order
+	askedDomains    []string // their failure domains
+	hedgedElsewhere bool     // a hedge was asked for that avoids askedDomains
+	outcomes        chan outcome
+	start           time.Time
 
 	inFlight    int // attempts without an outcome
 	mayHaveRun  int // attempts that may have run, those in flight included
@@ -209,6 +218,7 @@
 	withoutBroker bool
 	refusal       *broker.Refusal // the broker's latest
 	hedge         *time.Timer
+	withheld      int // servers that may be cold and had got their requests at the last pick
 }
 
 func (f *Forwarder) newCallState(call Call) *callState {
@@ -368,24 +378,25 @@
 // startAttempt sends the request to the chosen server.
 func (s *callState) startAttempt(ctx context.Context, c choice) {
 	s.tried[c.server.ID] = true
-	s.asked = append(s.asked, c.server.ID)
+	s.asked, s.askedDomains = append(s.asked, c.server.ID), append(s.askedDomains, c.server.FailureDomain)
 	s.inFlight++
 	s.mayHaveRun++
 	attempts.Add(1)
 	if (c.permit != nil || s.withoutBroker) && s.inFlight == 1 { // it waited for its broker
 		s.hedge.Reset(s.hedgeDelay())
 	}
-	go func() { s.outcomes <- s.forwarder.attempt(ctx, s.call, s.service, c) }()
+	call := s.call
+	call.grantedAt = c.grantedAt
+	go func() { s.outcomes <- s.forwarder.attempt(ctx, call, s.service, c) }()
 }
 
 // pick chooses the server of the next attempt; false means that none is eligible.
 func (s *callState) pick() (choice, bool) {
 	servers := s.forwarder.View.Current().Servers[s.service]
-	candidates := s.forwarder.serverStats.candidates(s.service, s.forwarder.domain, servers, time.Now())
-	for i := range candidates {
-		candidates[i].Connected = s.forwarder.Pool.HasIdle(servers[i].Addr)
-	}
+	candidates := s.forwarder.serverStats.candidates(s.service, s.forwarder.domain, s.forwarder.View.Topology, servers, time.Now())
+	s.forwarder.markReach(candidates, servers)
 	s.forwarder.Bodies.markFull(candidates, len(s.call.Body))
+	s.withheld = s.forwarder.cold.markWithheld(s.service, servers, candidates, time.Now())
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	picked := s.forwarder.policy.Pick(&route.Request{Tried: s.tried, Regions: s.regions()}, candidates, rng, &route.Scratch{})
 	if picked.Index < 0 {
@@ -407,11 +418,18 @@
 	f.serverStats.attemptStarted(server.ID)
 	o := outcome{choice: c}
 	if o.err = f.Bodies.acquire(ctx, call.Deadline, server.ID, len(call.Body)); o.err != nil {
-		return f.endWithoutRoom(o, start)
+		return f.endUnsent(o, start)
+	}
+	if o.err = f.checkEvacuated(service, server.ID); o.err != nil {
+		f.Bodies.release(server.ID, len(call.Body))
+		return f.endUnsent(o, start)
 	}
 	start = time.Now()
 	o.reply, o.err = f.exchange(ctx, call, server)
 	f.Bodies.release(server.ID, len(call.Body))
+	if errors.Is(o.err, backend.ErrWithheld) {
+		return f.endUnsent(o, start)
+	}
 	o.took = time.Since(start)
 	o.notRun = errors.Is(o.err, backend.ErrNotSent) || o.err == nil && hosted.NotExecuted(o.reply.Status, o.reply.Header)
 	o.ctxDone = ctx.Err() != nil
@@ -419,18 +437,11 @@
 	if c.permit != nil {
 		c.permit.Done(o.took, outcomeOf(&o))
 	}
+	f.countCrossing(&call, &o)
 	f.serverStats.attemptEnded(service, server.ID, o.took, !o.ctxDone && (o.err != nil || o.reply.Status >= http.StatusInternalServerError))
 	return o
 }
 
-// ServerCrashed reports whether the server's process ended, after a connection broke
-// while it carried a request. A leaving server is expected to end, so its end is not
-// counted as a crash.
-func (f *Forwarder) ServerCrashed(ctx context.Context, service string, server members.Server) bool {
-	listed, known := f.View.Current().Server(service, server.ID)
-	return known && !listed.Leaving && f.Pool.ServerEnded(ctx, server.Addr)
-}
-
 func (f *Forwarder) exchange(ctx context.Context, call Call, server members.Server) (*Reply, error) {
 	answer, err := f.open(ctx, call, server)
 	if err != nil {
@@ -449,20 +460,3 @@
 	}
 	return &Reply{Status: answer.Status, Header: answer.Header, Body: body, Server: server.ID}, nil
 }
-
-// logAttempt logs why the server of an attempt was picked and how the attempt ended.
-func (f *Forwarder) logAttempt(call *Call, service string, o *outcome) {
-	status := 0
-	if o.reply != nil {
-		status = o.reply.Status
-	}
-	message := "Try."
-	if o.err != nil || status >= http.StatusMultipleChoices {
-		message = "Try failed."
-	}
-	fields := []zap.Field{zap.String("id", call.ID), zap.String("service", service), zap.String("server", o.server.ID),
-		zap.Uint64("config", f.View.Current().Table.Version), zap.Int("listed", o.listed), zap.Int("left", o.eligible), zap.Int("load", o.load),
-		zap.String("picked", o.reason), zap.Bool("outliers_too", o.skippedEjection), zap.Int("status", status), zap.Bool("not_run", o.notRun),
-		zap.Duration("took", o.took), zap.Error(o.err)}
-	f.log.Info(message, append(fields, permitFields(&o.choice)...)...)
-}
--- a/gateway/forward/permits.go
+++ b/gateway/forward/permits.go
@@ -15,6 +15,7 @@
 	"dandelionsill.org/decide/evidence"
 	"dandelionsill.org/decide/permits"
 	"dandelionsill.org/decide/table"
+	"dandelionsill.org/gateway/backend"
 	broker "dandelionsill.org/gateway/permits"
 	"dandelionsill.org/kinds"
 )
@@ -100,11 +101,38 @@
 	elapsed := time.Since(s.start) + sharing.sinceFirstAttempt(s.forwarder.View.Current().Table, c.Route, c.CallerTimeout)
 	return permits.Ask{
 		Domain: s.forwarder.domain, Route: c.Route.Name, Organisation: c.Organisation, Internal: c.Internal, Priority: c.Priority,
-		Objective: max(0, c.Route.LatencyObjective-elapsed), Deadline: time.Until(c.Deadline), Repeatable: c.Route.Repeatable(), NoWait: noWait, Avoid: slices.Clone(s.asked),
+		Objective: max(0, c.Route.LatencyObjective-elapsed), Deadline: time.Until(c.Deadline), Repeatable: c.Route.Repeatable(), NoWait: noWait, Avoid: s.avoid(noWait),
 		Regions: s.regions(),
 	}
 }
 
+// maxAvoidedServers bounds the servers that an ask names for their failure domain.
+const maxAvoidedServers = 64
+
+// avoid returns the servers that the next attempt must not go to: those asked before, and for the
+// first hedge all of the failure domains that are silent, so that a request is not sent twice into
+// a domain that is cut off. It names no domains if no server would be left.
+func (s *callState) avoid(isHedge bool) []string {
+	avoid := slices.Clone(s.asked)
+	if !isHedge || s.inFlight == 0 || s.hedgedElsewhere {
+		return avoid
+	}
+	s.hedgedElsewhere = true
+	servers, left := s.forwarder.View.Current().Servers[s.service], false
+	for i := range servers {
+		switch {
+		case !slices.Contains(s.askedDomains, servers[i].FailureDomain):
+			left = left || servers[i].TakesWork()
+		case !slices.Contains(s.asked, servers[i].ID):
+			avoid = append(avoid, servers[i].ID)
+		}
+	}
+	if !left || len(avoid) > maxAvoidedServers {
+		return slices.Clone(s.asked)
+	}
+	return avoid
+}
+
 // permitAnswer is the answer to an ask.
 type permitAnswer struct {
 	permit  *broker.Permit
@@ -162,7 +190,7 @@
 		}
 	default:
 		s.forwarder.log.Info("Permit refused.", zap.String("id", s.call.ID), zap.String("service", s.service), zap.String("organisation", s.call.Organisation),
-			zap.String("why", string(a.refusal.Kind)), zap.String("reason", a.refusal.Reason), zap.String("broker", a.refusal.Broker),
+			zap.String("why", string(a.refusal.Kind)), zap.String("reason", a.refusal.Reason), zap.String("broker", a.refusal.Broker), nonEmpty(zap.String("region", a.refusal.Region)),
 			zap.Duration("retry_after", a.refusal.RetryAfter), zap.Duration("wait", a.refusal.Wait), zap.Bool("hedge", a.noWait), zap.Duration("took", a.took))
 		s.refusal = a.refusal
 	}
@@ -196,6 +224,9 @@
 	isAllowed := s.regions().Allows(server.Region) // they may have changed since the ask
 	if known && isAllowed && server.TakesWork() && s.mayRepeat() && !s.isQuarantined() && (s.inFlight == 0 || !s.isSuspect()) {
 		c := choice{server: server, eligible: 1, listed: len(s.forwarder.View.Current().Servers[s.service]), reason: "permit: " + a.permit.Reason, permit: a.permit, asked: a.took}
+		if !a.permit.IsOwn {
+			c.grantedAt = time.Now().Add(-a.permit.Age)
+		}
 		if s.inFlight > 0 {
 			hedges.Add(1)
 		}
@@ -227,19 +258,27 @@
 }
 
 // permitFields returns the fields of a log line on an attempt: which broker granted its permit
-// and how long that took.
+// how long that took, of which region it is, and why not of the own one.
 func permitFields(c *choice) []zap.Field {
 	if c.permit == nil {
 		return nil
 	}
-	return []zap.Field{zap.String("broker", c.permit.Broker), zap.Duration("waited", c.asked)}
+	return []zap.Field{zap.String("broker", c.permit.Broker), zap.Duration("waited", c.asked), nonEmpty(zap.String("region", c.permit.Region)), nonEmpty(zap.String("spilled", string(c.permit.Spilled)))}
+}
+
+// nonEmpty returns a string field, which is left out if its value is empty.
+func nonEmpty(f zap.Field) zap.Field {
+	if f.String == "" {
+		return zap.Skip()
+	}
+	return f
 }
 
 // outcomeOf returns how an attempt ended, as evidence on its server.
 func outcomeOf(o *outcome) evidence.Outcome {
 	isUnsent := o.err != nil && o.notRun
 	switch {
-	case errors.Is(o.err, errNoRoom):
+	case errors.Is(o.err, errNoRoom), errors.Is(o.err, backend.ErrWithheld):
 		return evidence.Unused
 	case isUnsent && (!o.ctxDone || o.took >= darkAfter):
 		return evidence.Unreachable
--- a/gateway/forward/stats.go
+++ b/gateway/forward/stats.go
@@ -7,6 +7,7 @@
 	"dandelionsill.org/decide/eject"
 	"dandelionsill.org/decide/members"
 	"dandelionsill.org/decide/route"
+	"dandelionsill.org/decide/topology"
 )
 
 // ejectionConfig configures the ejection of outliers among the servers that
@@ -30,7 +31,7 @@
 }
 
 // candidates returns the servers of a service as candidates of the routing policy.
-func (st *serverStats) candidates(service, domain string, servers []members.Server, now time.Time) []route.Candidate {
+func (st *serverStats) candidates(service, domain string, places *topology.Topology, servers []members.Server, now time.Time) []route.Candidate {
 	ids := make([]string, len(servers))
 	for i, s := range servers {
 		ids[i] = s.ID
@@ -45,7 +46,7 @@
 			Hash:          route.Hash(s.ID),
 			FailureDomain: s.FailureDomain,
 			Region:        s.Region,
-			Distance:      distance(domain, s.FailureDomain),
+			Distance:      places.Distance(domain, s.FailureDomain),
 			Ready:         true,
 			Leaving:       !s.TakesWork(),
 			Ejected:       ejected[s.ID],
@@ -56,13 +57,6 @@
 	return out
 }
 
-func distance(ownDomain, serverDomain string) route.Distance {
-	if ownDomain == serverDomain {
-		return route.SameDomain
-	}
-	return route.SameRegion
-}
-
 func (st *serverStats) pool(service string) *eject.Pool {
 	p := st.pools[service]
 	if p == nil {
@@ -90,3 +84,13 @@
 	p.AddCost(server, took.Seconds())
 	p.AddResult(server, failed)
 }
+
+// markReach marks the servers to which a connection is open. While this process is cut off, servers
+// of other failure domains count as ejected, because requests to them would wait for an answer.
+func (f *Forwarder) markReach(candidates []route.Candidate, servers []members.Server) {
+	isIsolated := f.Reach.IsIsolated()
+	for i := range candidates {
+		candidates[i].Connected = f.Pool.HasIdle(servers[i].Addr)
+		candidates[i].Ejected = candidates[i].Ejected || isIsolated && servers[i].FailureDomain != f.domain
+	}
+}
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -125,6 +125,9 @@
 		return streamRefused, err
 	}
 	defer s.forwarder.Bodies.release(c.server.ID, len(s.call.Body))
+	if err := s.forwarder.checkEvacuated(s.service, c.server.ID); err != nil {
+		return streamRefused, err
+	}
 	start := time.Now()
 	s.forwarder.serverStats.attemptStarted(c.server.ID)
 	answer, err := s.forwarder.open(ctx, s.remainingCall(), c.server)
@@ -246,5 +249,6 @@
 	hosted.SetOrganisation(header, call.Organisation)
 	return f.Pool.Do(ctx, server.Addr, &backend.Request{
 		Method: call.Method, URI: call.URI, Host: call.Host, Header: header, Body: call.Body, ID: call.ID,
+		BeforeSend: f.cold.beforeSend(&call, server),
 	})
 }
--- a/gateway/jobs/placing.go
+++ b/gateway/jobs/placing.go
@@ -33,6 +33,7 @@
 			r.streamTimeouts.ObserveTimeout(silence, beforeFirst)
 			r.paces.Observe(a.server, silence, now) // an event takes at least that long
 			if beforeFirst {
+				r.domains.RecordFailure(a.domain, a.server, now)
 				r.exclude(a.server, r.probation.RecordFailure(a.server), now)
 			}
 			r.zlog.Info("Sample leaves a silent engine.", zap.String("id", a.item.ID), zap.String("job", a.job.ID),
@@ -74,7 +75,8 @@
 		}
 	}
 	for _, active := range orderPools(byPool) {
-		r.placePool(ctx, serversIn(snap.Servers[active[0].service], active[0].regions), active, now)
+		service := active[0].service
+		r.placePool(ctx, service, serversIn(snap.Servers[service], active[0].regions), active, now)
 	}
 }
 
@@ -130,7 +132,7 @@
 	return true
 }
 
-func (r *Runner) placePool(ctx context.Context, servers []members.Server, active []*activeItem, now time.Time) {
+func (r *Runner) placePool(ctx context.Context, service string, servers []members.Server, active []*activeItem, now time.Time) {
 	slices.SortFunc(active, func(x, y *activeItem) int { return cmp.Compare(x.item.ID, y.item.ID) })
 	engines, usable := r.usableEngines(servers, now)
 	samples := r.samples(active, engines, now)
@@ -144,8 +146,12 @@
 			queue, queued = append(queue, a), append(queued, samples[i])
 		}
 	}
+	r.cold.limit(service, servers, engines, len(queue), now)
 	for _, c := range place.Assign(engines, queued) {
 		a, e := queue[c.Sample], engines[c.Engine]
+		if !r.cold.reserve(service, usable[e.ID], now) {
+			continue
+		}
 		a.pace = e.Pace
 		r.startStream(ctx, a, usable[e.ID], now)
 		r.zlog.Info("Sample starts.", zap.String("id", a.item.ID), zap.String("job", a.job.ID), zap.String("server", e.ID),
@@ -153,7 +159,7 @@
 			zap.Float64("pace_s", e.Pace), zap.Float64("left", queued[c.Sample].Remaining), zap.Int("rank", queued[c.Sample].Rank), zap.Int("behind", len(a.events)),
 			zap.Int("waiting", len(queue)), zap.Int("engines", len(engines)))
 	}
-	r.migrateOne(active, samples, engines, now)
+	r.migrateOne(active, samples, append(engines, r.evacuatedEngines(servers, now)...), now)
 }
 
 // samples describes the items of a service for placement, and restarts those that should be.
@@ -232,13 +238,42 @@
 		}
 		usable[s.ID] = s
 		load := own[s.ID] + others[s.ID]
-		e := place.Engine{ID: s.ID, Slots: r.probation.Slots(s.ID, s.Slots, load, own[s.ID]), Load: load, Pace: paces[s.ID]}
+		e := place.Engine{ID: s.ID, Slots: r.probation.Slots(s.ID, s.SlotsAt(now), load, own[s.ID]), Load: load, Pace: paces[s.ID]}
+		e.Cost = place.Cost(r.neighbours.regions().Distance(r.neighbours.domain(), s.FailureDomain), r.domains.IsSuspect(s.FailureDomain, now))
 		e.Versions, e.Loading = r.versions(s, now)
 		out = append(out, e)
 	}
 	return out, usable
 }
 
+// evacuatedEngines describes the engines of evacuated failure domains, which take no sample. Samples
+// that run there leave them like any other engine: only if they are slowed down, since to read the prompt
+// and the text again elsewhere takes longer, and takes a slot from those that wait.
+func (r *Runner) evacuatedEngines(servers []members.Server, now time.Time) []place.Engine {
+	var out []place.Engine
+	for _, s := range servers {
+		if s.Evacuated {
+			out = append(out, place.Engine{ID: s.ID, Pace: r.paces.At(now)[s.ID]})
+		}
+	}
+	return out
+}
+
+// RunningAt returns the number of samples of this process that run at each engine that has any.
+func (r *Runner) RunningAt() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	load := map[string]int{}
+	for _, active := range r.active {
+		for _, a := range active {
+			if a.phase == running {
+				load[a.server]++
+			}
+		}
+	}
+	return load
+}
+
 // othersLoad counts the samples of other owners at each engine, as reported in the log;
 // index.mu is held.
 func (r *Runner) othersLoad() map[string]int {
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -15,6 +15,7 @@
 	"dandelionsill.org/decide/members"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/backend"
+	"dandelionsill.org/gateway/link"
 	"dandelionsill.org/platform/hosted"
 	"dandelionsill.org/quarantine"
 )
@@ -33,16 +34,17 @@
 	tooOld                 // the engine's weights are older than the job allows
 	wrongVersion           // the weights are not those that started the text
 	superseded             // this process has ended the stream
+	withheld               // the engine may be cold and has got its requests of this second
 )
 
 var endReasonNames = map[endReason]string{
-	complete: "complete", broken: "broken", refused: "refused", unreachable: "unreached", misdirected: "misdirected", failed: "failed", impossible: "never", tooOld: "too_old", wrongVersion: "mixed", superseded: "outdated",
+	complete: "complete", broken: "broken", refused: "refused", unreachable: "unreached", misdirected: "misdirected", failed: "failed", impossible: "never", tooOld: "too_old", wrongVersion: "mixed", superseded: "outdated", withheld: "withheld",
 }
 
 // startStream opens a stream of an item at an engine; r.mu is held.
 func (r *Runner) startStream(parent context.Context, a *activeItem, server members.Server, now time.Time) {
 	ctx, stop := context.WithCancel(parent)
-	a.phase, a.server, a.stop = running, server.ID, stop
+	a.phase, a.server, a.domain, a.stop = running, server.ID, server.FailureDomain, stop
 	a.streamStartedAt, a.lastEventAt, a.streamEvents = now, now, 0
 	if a.streamNumber == 0 {
 		a.firstStreamAt = now
@@ -56,7 +58,10 @@
 		a.textSince, a.eventsBefore = now, len(a.events)
 	}
 	streamsStarted.Add(1)
-	s := &stream{runner: r, active: a, number: a.streamNumber, server: server.ID, serverName: server.Name, addr: server.Addr, resumedAfter: len(a.events), requiredVersion: a.requiredVersion(), subject: r.subject(a)}
+	s := &stream{
+		runner: r, active: a, number: a.streamNumber, server: server.ID, serverName: server.Name, addr: server.Addr, resumedAfter: len(a.events),
+		requiredVersion: a.requiredVersion(), isFar: r.neighbours.isFar(server.FailureDomain), subject: r.subject(a), beforeSend: r.cold.beforeSend(a, server, now),
+	}
 	r.report(a, true)
 	service := a.service
 	r.tasks.Go(func() {
@@ -87,7 +92,9 @@
 	addr            string
 	resumedAfter    int // number of events from earlier streams
 	requiredVersion uint64
+	isFar           bool // the engine is in another region
 	subject         *quarantine.TrackedRequest
+	beforeSend      func() bool // nil: the engine needs no care
 }
 
 // request returns the request for the engine.
@@ -103,14 +110,18 @@
 	if s.resumedAfter > 0 {
 		hosted.SetLastEventID(header, s.resumedAfter)
 	}
-	return &backend.Request{Method: http.MethodPost, URI: item.Path, Host: item.Host, Header: header, Body: item.Body, ID: item.ID}
+	return &backend.Request{Method: http.MethodPost, URI: item.Path, Host: item.Host, Header: header, Body: item.Body, ID: item.ID, BeforeSend: s.beforeSend}
 }
 
 func (s *stream) run(ctx context.Context) (endReason, int, error) {
 	ctx, span := trace.Tracer("gateway: jobs").Start(ctx, "jobs.stream",
 		oteltrace.WithAttributes(attribute.String("id", s.active.item.ID), attribute.String("server", s.server)))
 	defer span.End()
+	s.recordBytes(len(s.active.item.Body))
 	answer, err := s.runner.pool.Do(ctx, s.addr, s.request())
+	if errors.Is(err, backend.ErrWithheld) {
+		return withheld, 0, err
+	}
 	if errors.Is(err, backend.ErrNotSent) {
 		return unreachable, 0, err
 	}
@@ -166,6 +177,7 @@
 			return broken, errors.Errorf("event %d instead of event %d", event.ID, next)
 		}
 		next++
+		s.recordBytes(len(event.Data))
 		if event.Version > 0 {
 			version = event.Version
 		}
@@ -184,6 +196,13 @@
 	}
 }
 
+// recordBytes counts bytes that go to the engine or come from it.
+func (s *stream) recordBytes(n int) {
+	if s.isFar {
+		link.Record(link.Samples, n)
+	}
+}
+
 // recordVersion records that an engine's answer had other weights than expected when it was
 // chosen.
 func (r *Runner) recordVersion(s *stream, version uint64) {
@@ -205,6 +224,7 @@
 	now := time.Now()
 	delete(r.refusals, s.server)
 	r.probation.RecordSuccess(s.server)
+	r.domains.RecordEvent(a.domain)
 	if gap := now.Sub(a.lastEventAt); a.streamEvents > 0 {
 		r.paces.Observe(a.server, gap, now)
 		r.streamTimeouts.ObserveNext(gap)
@@ -247,8 +267,12 @@
 		r.exclude(s.server, fullCooldown<<(r.refusals[s.server]-1), now)
 		r.requeue(a, avoidFull, now)
 	case unreachable:
+		r.domains.RecordFailure(a.domain, a.server, now)
 		r.exclude(s.server, r.probation.RecordFailure(s.server), now)
 		r.requeue(a, avoidFailed, now)
+	case withheld:
+		a.brokenStreams-- // the text is no worse for it
+		r.requeue(a, avoidFull, now)
 	case misdirected:
 		r.exclude(s.server, replacedCooldown, now)
 		r.requeue(a, avoidFailed, now)
--- a/gateway/permits/broker.go
+++ b/gateway/permits/broker.go
@@ -35,6 +35,7 @@
 	mu       sync.Mutex
 	decider  Broker
 	servers  []members.Server // as last passed to decider
+	rampAt   time.Time        // when the places of servers that are back are passed on again; zero: none is
 	gateways map[string]*gateway
 	waiting  int // asks that were neither granted nor refused
 	held     int // permits in use
@@ -42,11 +43,11 @@
 
 // gateway is what a broker keeps of a gateway.
 type gateway struct {
-	name, domain string
-	subscriber   *subscriber // nil: it has no stream
-	lostAt       time.Time   // when it lost its stream
-	waiting      map[uint64]struct{}
-	held         map[uint64]string // server by permit
+	name, domain, region string
+	subscriber           *subscriber // nil: it has no stream
+	lostAt               time.Time   // when it lost its stream
+	waiting              map[uint64]struct{}
+	held                 map[uint64]string // server by permit
 }
 
 func newBroker(key shardKey, cfg ServerConfig) *broker {
@@ -70,6 +71,7 @@
 		b.detach(now, g, "a newer stream of the gateway")
 	}
 	g.domain = first.GetFailureDomain()
+	g.region = b.cfg.Topology.RegionOf(g.domain)
 	g.subscriber = newSubscriber(g, now)
 	b.reconcile(now, g, first.GetInUse())
 	b.process(now, g, first)
@@ -123,7 +125,7 @@
 			continue
 		}
 		b.setWaiting(g, ask.GetId(), true)
-		b.deliver(now, b.decider.Ask(now, decodeAsk(g.name, g.domain, ask)))
+		b.deliver(now, b.decider.Ask(now, decodeAsk(g, ask)))
 	}
 }
 
@@ -229,17 +231,27 @@
 	}
 }
 
+// rampInterval is how often the places of servers that have just been taken back are passed on.
+const rampInterval = 100 * time.Millisecond
+
 // refresh passes on the list of servers if it has changed.
 func (b *broker) refresh(now time.Time) {
 	servers := b.cfg.Servers(b.key.service)
-	if isSameList(servers, b.servers) {
+	if isSameList(servers, b.servers) && (b.rampAt.IsZero() || now.Before(b.rampAt)) {
 		return
 	}
-	b.servers = servers
+	b.servers, b.rampAt = servers, time.Time{}
 	var own []decide.Server
 	for _, s := range servers {
-		if b.key.has(s) {
-			own = append(own, decide.Server{ID: s.ID, Name: s.Name, Domain: s.FailureDomain, Slots: s.Slots, Leaving: !s.TakesWork()})
+		if b.key.has(s, b.cfg.Topology) {
+			if s.IsRamping(now) {
+				b.rampAt = now.Add(rampInterval)
+			}
+			server := decide.Server{ID: s.ID, Name: s.Name, Domain: s.FailureDomain, Region: s.Region, Slots: s.SlotsAt(now), Leaving: !s.TakesWork(), Evacuated: s.Evacuated}
+			if b.cfg.Grants != nil {
+				server.Grants, server.IsBounded = b.cfg.Grants(&s, b.key.region, b.key.shard, now)
+			}
+			own = append(own, server)
 		}
 	}
 	b.deliver(now, b.decider.SetServers(now, own))
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -23,11 +23,13 @@
 	"dandelionsill.org/decide/table"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/backend"
+	"dandelionsill.org/gateway/evacuations"
 	"dandelionsill.org/gateway/fanout"
 	"dandelionsill.org/gateway/forward"
 	"dandelionsill.org/gateway/front"
 	gatewayjobs "dandelionsill.org/gateway/jobs"
 	"dandelionsill.org/gateway/pace"
+	"dandelionsill.org/gateway/reach"
 	"dandelionsill.org/gateway/view"
 	"dandelionsill.org/platform/hosted"
 	"dandelionsill.org/quarantine"
@@ -73,14 +75,17 @@
 	self := decide.Member{VM: cfg.Process.Name, Addr: cfg.Listen.Peers, FailureDomain: cfg.Process.FailureDomain, Small: cfg.VM.CPUShare < smallVMCores, Permits: cfg.Permits.Listen}
 	peers := newPeers(store, self, log)
 	processCount := func() int { return len(peers.Addrs()) + 1 }
-	followed := newFollowedStore(store, peers, self, cfg.Store.ReadsPerS, log)
-	v := followed.newView(cfg.Topology.parse(), log)
+	regions := cfg.Topology.parse()
+	followed := newFollowedStore(store, peers, self, regions, cfg.Store.ReadsPerS, log)
+	v := followed.newView(regions, log)
 	v.UseCopies = true
 	pool := backend.NewPool(hosted.AttemptID)
 	forwarder := forward.New(v, pool, cfg.Process.FailureDomain, logs.Part(log, "forward"))
+	forwarder.UseColdBounds(cfg.Cold.Excess, cfg.Cold.Slack, cfg.Process.Name, func() []string { return forwarders(peers, cfg.Process.Name) })
 	forwarder.Quarantine.EnableSharing(store, quarantine.NewHTTPPeers(peers.Addrs), cfg.Store.ReadsPerS)
 	index := gatewayjobs.NewIndex(followed, logs.Part(log, "jobs"))
 	runner := gatewayjobs.NewRunner(index, store, forwarder, writer, cfg.Store.Parts, capacity, logs.Part(log, "runner"))
+	runner.SetColdBounds(cfg.Cold.Excess, cfg.Cold.Slack)
 	runner.SetCandidate(func() bool { return gatewayjobs.IsCandidate(writer.VM, processCount()) })
 	handler := &front.Front{
 		View: v, Forward: forwarder, Log: logs.Part(log, "front"), Latency: metrics.NewHistogram("front_latency"),
@@ -91,6 +96,13 @@
 	index.Texts.SetPeers(peers.Addr)
 	index.SetPlaces(newPlaces(v.Topology, peers, cfg.Process.FailureDomain))
 	limitRelays(store, v.Topology, peers)
+	monitor := reach.New(reach.Config{FailureDomain: self.FailureDomain, Peers: peers.Members, SinceAnswer: followed.sinceAnswer, Logger: logs.Part(log, "reach")})
+	ready.reach, handler.Reach, forwarder.Reach = monitor, monitor, monitor
+	handler.Jobs.SetReach(monitor)
+	neighbours := &gatewayjobs.Neighbours{Self: self, Others: peers.Members, Regions: regions}
+	handler.Jobs.SetNeighbours(neighbours)
+	runner.SetNeighbours(neighbours)
+	index.Texts.SetNeighbours(neighbours)
 	held := newHeldMemory(cfg.VM.MemoryMB)
 	handler.Bodies, forwarder.Answers, handler.ReadTime = held.bodies, held.answers, pace.MinTime
 	index.Texts.SetRoom(held.texts)
@@ -100,14 +112,17 @@
 	if usage != nil {
 		forwarder.Usage = usage.counter
 	}
-	permits := newSharing(&cfg, self, writer.Incarnation, peers, v, logs.Part(log, "permits"))
+	permits := newSharing(&cfg, self, writer.Incarnation, peers, v, forwarder, logs.Part(log, "permits"))
 	permits.use(forwarder, cfg.Permits.MaxPatience)
 	scaling := newScaling(&cfg, lease.Holder(writer), store, v, index, permits.brokers(), processCount, log)
+	watch := evacuations.New(evacuations.Config{View: v, Requests: forwarder.InFlight, Streams: runner.RunningAt, Log: logs.Part(log, "evacuations")})
 	var loops sync.WaitGroup
+	loops.Go(func() { watch.Run(ctx) })
 	usage.run(ctx, loops.Go)
 	permits.run(ctx, loops.Go)
 	scaling.run(ctx, loops.Go)
 	loops.Go(func() { peers.Run(ctx) })
+	loops.Go(func() { monitor.Run(ctx) })
 	loops.Go(func() { v.Run(ctx) })
 	loops.Go(func() { v.RunCopies(ctx, processCount) })
 	loops.Go(func() { forwarder.Quarantine.Run(ctx) })
@@ -226,12 +241,13 @@
 	view       *view.View
 	index      *gatewayjobs.Index
 	quarantine *quarantine.Quarantine
+	reach      *reach.Monitor
 	serving    atomic.Bool // the servers listen and the process is not stopping
 }
 
 // serve answers 200 if this process is ready and 503 otherwise.
 func (r *readiness) serve(w http.ResponseWriter, _ *http.Request) {
-	if !r.serving.Load() || r.view.Current().Table == nil || !r.index.CaughtUp() || !r.quarantine.Initialized() {
+	if !r.serving.Load() || r.view.Current().Table == nil || !r.index.CaughtUp() || !r.quarantine.Initialized() || r.reach.IsIsolated() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
