--- a/decide/cold/senders.go
+++ b/decide/cold/senders.go
@@ -18,7 +18,7 @@
 	freshAge     = time.Second
 	// maxNewcomers is how many processes may enter within newcomerTime and send at once; the others
 	// wait until they are no newcomers any more.
-	maxNewcomers = 2
+	maxNewcomers = 4
 	// ownedInterval is how often the work of a process is looked at.
 	ownedInterval = time.Second
 )
--- a/decide/cold/senders_test.go
+++ b/decide/cold/senders_test.go
@@ -197,7 +197,7 @@
 	for _, lag := range []time.Duration{time.Second, 8 * time.Second} {
 		log, first := &sharedLog{}, newProcess("vm-0", 0)
 		all := []*process{first}
-		for i := 1; i <= 5; i++ {
+		for i := 1; i <= maxNewcomers+4; i++ {
 			all = append(all, newProcess(fmt.Sprintf("vm-%d", i), 0))
 		}
 		first.tell(log, record{gives: first.name}, 2*time.Second)
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -20,6 +20,7 @@
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/base/trace"
 	"dandelionsill.org/decide/members"
+	"dandelionsill.org/decide/residency"
 	"dandelionsill.org/decide/route"
 	"dandelionsill.org/decide/table"
 	"dandelionsill.org/gateway/backend"
@@ -85,8 +86,16 @@
 	// then use Reply.WriteBody in place of Reply.Body, and Reply.Close.
 	PassOn bool
 	// Paced means that writes to the caller fail if it reads too slowly.
-	Paced   bool
-	replies *replySet
+	Paced bool
+	// Regions are the regions in which the request may be served, as of its arrival. At each
+	// attempt those of the current configuration bind too.
+	Regions residency.Regions
+	// Path is the path without escapes, by which routes match; empty: as the route's prefix.
+	Path string
+	// OnBehalfOf is the organisation whose allowed regions bind although the request is none
+	// of its own.
+	OnBehalfOf string
+	replies    *replySet
 	// grantedAt is when the service's broker granted the permit for this attempt, at the earliest; zero:
 	// there is none.
 	grantedAt time.Time
@@ -127,7 +136,8 @@
 // New returns a forwarder for a process in the failure domain.
 func New(v *view.View, pool *backend.Pool, domain string, log *zap.Logger) *Forwarder {
 	policy := &route.Policy{
-		Stages:  slices.Concat(route.HardStages(), route.SoftStages(), []route.Stage{{Name: route.StageRoom, Filter: route.HasRoom{}, Soft: true}}),
+		Stages: slices.Concat(route.HardStages(), []route.Stage{{Name: route.StageRegions, Filter: route.InRegions{}}},
+			route.SoftStages(), []route.Stage{{Name: route.StageRoom, Filter: route.HasRoom{}, Soft: true}}),
 		Scorers: []route.Scorer{route.LoadScore{}, route.DistanceScore{}, route.ConnectScore{}},
 		Picker:  route.LowestScore{},
 	}
@@ -340,55 +350,15 @@
 	return maxRefusals
 }
 
-// finalFailure returns the result of a call that no further attempt is made for: the
-// last failure that a server answered, or else an error.
-func (s *callState) finalFailure() (*Reply, *kinds.Error, bool) {
-	if s.lastFailure != nil {
-		s.lastFailure.reply.Failures = s.failures
-		return s.lastFailure.reply, nil, true
-	}
-	if s.isQuarantined() {
-		return nil, s.noServerError(), true
-	}
-	if s.mayHaveRun == 0 && s.refusal != nil {
-		return nil, s.permitError(), true
-	}
-	if s.mayHaveRun == 0 {
-		return nil, s.refuse(kinds.Overloaded, "all servers refused the request"), true
-	}
-	return nil, kinds.New(kinds.OutcomeUnknown, "no whole answer of the servers asked: %v", s.asked), true
-}
-
-// contextError returns the error of a call whose ctx has ended: the caller
-// disconnected, or the deadline passed.
-func (s *callState) contextError(ctx context.Context) *kinds.Error {
-	if ctx.Err() == context.Canceled {
-		if s.inFlight > 0 {
-			s.usage.RecordExecution(time.Since(s.start))
-		}
-		return kinds.New(kinds.Cancelled, "the caller has gone")
-	}
-	if s.mayHaveRun == 0 {
-		return s.refuse(kinds.Overloaded, "no server took the request in time")
-	}
-	return kinds.New(kinds.DeadlineExceeded, "no answer within %v of the servers asked: %v", time.Since(s.start).Round(time.Millisecond), s.asked)
-}
-
-// refuse returns a "not run" error, which becomes "outcome unknown" if an attempt may
-// have run.
-func (s *callState) refuse(kind kinds.NotRunKind, reason string) *kinds.Error {
-	if s.mayHaveRun > 0 {
-		s.held.MarkSent()
-	}
-	return s.held.Refuse(kind, "%s", reason).WithRetryAfter(retryAfter)
-}
-
 // launch starts an attempt at another server, or asks for the permit that it needs. It
 // returns false if no server can be picked or the request is quarantined.
 func (s *callState) launch(ctx context.Context) bool {
 	if s.isQuarantined() {
 		return false
 	}
+	if s.lacksRegion() {
+		return false
+	}
 	if s.isShared() {
 		s.acquire(ctx, false)
 		return true
@@ -426,7 +396,7 @@
 	s.forwarder.Bodies.markFull(candidates, len(s.call.Body))
 	s.withheld = s.forwarder.cold.markWithheld(s.service, servers, candidates, time.Now())
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	picked := s.forwarder.policy.Pick(&route.Request{Tried: s.tried}, candidates, rng, &route.Scratch{})
+	picked := s.forwarder.policy.Pick(&route.Request{Tried: s.tried, Regions: s.regions()}, candidates, rng, &route.Scratch{})
 	if picked.Index < 0 {
 		return choice{}, false
 	}
@@ -446,13 +416,17 @@
 	f.serverStats.attemptStarted(server.ID)
 	o := outcome{choice: c}
 	if o.err = f.Bodies.acquire(ctx, call.Deadline, server.ID, len(call.Body)); o.err != nil {
-		return f.endWithoutRoom(o, start)
+		return f.endUnsent(o, start)
+	}
+	if o.err = f.checkEvacuated(service, server.ID); o.err != nil {
+		f.Bodies.release(server.ID, len(call.Body))
+		return f.endUnsent(o, start)
 	}
 	start = time.Now()
 	o.reply, o.err = f.exchange(ctx, call, server)
 	f.Bodies.release(server.ID, len(call.Body))
 	if errors.Is(o.err, backend.ErrWithheld) {
-		return f.endWithoutRoom(o, start)
+		return f.endUnsent(o, start)
 	}
 	o.took = time.Since(start)
 	o.notRun = errors.Is(o.err, backend.ErrNotSent) || o.err == nil && hosted.NotExecuted(o.reply.Status, o.reply.Header)
@@ -465,14 +439,6 @@
 	return o
 }
 
-// ServerCrashed reports whether the server's process ended, after a connection broke
-// while it carried a request. A leaving server is expected to end, so its end is not
-// counted as a crash.
-func (f *Forwarder) ServerCrashed(ctx context.Context, service string, server members.Server) bool {
-	listed, known := f.View.Current().Server(service, server.ID)
-	return known && !listed.Leaving && f.Pool.ServerEnded(ctx, server.Addr)
-}
-
 func (f *Forwarder) exchange(ctx context.Context, call Call, server members.Server) (*Reply, error) {
 	answer, err := f.open(ctx, call, server)
 	if err != nil {
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -47,6 +47,9 @@
 		if s.isQuarantined() {
 			return s.fail(s.noServerError())
 		}
+		if s.refusals <= maxRefusals && s.lacksRegion() {
+			return s.fail(s.noServerError())
+		}
 		c, ok := s.pick()
 		if !ok || s.refusals > maxRefusals {
 			return s.fail(s.refuse(kinds.Overloaded, "no server took the stream"))
@@ -122,6 +125,9 @@
 		return streamRefused, err
 	}
 	defer s.forwarder.Bodies.release(c.server.ID, len(s.call.Body))
+	if err := s.forwarder.checkEvacuated(s.service, c.server.ID); err != nil {
+		return streamRefused, err
+	}
 	start := time.Now()
 	s.forwarder.serverStats.attemptStarted(c.server.ID)
 	answer, err := s.forwarder.open(ctx, s.remainingCall(), c.server)
--- a/gateway/jobs/cold_test.go
+++ b/gateway/jobs/cold_test.go
@@ -58,9 +58,7 @@
 	left, _ = slots(r, servers, later)
 	require.Equal(t, free, left)
 
-	servers[0].Evacuated = true
-	slots(r, servers, later)
-	servers[0].Evacuated = false
+	servers[0].BackSince = later
 	_, isCold = slots(r, servers, later)
 	require.True(t, isCold, "its failure domain is taken back")
 	_, isCold = slots(r, servers, later.Add(3*time.Second))
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -20,8 +20,10 @@
 	"dandelionsill.org/base/trace"
 	decide "dandelionsill.org/decide/fanout"
 	"dandelionsill.org/decide/lease"
+	"dandelionsill.org/decide/table"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/backend"
+	"dandelionsill.org/gateway/evacuations"
 	"dandelionsill.org/gateway/fanout"
 	"dandelionsill.org/gateway/forward"
 	"dandelionsill.org/gateway/front"
@@ -87,8 +89,11 @@
 		View: v, Forward: forwarder, Log: logs.Part(log, "front"), Latency: metrics.NewHistogram("front_latency"),
 		Jobs: gatewayjobs.NewService(index, store, writer, cfg.Store.Parts, capacity, logs.Part(log, "jobs")),
 	}
+	handler.Jobs.SetTable(func() *table.Table { return v.Current().Table })
 	ready := &readiness{view: v, index: index, quarantine: forwarder.Quarantine}
 	index.Texts.SetPeers(peers.Addr)
+	index.SetPlaces(newPlaces(v.Topology, peers, cfg.Process.FailureDomain))
+	limitRelays(store, v.Topology, peers)
 	held := newHeldMemory(cfg.VM.MemoryMB)
 	handler.Bodies, forwarder.Answers, handler.ReadTime = held.bodies, held.answers, pace.MinTime
 	index.Texts.SetRoom(held.texts)
@@ -101,7 +106,9 @@
 	permits := newSharing(&cfg, self, writer.Incarnation, peers, v, forwarder, logs.Part(log, "permits"))
 	permits.use(forwarder, cfg.Permits.MaxPatience)
 	scaling := newScaling(&cfg, lease.Holder(writer), store, v, index, permits.brokers(), processCount, log)
+	watch := evacuations.New(evacuations.Config{View: v, Requests: forwarder.InFlight, Streams: runner.RunningAt, Log: logs.Part(log, "evacuations")})
 	var loops sync.WaitGroup
+	loops.Go(func() { watch.Run(ctx) })
 	usage.run(ctx, loops.Go)
 	permits.run(ctx, loops.Go)
 	scaling.run(ctx, loops.Go)
@@ -166,9 +173,11 @@
 
 // newPeerHandler returns the handler for calls of other processes: texts of jobs, quarantined
 // requests, streams that all processes follow, and calls of the store that are relayed.
-func newPeerHandler(textHandler, quarantineHandler http.Handler, store *followedStore) http.Handler {
+func newPeerHandler(texts *gatewayjobs.TextCache, quarantineHandler http.Handler, store *followedStore) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(gatewayjobs.PathTexts, textHandler)
+	mux.Handle(gatewayjobs.PathTexts, texts)
+	mux.HandleFunc(gatewayjobs.PathHeldTexts, texts.ServeHeldTexts)
+	mux.HandleFunc(gatewayjobs.PathHeldItem, texts.ServeHeldItem)
 	mux.Handle(quarantine.PathPeers, quarantineHandler)
 	mux.Handle(fanout.PathTail, store.tail)
 	mux.Handle("/", store.Relay())
