decide/cold: a process that has started again and has had no work soon doesn't count

After the loss of a failure domain the new owner had the share of the second rank for 20 s, beside one whose VM had started again and owned nothing. One second after a later incarnation without work is heard, the earlier one counts no more.

--- a/decide/cold/senders.go
+++ b/decide/cold/senders.go
@@ -38,32 +38,40 @@
 
 type sender struct {
 	since                       uint64 // position of the record with which it entered
+	incarnation                 string
 	enteredAt, heardAt, ownedAt time.Time
+	hasEnded                    bool // a later incarnation has been heard, which has had no work
 }
 
 // NewSenders returns a list without processes.
 func NewSenders() *Senders { return &Senders{byProcess: map[string]*sender{}} }
 
-// Enter records that the record at a position gave a process work.
-func (s *Senders) Enter(process string, position uint64, now time.Time) {
-	if e := s.byProcess[process]; e != nil {
-		e.heardAt, e.ownedAt = now, now
+// Enter records that the record at a position gave an incarnation of a process work.
+func (s *Senders) Enter(process, incarnation string, position uint64, now time.Time) {
+	if e := s.byProcess[process]; e != nil && !e.hasEnded {
+		e.heardAt, e.ownedAt, e.incarnation = now, now, incarnation
 		return
 	}
-	s.byProcess[process] = &sender{since: position, enteredAt: now, heardAt: now, ownedAt: now}
+	s.byProcess[process] = &sender{since: position, incarnation: incarnation, enteredAt: now, heardAt: now, ownedAt: now}
 }
 
-// Heard records that the record at a position is of a process. hasWork reports whether that has
-// work; a process that was not known to have some enters.
-func (s *Senders) Heard(process string, position uint64, now time.Time, hasWork func() bool) {
+// Heard records that the record at a position is of an incarnation of a process. hasWork reports
+// whether the process has work; one that was not known to have some enters. If a later incarnation is
+// heard that never had any, what the earlier one has sent soon doesn't count any more.
+func (s *Senders) Heard(process, incarnation string, position uint64, now time.Time, hasWork func() bool) {
 	e := s.byProcess[process]
-	if e == nil {
+	switch {
+	case e == nil || e.hasEnded:
 		if hasWork() {
-			s.Enter(process, position, now)
+			s.Enter(process, incarnation, position, now)
 		}
 		return
+	case e.incarnation != incarnation && !hasWork():
+		e.hasEnded = true
+		e.heardAt = now.Add(Second - senderExpiry)
+		return
 	}
-	e.heardAt = now
+	e.heardAt, e.incarnation = now, incarnation // one that has had work may not know that it has none now
 	if now.Sub(e.ownedAt) >= ownedInterval && hasWork() {
 		e.ownedAt = now
 	}
--- a/decide/cold/senders_test.go
+++ b/decide/cold/senders_test.go
@@ -12,6 +12,7 @@
 // record is what the log of the model holds: a process tells of itself, or is given work.
 type record struct {
 	writer string
+	life   string // incarnation of the writer
 	gives  string // process that gets work; empty: none
 	ends   string // process that has no more work
 }
@@ -22,6 +23,7 @@
 // process is one that sends as fast as it may.
 type process struct {
 	name     string
+	life     string
 	next     int // records that it has read
 	working  map[string]bool
 	senders  *Senders
@@ -33,7 +35,7 @@
 }
 
 func newProcess(name string, now time.Duration) *process {
-	return &process{name: name, working: map[string]bool{}, senders: NewSenders(), sends: NewSends(epoch.Add(now)), readAt: now}
+	return &process{name: name, life: now.String(), working: map[string]bool{}, senders: NewSenders(), sends: NewSends(epoch.Add(now)), readAt: now}
 }
 
 // read reads the log to its end.
@@ -43,19 +45,19 @@
 		r, position := log.records[p.next], uint64(p.next)
 		if r.gives != "" {
 			p.working[r.gives] = true
-			p.senders.Enter(r.gives, position, at)
+			p.senders.Enter(r.gives, r.life, position, at)
 		}
 		if r.ends != "" {
 			delete(p.working, r.ends)
 		}
-		p.senders.Heard(r.writer, position, at, func() bool { return p.working[r.writer] })
+		p.senders.Heard(r.writer, r.life, position, at, func() bool { return p.working[r.writer] })
 	}
 	p.readAt = now
 }
 
 // tell appends a record of the process.
 func (p *process) tell(log *sharedLog, r record, now time.Duration) {
-	r.writer = p.name
+	r.writer, r.life = p.name, p.life
 	log.records = append(log.records, r)
 	p.standing.Told(now, uint64(len(log.records)-1))
 }
@@ -242,3 +244,19 @@
 	again.read(log, now)
 	require.Equal(t, Shares(24)[1], again.step(24, now))
 }
+
+// A process that has started again and has no work goes on to take a share of what others may send.
+func TestIncarnationThatHasEndedSoonDoesNotCount(t *testing.T) {
+	log, earlier, other := &sharedLog{}, newProcess("vm-0", 0), newProcess("vm-1", 0)
+	earlier.tell(log, record{gives: earlier.name}, 2*time.Second)
+	other.tell(log, record{gives: other.name, ends: earlier.name}, 3*time.Second)
+	other.read(log, 3*time.Second)
+	require.Equal(t, Shares(24)[1], other.step(24, 3*time.Second))
+	again := newProcess(earlier.name, 4*time.Second)
+	again.tell(log, record{}, 5*time.Second)
+	other.read(log, 5*time.Second)
+	require.Equal(t, Shares(24)[1], other.step(24, 5*time.Second), "what it has sent within the last second counts")
+	other.tell(log, record{}, 7*time.Second)
+	other.read(log, 7*time.Second)
+	require.Equal(t, Shares(24)[0], other.step(24, 7*time.Second))
+}
--- a/gateway/jobs/cold.go
+++ b/gateway/jobs/cold.go
@@ -30,11 +30,11 @@
 	for _, changed := range [][]string{change.Accepted, change.Owned} {
 		for _, id := range changed {
 			if j := x.state.Jobs[id]; j != nil && !j.Released {
-				x.senders.Enter(j.Owner.VM, offset, now)
+				x.senders.Enter(j.Owner.VM, j.Owner.Incarnation, offset, now)
 			}
 		}
 	}
-	x.senders.Heard(writer.VM, offset, now, func() bool { return x.hasOpenJob(writer.VM) })
+	x.senders.Heard(writer.VM, writer.Incarnation, offset, now, func() bool { return x.hasOpenJob(writer.VM) })
 }
 
 // hasOpenJob reports whether a process of the VM owns a job that is open; mu is held.
--- a/gateway/jobs/cold_test.go
+++ b/gateway/jobs/cold_test.go
@@ -26,7 +26,7 @@
 	now := time.Now()
 	r.cold.sends = cold.NewSends(now.Add(-time.Minute))
 	r.index.asOf, r.index.nextOffset = now, 2
-	r.index.senders.Enter("vm-0", 1, now.Add(-time.Minute))
+	r.index.senders.Enter("vm-0", "1", 1, now.Add(-time.Minute))
 	r.active["j"] = map[string]*activeItem{}
 	r.out.onAppended(boottime.Now(), 1)
 	r.cold.check(now)
