--- a/decide/members/members.go
+++ b/decide/members/members.go
@@ -44,6 +44,12 @@
 // TakesWork reports whether new work may be sent to the server.
 func (s *Server) TakesWork() bool { return !s.Leaving && !s.Evacuated }
 
+// MayBeCold reports whether the server is cold by its entry, or its failure domain was taken back within
+// the time for which a server is cold.
+func (s *Server) MayBeCold(duration time.Duration, now time.Time) bool {
+	return now.Before(s.ColdUntil) || !s.BackSince.IsZero() && now.Sub(s.BackSince) < duration
+}
+
 // backRamp is how long the servers of a failure domain that is taken back get only a part of their
 // places: all senders see them empty at the same moment, and would fill them several times over.
 const backRamp = 2 * time.Second
--- a/gateway/forward/cold.go
+++ b/gateway/forward/cold.go
@@ -74,7 +74,7 @@
 	}
 	bound := cold.Bound{Rate: care.Rate, Excess: c.excess, Slack: c.slack}
 	uses := cold.UsesOf(c.view.Current().Table, server.Service, c.isShared(server.Service))
-	return bound.Parts(uses, now.Before(server.ColdUntil)), true
+	return bound.Parts(uses, server.MayBeCold(care.Duration, now)), true
 }
 
 // BrokerGrants returns how many requests of any second the service's broker may grant at a server;
@@ -141,7 +141,7 @@
 		}
 		coldWithheld.Add(1)
 		c.log.Info("A request to a server that may be cold is withheld.", zap.String("id", id), zap.String("service", server.Service),
-			zap.String("server", server.ID), zap.Bool("cold", now.Before(server.ColdUntil)), zap.Bool("granted", !grantedAt.IsZero()), zap.Int("share", share))
+			zap.String("server", server.ID), zap.Bool("cold", server.MayBeCold(0, now)), zap.Bool("granted", !grantedAt.IsZero()), zap.Int("share", share))
 		return false
 	}
 }
--- a/gateway/jobs/cold_test.go
+++ b/gateway/jobs/cold_test.go
@@ -26,7 +26,7 @@
 	now := time.Now()
 	r.cold.sends = cold.NewSends(now.Add(-time.Minute))
 	r.index.asOf, r.index.nextOffset = now, 2
-	r.index.senders.Enter("vm-0", 1, now.Add(-time.Minute), now.Add(-time.Minute))
+	r.index.senders.Enter("vm-0", "1", 1, now.Add(-time.Minute), now.Add(-time.Minute))
 	r.active["j"] = map[string]*activeItem{}
 	r.out.onAppended(boottime.Now(), 1)
 	r.cold.check(now)
@@ -58,9 +58,7 @@
 	left, _ = slots(r, servers, later)
 	require.Equal(t, free, left)
 
-	servers[0].Evacuated = true
-	slots(r, servers, later)
-	servers[0].Evacuated = false
+	servers[0].BackSince = later
 	_, isCold = slots(r, servers, later)
 	require.True(t, isCold, "its failure domain is taken back")
 	_, isCold = slots(r, servers, later.Add(3*time.Second))
--- a/gateway/jobs/placing.go
+++ b/gateway/jobs/placing.go
@@ -75,8 +75,7 @@
 		}
 	}
 	for _, active := range orderPools(byPool) {
-		service := active[0].service
-		r.placePool(ctx, service, serversIn(snap.Servers[service], active[0].regions), active, now)
+		r.placePool(ctx, serversIn(snap.Servers[active[0].service], active[0].regions), active, now)
 	}
 }
 
@@ -132,7 +131,7 @@
 	return true
 }
 
-func (r *Runner) placePool(ctx context.Context, service string, servers []members.Server, active []*activeItem, now time.Time) {
+func (r *Runner) placePool(ctx context.Context, servers []members.Server, active []*activeItem, now time.Time) {
 	slices.SortFunc(active, func(x, y *activeItem) int { return cmp.Compare(x.item.ID, y.item.ID) })
 	engines, usable := r.usableEngines(servers, now)
 	samples := r.samples(active, engines, now)
@@ -146,6 +145,7 @@
 			queue, queued = append(queue, a), append(queued, samples[i])
 		}
 	}
+	service := active[0].service
 	r.cold.limit(service, servers, engines, len(queue), now)
 	for _, c := range place.Assign(engines, queued) {
 		a, e := queue[c.Sample], engines[c.Engine]
