gateway/permits: grants of servers that may be cold follow the store and the other brokers

A broker passed a server's grants on only when the list of servers changed. They depend on the time (a process that counts as sole 8 s after its start, the end of a cold server's time), on the rank among the brokers and on whether the store can be read. With the store away no entry changes, so that a broker went on to grant the sole broker's part, beside a second one with its own; a broker made right after its process's start kept the small part until some entry changed. The list is passed on every 250 ms while a server of it is bounded; servers that need no care cost nothing (guarded). Not covered: a configuration that makes a service bounded counts with the next change of an entry.

--- a/gateway/permits/broker.go
+++ b/gateway/permits/broker.go
@@ -35,7 +35,7 @@
 	mu       sync.Mutex
 	decider  Broker
 	servers  []members.Server // as last passed to decider
-	rampAt   time.Time        // when the places of servers that are back are passed on again; zero: none is
+	renewAt  time.Time        // when the list is passed on again although it has not changed; zero: never
 	gateways map[string]*gateway
 	waiting  int // asks that were neither granted nor refused
 	held     int // permits in use
@@ -231,26 +231,34 @@
 	}
 }
 
-// rampInterval is how often the places of servers that have just been taken back are passed on.
-const rampInterval = 100 * time.Millisecond
+const (
+	// rampInterval is how often the places of servers that have just been taken back are passed on.
+	rampInterval = 100 * time.Millisecond
+	// grantsInterval is how often the grants of servers that may be cold are passed on. They depend on
+	// the time, on the other brokers and on the store, also while no entry of a server changes.
+	grantsInterval = 250 * time.Millisecond
+)
 
-// refresh passes on the list of servers if it has changed.
+// refresh passes on the list of servers if it has changed, or what holds of a server for a time only.
 func (b *broker) refresh(now time.Time) {
 	servers := b.cfg.Servers(b.key.service)
-	if isSameList(servers, b.servers) && (b.rampAt.IsZero() || now.Before(b.rampAt)) {
+	if isSameList(servers, b.servers) && (b.renewAt.IsZero() || now.Before(b.renewAt)) {
 		return
 	}
-	b.servers, b.rampAt = servers, time.Time{}
+	b.servers, b.renewAt = servers, time.Time{}
 	var own []decide.Server
 	for _, s := range servers {
 		if b.key.has(s, b.cfg.Topology) {
-			if s.IsRamping(now) {
-				b.rampAt = now.Add(rampInterval)
-			}
 			server := decide.Server{ID: s.ID, Name: s.Name, Domain: s.FailureDomain, Region: s.Region, Slots: s.SlotsAt(now), Leaving: !s.TakesWork(), Evacuated: s.Evacuated}
 			if b.cfg.Grants != nil {
 				server.Grants, server.IsBounded = b.cfg.Grants(&s, b.key.region, b.key.shard, now)
 			}
+			switch {
+			case s.IsRamping(now):
+				b.renewAt = now.Add(rampInterval)
+			case server.IsBounded && b.renewAt.IsZero():
+				b.renewAt = now.Add(grantsInterval)
+			}
 			own = append(own, server)
 		}
 	}
