gateway/permits, gateway/forward: a permit ages while it is held

Its age was taken when it arrived. With permits by region it may then be held while another region is asked for a faster server (two ways and the broker's time), or its process may stand still before the request's goroutine goes on: it counted as new after that, and was sent when the broker no longer counted it. Permit.Age is computed when it is used. The test fails with an age as of the arrival.

--- a/gateway/forward/permits.go
+++ b/gateway/forward/permits.go
@@ -225,7 +225,7 @@
 	if known && isAllowed && server.TakesWork() && s.mayRepeat() && !s.isQuarantined() && (s.inFlight == 0 || !s.isSuspect()) {
 		c := choice{server: server, eligible: 1, listed: len(s.forwarder.View.Current().Servers[s.service]), reason: "permit: " + a.permit.Reason, permit: a.permit, asked: a.took}
 		if !a.permit.IsOwn {
-			c.grantedAt = time.Now().Add(-a.permit.Age)
+			c.grantedAt = time.Now().Add(-a.permit.Age())
 		}
 		if s.inFlight > 0 {
 			hedges.Add(1)
--- a/gateway/permits/permits.go
+++ b/gateway/permits/permits.go
@@ -51,8 +51,6 @@
 	Reason string // why this server, for logs
 	Broker string // VM of the gateway that granted it
 	IsOwn  bool   // granted by this process for itself alone
-	// Age is how long ago, at most, the permit was granted when it arrived.
-	Age time.Duration
 	// Region is the region whose broker granted it; empty: the broker is that of all regions.
 	Region string
 	// Spilled says why the own region's broker did not grant it; empty: it did.
@@ -60,11 +58,21 @@
 
 	expected   time.Duration // of the answer; 0: unknown
 	lastChoice bool          // the server is ejected, or was to be avoided
+	grantedAt  time.Duration // at the earliest, by the client's clock
 	id         uint64
 	route      string
 	shard      *shardClient
 }
 
+// Age returns how long ago, at most, the permit was granted: it may have waited for the answer of
+// another region since it arrived.
+func (p *Permit) Age() time.Duration {
+	if p.shard == nil {
+		return 0
+	}
+	return p.shard.client.cfg.Now() - p.grantedAt
+}
+
 // Done gives the permit back; took is the time from sending the request to the end of its answer,
 // 0 if nothing was sent. Only the first call counts.
 func (p *Permit) Done(took time.Duration, outcome evidence.Outcome) {
--- a/gateway/permits/regions_test.go
+++ b/gateway/permits/regions_test.go
@@ -215,3 +215,19 @@
 		require.Empty(t, c.shard(shardKey{service: "echo", region: "far", shards: 1}).sessions())
 	})
 }
+
+// Guards against a permit of a server that may be cold which is held while another region is asked,
+// counts as new after that, and is used when its broker has stopped counting it.
+func TestPermitAgesWhileItIsHeld(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, true, 4, 3)
+		client := w.clients["near"][0]
+		permit, _, err := client.Acquire(t.Context(), "s", decide.Ask{Objective: objective, Deadline: deadline})
+		require.NoError(t, err)
+		require.NotNil(t, permit)
+		defer permit.Done(0, evidence.Unused)
+		require.Less(t, permit.Age(), decide.MaxGrantAge)
+		time.Sleep(decide.MaxGrantAge)
+		require.GreaterOrEqual(t, permit.Age(), decide.MaxGrantAge)
+	})
+}
--- a/gateway/permits/session.go
+++ b/gateway/permits/session.go
@@ -230,7 +230,7 @@
 		n.report(permit, 0, evidence.Unused)
 		return
 	}
-	permit.route, permit.Age = w.route, max(0, now-w.askedAt-d.Wait)
+	permit.route, permit.grantedAt = w.route, min(now, w.askedAt+d.Wait)
 	n.shard.inUse[permit.id] = permit
 	n.holds[permit.id] = struct{}{}
 	w.results <- result{permit: permit, at: now}
