decide/permits: places of ejected servers go to the requests that wait for their region

If all servers of a request's allowed regions are ejected, they serve it, but their places don't count as free. The queue was looked at only while places counted as free: with the other regions full, a request that waited got none of those places and was refused in the end. dispatch goes on while asks with allowed regions wait; it ends with the first round that grants none. Without allowed regions nothing changes.

--- a/decide/permits/broker.go
+++ b/decide/permits/broker.go
@@ -76,13 +76,14 @@
 	evidence Evidence
 	now      time.Time // of the last call
 
-	servers   []server // by ID
-	index     map[string]int
-	permits   map[AskID]*permit
-	orphans   map[AskID]*permit // of gateways whose stream ended
-	takenOver int
-	waiters   map[AskID]*waiter
-	lanes     lanes
+	servers    []server // by ID
+	index      map[string]int
+	permits    map[AskID]*permit
+	orphans    map[AskID]*permit // of gateways whose stream ended
+	takenOver  int
+	waiters    map[AskID]*waiter
+	restricted int // waiters with allowed regions
+	lanes      lanes
 	// connections are those of the gateways to the servers.
 	connections connections
 
--- a/decide/permits/places_test.go
+++ b/decide/permits/places_test.go
@@ -66,6 +66,21 @@
 	require.Zero(t, b.capacity.free)
 }
 
+// Guards against a request that waits for its region, whose servers are all ejected, and gets none of
+// their places while the other regions are full.
+func TestPlacesOfEjectedServersGoToThoseWhoWait(t *testing.T) {
+	b, e, _ := regions("near", "far")
+	e.standings["s01"] = evidence.Standing{Limit: 1, Pace: 1, Ejected: true}
+	require.Equal(t, "s01", last(b.Ask(epoch, from("near", 1, "far"))).Server)
+	require.Equal(t, "s00", last(b.Ask(epoch, from("near", 2))).Server)
+	require.Equal(t, Queued, last(b.Ask(epoch, from("near", 3, "far"))).Kind)
+	require.Equal(t, Queued, last(b.Ask(epoch, from("near", 4))).Kind)
+	granted := b.Report(epoch, Report{ID: AskID{"g-near", 1}, Outcome: evidence.Unused})
+	require.Len(t, granted, 1)
+	require.Equal(t, []any{uint64(3), "s01"}, []any{granted[0].ID.Number, granted[0].Server})
+	require.Zero(t, b.restricted)
+}
+
 // A server of another region is worse than one of the own region by more than its load.
 func TestOwnRegionFirst(t *testing.T) {
 	b, e, _ := regions("near", "far", "far")
--- a/decide/permits/queue.go
+++ b/decide/permits/queue.go
@@ -172,6 +172,9 @@
 	}
 	w.item = it
 	b.waiters[w.ID] = w
+	if w.Regions.IsRestricted() {
+		b.restricted++
+	}
 	return append(out, Decision{ID: w.ID, Kind: Queued, Wait: wait, Reason: "no place is free"})
 }
 
@@ -206,6 +209,9 @@
 
 // forgetWaiter removes an ask that is no longer in the queue.
 func (b *Broker) forgetWaiter(w *waiter) {
+	if b.waiters[w.ID] == w && w.Regions.IsRestricted() {
+		b.restricted--
+	}
 	delete(b.waiters, w.ID)
 	w.item = nil
 }
@@ -264,9 +270,10 @@
 	return out
 }
 
-// dispatch grants free places to queued asks and appends the decisions.
+// dispatch grants free places to queued asks and appends the decisions. Asks with allowed regions may
+// get places that do not count as free.
 func (b *Broker) dispatch(out []Decision) []Decision {
-	for b.capacity.free > 0 && len(b.waiters) > 0 {
+	for (b.capacity.free > 0 || b.restricted > 0) && len(b.waiters) > 0 {
 		d, ok := b.grantNext()
 		if !ok {
 			break
