gateway/forward: a first hedge avoids a silent failure domain only if an allowed region has another

The first hedge of a request names all servers of the silent failure domains, if another domain has one that takes work. That one's region was not checked: with one failure domain in the allowed regions all servers that may serve the request were to be avoided, the broker refused the hedge, and the request waited for another hedge's delay at its silent server.

--- a/gateway/forward/domain_test.go
+++ b/gateway/forward/domain_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"dandelionsill.org/decide/fanout"
+	"dandelionsill.org/decide/topology"
 	"dandelionsill.org/gateway/gatewaytest"
 	"dandelionsill.org/gateway/reach"
 	"dandelionsill.org/platform/hosted/hostedtest"
@@ -59,3 +60,23 @@
 	require.Empty(t, pf.Servers[0].Arrivals())
 	require.Empty(t, pf.Servers[1].Arrivals())
 }
+
+// Guards against a first hedge that is refused although its failure domain has a free server, because
+// the only other domain is in a region that is not allowed. Load: ten requests, one of two allowed
+// servers silent.
+func TestHedgeStaysInAllowedRegions(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 3)
+	pf.Topology = topology.New(map[string]string{"zone-a": "a", "zone-b": "b"})
+	pf.Servers[2].FailureDomain = "zone-b"
+	pf.Register(pf.Servers[2], "ready")
+	pf.Servers[0].Fail(hostedtest.ServerFaults{Unresponsive: true})
+	pf.Store.Put(hostedtest.TopicOperator, "config", hostedtest.InRegions(hostedtest.Config(2), "score", "a"))
+	s := share(t, pf, fixedEvidence{limit: 100}, nil)
+	for i := range 10 {
+		reply, err := s.proc.Forward.Send(context.Background(), newCall(t, s.proc, fmt.Sprint("r", i), "/score/x"))
+		require.Nil(t, err)
+		require.Equal(t, "p1", reply.Server)
+		reply.Close()
+	}
+	require.Zero(t, s.asks.refused.Load())
+}
--- a/gateway/forward/permits.go
+++ b/gateway/forward/permits.go
@@ -118,11 +118,11 @@
 		return avoid
 	}
 	s.hedgedElsewhere = true
-	servers, left := s.forwarder.View.Current().Servers[s.service], false
+	servers, regions, left := s.forwarder.View.Current().Servers[s.service], s.regions(), false
 	for i := range servers {
 		switch {
 		case !slices.Contains(s.askedDomains, servers[i].FailureDomain):
-			left = left || servers[i].TakesWork()
+			left = left || servers[i].TakesWork() && regions.Allows(servers[i].Region)
 		case !slices.Contains(s.asked, servers[i].ID):
 			avoid = append(avoid, servers[i].ID)
 		}
