Cold servers: a failure domain taken back from its evacuation is cold for brokers, shares and every pool of samples

Each pool of samples (a service's engines in some allowed regions) replaced what the one before had noted of evacuated engines: with jobs of several sets of regions, or a pool without these engines at that time, engines of a domain that was taken back counted as warm. Brokers and processes that send without a permit went by the entry only, which says nothing of it, though the design (places.md 5) has such servers count as cold. The changed test sets BackSince as the view does, since engines are no longer watched by each pool; it demands the same, and now with another pool between.

--- a/decide/members/members.go
+++ b/decide/members/members.go
@@ -44,6 +44,12 @@
 // TakesWork reports whether new work may be sent to the server.
 func (s *Server) TakesWork() bool { return !s.Leaving && !s.Evacuated }
 
+// IsCold reports whether the server counts as cold: by its entry, or because its failure domain was
+// taken back less than coldFor ago, which is how long a server is cold.
+func (s *Server) IsCold(now time.Time, coldFor time.Duration) bool {
+	return now.Before(s.ColdUntil) || !s.BackSince.IsZero() && now.Sub(s.BackSince) < coldFor
+}
+
 // backRamp is how long the servers of a failure domain that is taken back get only a part of their
 // places: all senders see them empty at the same moment, and would fill them several times over.
 const backRamp = 2 * time.Second
--- a/gateway/forward/cold.go
+++ b/gateway/forward/cold.go
@@ -74,7 +74,7 @@
 	}
 	bound := cold.Bound{Rate: care.Rate, Excess: c.excess, Slack: c.slack}
 	uses := cold.UsesOf(c.view.Current().Table, server.Service, c.isShared(server.Service))
-	return bound.Parts(uses, now.Before(server.ColdUntil)), true
+	return bound.Parts(uses, server.IsCold(now, care.Duration)), true
 }
 
 // BrokerGrants returns how many requests of any second the service's broker may grant at a server;
@@ -124,7 +124,8 @@
 // beforeSend returns the check right before a call is written to a server; nil: the server needs no
 // care.
 func (c *coldSends) beforeSend(call *Call, server members.Server) func() bool {
-	if c.careOf(server.Service) == nil {
+	care := c.careOf(server.Service)
+	if care == nil {
 		return nil
 	}
 	id, grantedAt := call.ID, call.grantedAt
@@ -141,7 +142,7 @@
 		}
 		coldWithheld.Add(1)
 		c.log.Info("A request to a server that may be cold is withheld.", zap.String("id", id), zap.String("service", server.Service),
-			zap.String("server", server.ID), zap.Bool("cold", now.Before(server.ColdUntil)), zap.Bool("granted", !grantedAt.IsZero()), zap.Int("share", share))
+			zap.String("server", server.ID), zap.Bool("cold", server.IsCold(now, care.Duration)), zap.Bool("granted", !grantedAt.IsZero()), zap.Int("share", share))
 		return false
 	}
 }
--- a/gateway/forward/cold_test.go
+++ b/gateway/forward/cold_test.go
@@ -75,3 +75,20 @@
 	_, isBounded := p.Forward.BrokerGrants(&members.Server{Service: "plain"}, true, time.Now())
 	require.False(t, isBounded)
 }
+
+// A failure domain is taken back from its evacuation: its servers get as much as warm ones, although
+// they may have lost what they had warmed up and their entries don't say so.
+func TestServersThatAreTakenBackCountAsCold(t *testing.T) {
+	_, p := newColdProcess(t, 50, "vm-0")
+	p.Forward.UseColdBounds(2, 0, "vm-0", func() []string { return []string{"vm-0"} })
+	server, now := p.View.Current().Servers["plain"][0], time.Now()
+	granted := func(at time.Time) int {
+		n, isBounded := p.Forward.FloorGrants(&server, at)
+		require.True(t, isBounded)
+		return n
+	}
+	warm := granted(now)
+	server.BackSince = now
+	require.Less(t, granted(now), warm)
+	require.Equal(t, warm, granted(now.Add(time.Minute)))
+}
--- a/gateway/jobs/cold.go
+++ b/gateway/jobs/cold.go
@@ -1,7 +1,6 @@
 package jobs
 
 import (
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,8 +57,6 @@
 
 	toldMu sync.Mutex // guards standing, which the outbox tells
 
-	warmFrom  map[string]time.Time       // when an engine whose evacuation has ended counts as warm
-	evacuated map[string]map[string]bool // engines, by service, that were evacuated when last seen
 	// careFor is the table for which isNeeded holds.
 	careFor  *table.Table
 	isNeeded bool
@@ -68,7 +65,6 @@
 func (c *coldSamples) init(r *Runner) {
 	c.runner, c.excess, c.sends = r, 1, cold.NewSends(time.Now())
 	c.log = logs.Limited(r.zlog, withheldLogInterval)
-	c.warmFrom, c.evacuated = map[string]time.Time{}, map[string]map[string]bool{}
 	metrics.Gauge("jobs_cold_rank", func() any { return c.shownRank.Load() })
 	r.out.onAppended = func(sentAt time.Duration, offset uint64) {
 		c.toldMu.Lock()
@@ -144,7 +140,7 @@
 // share returns how many samples this process may send to an engine in any second, and whether the
 // engine is or may be cold.
 func (c *coldSamples) share(care *table.Cold, uses cold.Uses, server *members.Server, now time.Time) (int, bool) {
-	isCold := now.Before(server.ColdUntil) || now.Before(c.warmFrom[server.ID])
+	isCold := server.IsCold(now, care.Duration)
 	bound := cold.Bound{Rate: care.Rate, Excess: c.excess, Slack: c.slack}
 	if !c.standing.IsCurrent(boottime.Now()) {
 		return 0, isCold
@@ -152,32 +148,16 @@
 	return bound.SampleShare(uses, c.place, isCold), isCold
 }
 
-// observe records which engines' failure domains are evacuated: those of a domain that is taken
-// back may be cold.
-func (c *coldSamples) observe(service string, care *table.Cold, servers []members.Server, now time.Time) map[string]*members.Server {
-	byID, evacuated := make(map[string]*members.Server, len(servers)), map[string]bool{}
-	for i := range servers {
-		s := &servers[i]
-		byID[s.ID] = s
-		switch {
-		case s.Evacuated:
-			evacuated[s.ID] = true
-		case c.evacuated[service][s.ID]:
-			c.warmFrom[s.ID] = now.Add(care.Duration)
-		}
-	}
-	c.evacuated[service] = evacuated
-	maps.DeleteFunc(c.warmFrom, func(_ string, at time.Time) bool { return !now.Before(at) })
-	return byID
-}
-
 // limit bounds the free slots of engines by what this process may send them now, while samples wait.
 func (c *coldSamples) limit(service string, servers []members.Server, engines []place.Engine, waiting int, now time.Time) {
 	care := c.careOf(service)
 	if care == nil {
 		return
 	}
-	byID, uses := c.observe(service, care, servers, now), c.uses(service)
+	byID, uses := make(map[string]*members.Server, len(servers)), c.uses(service)
+	for i := range servers {
+		byID[servers[i].ID] = &servers[i]
+	}
 	for i := range engines {
 		e := &engines[i]
 		share, isCold := c.share(care, uses, byID[e.ID], now)
--- a/gateway/jobs/cold_test.go
+++ b/gateway/jobs/cold_test.go
@@ -60,7 +60,8 @@
 
 	servers[0].Evacuated = true
 	slots(r, servers, later)
-	servers[0].Evacuated = false
+	r.cold.limit("engines", nil, nil, 1, later) // samples that may run in another region only
+	servers[0].Evacuated, servers[0].BackSince = false, later
 	_, isCold = slots(r, servers, later)
 	require.True(t, isCold, "its failure domain is taken back")
 	_, isCold = slots(r, servers, later.Add(3*time.Second))
