gateway/jobs: a sample is not written to an engine that was evacuated or left its regions meanwhile

Forwarded requests are checked for an evacuation once more right before they are sent; samples were not, although a connection is opened in between and the process may stand still. The check is made with the open connection (backend.Request.BeforeSend), for the item's allowed regions too: a sample that may not be sent waits again, as one for an engine that may be cold.

TestRegionsThatChangeDuringAJobBind once saw 4 arrivals where 3 were due: it counted the arrivals at the release of the job, while the fourth sample of the first plan, picked under the earlier regions, was on its way. The test now waits for all eight samples to arrive before the regions change; it demands the same afterwards.

--- a/gateway/jobs/regions_play_test.go
+++ b/gateway/jobs/regions_play_test.go
@@ -165,7 +165,8 @@
 	}
 	b := r.start(t, "b0", true)
 	b.submit(t, "j", 8, 1)
-	require.Eventually(t, func() bool { return len(r.Engines[1].Arrivals()) > 0 }, gatewaytest.MaxWait, time.Millisecond)
+	require.Eventually(t, func() bool { return len(r.Engines[0].Arrivals())+len(r.Engines[1].Arrivals()) == 8 }, gatewaytest.MaxWait, time.Millisecond)
+	require.NotEmpty(t, r.Engines[1].Arrivals())
 	r.Store.Put(hostedtest.TopicOperator, "config", hostedtest.InRegions(hostedtest.Config(3), "jobs", "a"))
 	require.Eventually(t, func() bool { return r.isReleased(t, "j") }, gatewaytest.MaxWait, time.Millisecond)
 	before := len(r.Engines[1].Arrivals())
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -34,7 +34,7 @@
 	tooOld                 // the engine's weights are older than the job allows
 	wrongVersion           // the weights are not those that started the text
 	superseded             // this process has ended the stream
-	withheld               // the engine may be cold and has got its requests of this second
+	withheld               // the engine may be cold and has got its requests of this second, or must get none
 )
 
 var endReasonNames = map[endReason]string{
@@ -61,6 +61,7 @@
 	s := &stream{
 		runner: r, active: a, number: a.streamNumber, server: server.ID, serverName: server.Name, addr: server.Addr, resumedAfter: len(a.events),
 		requiredVersion: a.requiredVersion(), isFar: r.neighbours.isFar(server.FailureDomain), subject: r.subject(a), beforeSend: r.cold.beforeSend(a, server, now),
+		service: a.service, region: server.Region,
 	}
 	r.report(a, true)
 	service := a.service
@@ -95,6 +96,22 @@
 	isFar           bool // the engine is in another region
 	subject         *quarantine.TrackedRequest
 	beforeSend      func() bool // nil: the engine needs no care
+	service, region string      // of the engine
+}
+
+// mayStillSend is called right before the item is written to the engine. Since that was picked, its
+// failure domain may have been evacuated, or the item's allowed regions have changed: a connection had
+// to be opened, or the process was stopped.
+func (s *stream) mayStillSend() bool {
+	snap := s.runner.view.Current()
+	if listed, known := snap.Server(s.service, s.server); known && listed.Evacuated {
+		return false
+	}
+	job, item := s.active.job, &s.active.item
+	if !regionsNow(snap.Table, job.Regions, item.Host, item.Path, job.Organisation).Allows(s.region) {
+		return false
+	}
+	return s.beforeSend == nil || s.beforeSend()
 }
 
 // request returns the request for the engine.
@@ -110,7 +127,7 @@
 	if s.resumedAfter > 0 {
 		hosted.SetLastEventID(header, s.resumedAfter)
 	}
-	return &backend.Request{Method: http.MethodPost, URI: item.Path, Host: item.Host, Header: header, Body: item.Body, ID: item.ID, BeforeSend: s.beforeSend}
+	return &backend.Request{Method: http.MethodPost, URI: item.Path, Host: item.Host, Header: header, Body: item.Body, ID: item.ID, BeforeSend: s.mayStillSend}
 }
 
 func (s *stream) run(ctx context.Context) (endReason, int, error) {
