--- a/gateway/permits/broker.go
+++ b/gateway/permits/broker.go
@@ -236,7 +236,7 @@
 	rampInterval = 100 * time.Millisecond
 	// grantsInterval is how often the grants of servers that may be cold are passed on. They depend on
 	// the time, on the other brokers and on the store, also while no entry of a server changes.
-	grantsInterval = 250 * time.Millisecond
+	grantsInterval = 500 * time.Millisecond
 )
 
 // refresh passes on the list of servers if it has changed, or what holds of a server for a time only.
