gateway/forward: a request that waited for room is not sent to a region that it may no longer use

Right before a request or stream is sent, its server was checked for an evacuation only. The regions were checked when the server was chosen; a body may wait for room for long after that. Both are checked now at each send path; the request is refused there as not run and goes elsewhere. The test of the evacuation holds for changed regions too; it failed for them before.

--- a/gateway/forward/evacuated.go
+++ b/gateway/forward/evacuated.go
@@ -9,14 +9,25 @@
 	"dandelionsill.org/gateway/backend"
 )
 
-// errEvacuated means that the operator evacuates the server's failure domain.
-const errEvacuated = errors.ConstError("the server's failure domain is evacuated")
+const (
+	// errEvacuated means that the operator evacuates the server's failure domain.
+	errEvacuated = errors.ConstError("the server's failure domain is evacuated")
+	// errOtherRegion means that the request may no longer be served in the server's region.
+	errOtherRegion = errors.ConstError("the server's region is not allowed any more")
+)
 
-// checkEvacuated returns an ErrNotSent error if the failure domain of a server has been evacuated since
-// the server was chosen: a request may have waited for room, or its process may have been stopped meanwhile.
-func (f *Forwarder) checkEvacuated(service, server string) error {
-	if listed, known := f.View.Current().Server(service, server); known && listed.Evacuated {
+// checkStillAllowed returns an ErrNotSent error if the failure domain of a server has been evacuated since
+// the server was chosen, or its region is no longer allowed: a request may have waited for room, or its
+// process may have been stopped meanwhile.
+func (f *Forwarder) checkStillAllowed(call *Call, service, server string) error {
+	listed, known := f.View.Current().Server(service, server)
+	switch {
+	case !known:
+		return nil
+	case listed.Evacuated:
 		return fmt.Errorf("%w: %w", backend.ErrNotSent, errEvacuated)
+	case !f.regionsOf(call).Allows(listed.Region):
+		return fmt.Errorf("%w: %w", backend.ErrNotSent, errOtherRegion)
 	}
 	return nil
 }
--- a/gateway/forward/evacuated_test.go
+++ b/gateway/forward/evacuated_test.go
@@ -9,9 +9,11 @@
 
 	"dandelionsill.org/decide/evidence"
 	"dandelionsill.org/decide/members"
+	"dandelionsill.org/decide/topology"
 	"dandelionsill.org/gateway/forward"
 	"dandelionsill.org/gateway/gatewaytest"
 	"dandelionsill.org/kinds"
+	"dandelionsill.org/platform/hosted/hostedtest"
 )
 
 // newDomains returns a platform with one server in each of two failure domains, and a process.
@@ -63,7 +65,21 @@
 // Failure: a request waits at the only server for room for its body, and the server's failure domain
 // is evacuated meanwhile. Guards against a send long after the server was chosen.
 func TestWaitingRequestIsNotSentToAServerThatWasEvacuatedMeanwhile(t *testing.T) {
+	testWaitingRequest(t, func(pf *gatewaytest.Platform, p *gatewaytest.Process) { evacuate(t, pf, p, "zone-a", false) })
+}
+
+// Failure: as before, but the server's region is no longer allowed.
+func TestWaitingRequestIsNotSentToARegionThatItLeftMeanwhile(t *testing.T) {
+	testWaitingRequest(t, func(pf *gatewaytest.Platform, p *gatewaytest.Process) {
+		pf.Store.Put(hostedtest.TopicOperator, "config", hostedtest.InRegions(hostedtest.Config(2), "write", "b"))
+		require.Eventually(t, func() bool { return p.View.Current().Table.Version == 2 }, gatewaytest.MaxWait, time.Millisecond)
+	})
+}
+
+// testWaitingRequest tests that a request which waits for room is not sent after a change.
+func testWaitingRequest(t *testing.T, change func(*gatewaytest.Platform, *gatewaytest.Process)) {
 	pf := gatewaytest.NewPlatform(t, 0, 1)
+	pf.Topology = topology.New(map[string]string{"zone-a": "a"})
 	p := pf.NewProcess(t)
 	gate := make(chan struct{})
 	body := bytes.Repeat([]byte("b"), 60<<10)
@@ -83,7 +99,7 @@
 	require.Eventually(t, func() bool { return held.Load() > 0 }, gatewaytest.MaxWait, time.Millisecond)
 	second := send("second")
 	require.Eventually(t, func() bool { return p.Forward.InFlight()[pf.Servers[0].ID] == 2 }, gatewaytest.MaxWait, time.Millisecond)
-	evacuate(t, pf, p, "zone-a", false)
+	change(pf, p)
 	close(gate)
 	require.Nil(t, <-first, "what runs there ends there")
 	err := <-second
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -420,7 +420,7 @@
 	if o.err = f.Bodies.acquire(ctx, call.Deadline, server.ID, len(call.Body)); o.err != nil {
 		return f.endUnsent(o, start)
 	}
-	if o.err = f.checkEvacuated(service, server.ID); o.err != nil {
+	if o.err = f.checkStillAllowed(&call, service, server.ID); o.err != nil {
 		f.Bodies.release(server.ID, len(call.Body))
 		return f.endUnsent(o, start)
 	}
--- a/gateway/forward/regions.go
+++ b/gateway/forward/regions.go
@@ -15,15 +15,18 @@
 // takes work.
 var refusedForRegions = metrics.Counter("forward_refused_for_regions_total")
 
-// regions returns the regions in which the call may be served now: those as of its arrival and
+// regions returns the regions in which the call may be served now.
+func (s *callState) regions() residency.Regions { return s.forwarder.regionsOf(&s.call) }
+
+// regionsOf returns the regions in which a call may be served now: those as of its arrival and
 // those of the current configuration, which may have changed since.
-func (s *callState) regions() residency.Regions {
-	t := s.forwarder.View.Current().Table
+func (f *Forwarder) regionsOf(call *Call) residency.Regions {
+	t := f.View.Current().Table
 	if t == nil {
-		return s.call.Regions
+		return call.Regions
 	}
-	path := cmp.Or(s.call.Path, s.call.Route.Prefix)
-	return residency.Binding(s.call.Regions, t.RegionsOf(s.call.Host, path, cmp.Or(s.call.OnBehalfOf, s.call.Organisation)))
+	path := cmp.Or(call.Path, call.Route.Prefix)
+	return residency.Binding(call.Regions, t.RegionsOf(call.Host, path, cmp.Or(call.OnBehalfOf, call.Organisation)))
 }
 
 // lacksRegion reports whether the call has allowed regions in which no server takes work.
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -125,7 +125,7 @@
 		return streamRefused, err
 	}
 	defer s.forwarder.Bodies.release(c.server.ID, len(s.call.Body))
-	if err := s.forwarder.checkEvacuated(s.service, c.server.ID); err != nil {
+	if err := s.forwarder.checkStillAllowed(&s.call, s.service, c.server.ID); err != nil {
 		return streamRefused, err
 	}
 	start := time.Now()
