--- a/decide/members/members.go
+++ b/decide/members/members.go
@@ -44,10 +44,10 @@
 // TakesWork reports whether new work may be sent to the server.
 func (s *Server) TakesWork() bool { return !s.Leaving && !s.Evacuated }
 
-// MayBeCold reports whether the server is cold by its entry, or its failure domain was taken back within
-// the time for which a server is cold.
-func (s *Server) MayBeCold(duration time.Duration, now time.Time) bool {
-	return now.Before(s.ColdUntil) || !s.BackSince.IsZero() && now.Sub(s.BackSince) < duration
+// IsCold reports whether the server counts as cold: by its entry, or because its failure domain was
+// taken back less than coldFor ago, which is how long a server is cold.
+func (s *Server) IsCold(now time.Time, coldFor time.Duration) bool {
+	return now.Before(s.ColdUntil) || !s.BackSince.IsZero() && now.Sub(s.BackSince) < coldFor
 }
 
 // backRamp is how long the servers of a failure domain that is taken back get only a part of their
--- a/gateway/forward/permits.go
+++ b/gateway/forward/permits.go
@@ -118,11 +118,11 @@
 		return avoid
 	}
 	s.hedgedElsewhere = true
-	servers, left := s.forwarder.View.Current().Servers[s.service], false
+	servers, regions, left := s.forwarder.View.Current().Servers[s.service], s.regions(), false
 	for i := range servers {
 		switch {
 		case !slices.Contains(s.askedDomains, servers[i].FailureDomain):
-			left = left || servers[i].TakesWork()
+			left = left || servers[i].TakesWork() && regions.Allows(servers[i].Region)
 		case !slices.Contains(s.asked, servers[i].ID):
 			avoid = append(avoid, servers[i].ID)
 		}
@@ -225,7 +225,7 @@
 	if known && isAllowed && server.TakesWork() && s.mayRepeat() && !s.isQuarantined() && (s.inFlight == 0 || !s.isSuspect()) {
 		c := choice{server: server, eligible: 1, listed: len(s.forwarder.View.Current().Servers[s.service]), reason: "permit: " + a.permit.Reason, permit: a.permit, asked: a.took}
 		if !a.permit.IsOwn {
-			c.grantedAt = time.Now().Add(-a.permit.Age)
+			c.grantedAt = time.Now().Add(-a.permit.Age())
 		}
 		if s.inFlight > 0 {
 			hedges.Add(1)
--- a/gateway/jobs/cold.go
+++ b/gateway/jobs/cold.go
@@ -140,7 +140,7 @@
 // share returns how many samples this process may send to an engine in any second, and whether the
 // engine is or may be cold.
 func (c *coldSamples) share(care *table.Cold, uses cold.Uses, server *members.Server, now time.Time) (int, bool) {
-	isCold := server.MayBeCold(care.Duration, now)
+	isCold := server.IsCold(now, care.Duration)
 	bound := cold.Bound{Rate: care.Rate, Excess: c.excess, Slack: c.slack}
 	if !c.standing.IsCurrent(boottime.Now()) {
 		return 0, isCold
@@ -154,7 +154,7 @@
 	if care == nil {
 		return
 	}
-	uses, byID := c.uses(service), make(map[string]*members.Server, len(servers))
+	byID, uses := make(map[string]*members.Server, len(servers)), c.uses(service)
 	for i := range servers {
 		byID[servers[i].ID] = &servers[i]
 	}
--- a/gateway/jobs/cold_test.go
+++ b/gateway/jobs/cold_test.go
@@ -58,7 +58,10 @@
 	left, _ = slots(r, servers, later)
 	require.Equal(t, free, left)
 
-	servers[0].BackSince = later
+	servers[0].Evacuated = true
+	slots(r, servers, later)
+	r.cold.limit("engines", nil, nil, 1, later) // samples that may run in another region only
+	servers[0].Evacuated, servers[0].BackSince = false, later
 	_, isCold = slots(r, servers, later)
 	require.True(t, isCold, "its failure domain is taken back")
 	_, isCold = slots(r, servers, later.Add(3*time.Second))
