soak: the operator evacuates failure domains during the faults

Lacked: no test with real processes put or removed the operator's record of an evacuation while processes, links and the store fail. Now servers are spread over two failure domains; the record of one stands from before the first process starts until a random moment of the faults, then others come and go, and the last outlasts the faults. Judged at the servers: no request that runs arrives in an evacuated failure domain 5 s after the acknowledgement, or 5 s after the last fault, where a process may have missed the record; at once, where the record is older than all processes. After the removal servers and engines there must serve again.

--- a/soak/crashing_test.go
+++ b/soak/crashing_test.go
@@ -39,15 +39,16 @@
 
 func newCrashingServers(sys *system) *crashingServers {
 	cs := &crashingServers{sys: sys, crashes: map[string]int{}}
-	for range crashingServerCount {
-		cs.servers = append(cs.servers, cs.start())
+	for i := range crashingServerCount {
+		cs.servers = append(cs.servers, cs.start(domainOf(i)))
 	}
 	return cs
 }
 
-func (cs *crashingServers) start() *hostedtest.Server {
+func (cs *crashingServers) start(domain string) *hostedtest.Server {
 	cs.started++
 	s := hostedtest.NewServer(fmt.Sprintf("d%d", cs.started), "mortal")
+	s.FailureDomain = domain
 	s.Fail(hostedtest.ServerFaults{CrashOn: crashPath})
 	cs.sys.t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
 	cs.sys.store.Put(hostedtest.TopicServers, s.ID, s.Entry("ready"))
@@ -82,7 +83,7 @@
 		}
 		cs.crashes[crashCause(s)]++
 		cs.sys.store.Drop(hostedtest.TopicServers, s.ID)
-		cs.servers[i] = cs.start()
+		cs.servers[i] = cs.start(s.FailureDomain)
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -60,7 +60,7 @@
 
 // Injects random, overlapping faults into the system: gateways and agents are killed,
 // suspended, stopped and sent SIGHUP, their connections are delayed, reset or lose
-// bytes, and the store and the servers are faulty. Meanwhile trainers and callers
+// bytes, and the store and the servers are faulty, and failure domains are evacuated. Meanwhile trainers and callers
 // check every answer against the guarantees. After the faults, all accepted work
 // must be completed.
 func TestSoak(t *testing.T) {
@@ -113,17 +113,22 @@
 	actors.Go(func() { newClient(sys, rec, seed, 40).sendLarge(ctx, "large") })
 	permitFaults := &injector{sys: sys, rng: rand.New(rand.NewPCG(seed, 98)), log: logFault}
 	actors.Go(func() { permitFaults.runPermitFaults(ctx) })
+	operator := &injector{sys: sys, rng: rand.New(rand.NewPCG(seed, 97)), log: logFault}
+	actors.Go(func() { operator.runEvacuations(ctx) })
 	in := &injector{sys: sys, rng: rand.New(rand.NewPCG(seed, 99)), log: logFault}
 	in.run(ctx)
 	actors.Wait()
 	sys.clearFaults()
+	calmSince := time.Now()
 	sys.startLeaving()
 	sys.waitForResults(rec, seed)
 	sys.crashing.verifyQuarantine(rec, seed, uris)
+	sys.endEvacuation(rec, seed, calmSince)
 	sys.waitServing(rec, seed)
 	overload := sys.verifyOverload(rec, seed)
 	sys.waitForKeys(rec, seed)
 	sys.verifyUsage(rec)
+	sys.verifyEvacuations(rec, calmSince)
 	sys.verifyRecord(rec)
 	peak := sys.verifyMemory(rec)
 	sys.stopAll()
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -58,6 +58,7 @@
 	agentProcs   []*process
 	duties       *hostedtest.Duties
 	config       atomic.Int64 // version of the newest configuration
+	evacuations  evacuations
 }
 
 func newSystem(t *testing.T, dir string) *system {
@@ -68,12 +69,14 @@
 	for i := range engineCount {
 		e := hostedtest.NewEngine(fmt.Sprintf("e%d", i), "engines", modelName)
 		e.EventInterval, e.Events = 8*time.Millisecond, 60
+		e.FailureDomain = domainOf(i)
 		sys.engines = append(sys.engines, e)
 		sys.addServer(e)
 	}
 	for i := range serviceCount {
 		s := hostedtest.NewServer(fmt.Sprintf("p%d", i), plainService)
 		s.Slots, s.MaxQueue, s.WorkTime = serviceSlots, serviceQueue, serviceWorkTime
+		s.FailureDomain = domainOf(i)
 		sys.services = append(sys.services, s)
 		sys.addServer(s)
 	}
@@ -84,6 +87,7 @@
 	for i := range engineCount {
 		sys.agentProcs = append(sys.agentProcs, sys.newAgent(fmt.Sprintf("a%d", i), sys.engines[i].AdvertisedAddr))
 	}
+	sys.evacuate(failureDomains[1], true)
 	for _, p := range sys.processes() {
 		p.start(t)
 	}
