gateway/forward: property of regions, evacuations, cold servers and cuts together

Lacked: the random tests covered one of allowed regions, lost brokers and evacuated domains at a time. Now scripts change allowed regions of route and organisation, evacuate failure domains and take them back, make servers cold, cut gateways off from the broker and the store, and send with and without a broker. Checked at the servers: each request reaches only those that a state of the store allows which its gateway may have had; a server of a service with cold servers gets no more in any second than it takes; what was answered as not run has not run; unsafe requests ran once at most.

--- a/gateway/forward/fleet_test.go
+++ b/gateway/forward/fleet_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -48,6 +50,7 @@
 type gateway struct {
 	forward *forward.Forwarder
 	view    *view.View
+	feeds   *feedReader
 	broker  *permits.Server
 	stop    context.CancelFunc // of its client for permits
 
@@ -77,6 +80,31 @@
 	servers []members.Server
 	// regions are the allowed regions of the routes, ofOrganisation those of the organisation "o".
 	regions, ofOrganisation residency.Regions
+	cold                    *table.Cold                // of the service
+	evacuations             map[string]platform.Change // newest record by failure domain
+}
+
+// feedReader is a gateway's way to the store.
+type feedReader struct {
+	*feeds
+	isCut atomic.Bool // it reads nothing
+}
+
+// Snapshot implements platform.Feeds.
+func (r *feedReader) Snapshot(ctx context.Context, feed platform.Feed) (platform.FeedPage, error) {
+	if r.isCut.Load() {
+		return platform.FeedPage{}, errors.New("connection refused")
+	}
+	return r.feeds.Snapshot(ctx, feed)
+}
+
+// Changes implements platform.Feeds.
+func (r *feedReader) Changes(ctx context.Context, feed platform.Feed, from uint64, wait time.Duration) (platform.FeedPage, error) {
+	page, err := r.feeds.Changes(ctx, feed, from, wait)
+	if r.isCut.Load() {
+		return platform.FeedPage{}, errors.New("connection reset")
+	}
+	return page, err
 }
 
 // read returns the whole state as a page.
@@ -85,7 +113,7 @@
 	defer f.mu.Unlock()
 	page := platform.FeedPage{Next: f.version}
 	if feed == platform.FeedOperator {
-		page.Changes = []platform.Change{{Table: f.table()}}
+		page.Changes = append(slices.Collect(maps.Values(f.evacuations)), platform.Change{Table: f.table()})
 		return page
 	}
 	for _, s := range f.servers {
@@ -125,6 +153,9 @@
 // table returns the current configuration; f.mu is held.
 func (f *feeds) table() *table.Table {
 	tb := newTable(f.version, f.shared, f.regions)
+	service := tb.Services["plain"]
+	service.Cold = f.cold
+	tb.Services["plain"] = service
 	if f.ofOrganisation.IsRestricted() {
 		tb.Organisations, _ = table.NewDirectory([]table.Organisation{{Name: "o", Regions: f.ofOrganisation}})
 	}
@@ -157,8 +188,27 @@
 }
 
 func newFleet(t *testing.T, gateways, servers int) *fleet {
+	return newColdFleet(t, gateways, servers, nil)
+}
+
+// Bounds of what a server may get in one second that may be cold.
+const (
+	coldExcess = 1.5
+	coldSlack  = 3
+)
+
+func names(list []decide.Member) []string {
+	var names []string
+	for _, m := range list {
+		names = append(names, m.VM)
+	}
+	return names
+}
+
+// newColdFleet returns a fleet whose servers need care when they are cold; nil: none.
+func newColdFleet(t *testing.T, gateways, servers int, care *table.Cold) *fleet {
 	ctx, cancel := context.WithCancel(t.Context())
-	f := &fleet{t: t, ctx: ctx, feeds: feeds{version: 1, shared: true}, runs: runs{n: map[string]int{}}}
+	f := &fleet{t: t, ctx: ctx, feeds: feeds{version: 1, shared: true, cold: care, evacuations: map[string]platform.Change{}}, runs: runs{n: map[string]int{}}}
 	for i := range servers {
 		f.addServer("s" + strconv.Itoa(i))
 	}
@@ -185,7 +235,8 @@
 }
 
 func (f *fleet) addGateway(loops *sync.WaitGroup, self decide.Member, all []decide.Member) {
-	v := view.New(&f.feeds, zap.NewNop())
+	reader := &feedReader{feeds: &f.feeds}
+	v := view.New(reader, zap.NewNop())
 	v.Topology = topology.New(map[string]string{"zone-a": "a", "zone-b": "b", "zone-c": "c"})
 	pool := backend.NewPool(hosted.AttemptID)
 	pool.Dial = f.dial
@@ -196,11 +247,17 @@
 		Open: f.open, Now: func() time.Duration { return time.Since(started) }, Logger: zap.NewNop(),
 	})
 	ctx, stop := context.WithCancel(f.ctx)
-	g := &gateway{
-		forward: forward.New(v, pool, "zone-a", zap.NewNop()), view: v, stop: stop,
-		broker: permits.NewServer(permits.ServerConfig{Servers: listed, Logger: zap.NewNop(), NewBroker: func(string) permits.Broker {
+	g := &gateway{forward: forward.New(v, pool, "zone-a", zap.NewNop()), view: v, feeds: reader, stop: stop}
+	g.broker = permits.NewServer(permits.ServerConfig{
+		Servers: listed, Logger: zap.NewNop(), NewBroker: func(string) permits.Broker {
 			return decide.New(decide.DefaultConfig(), evidence.New(evidence.Default))
-		}}),
+		},
+		Grants: func(server *members.Server, _ string, _ int, now time.Time) (int, bool) {
+			return g.forward.BrokerGrants(server, false, now)
+		},
+	})
+	if f.feeds.cold != nil {
+		g.forward.UseColdBounds(coldExcess, coldSlack, self.VM, func() []string { return names(all) })
 	}
 	g.forward.UsePermits(client, patience)
 	loops.Go(func() { v.Run(f.ctx) })
--- a/gateway/forward/regions_test.go
+++ b/gateway/forward/regions_test.go
@@ -32,8 +32,8 @@
 
 // arrival is a request at a server.
 type arrival struct {
-	id, region string
-	at         time.Time
+	id, region, server string
+	at                 time.Time
 }
 
 // spread is a fleet with servers in the regions a, b and c.
@@ -46,11 +46,14 @@
 	arrivals []arrival
 }
 
-func newSpread(t *testing.T, shared bool) *spread {
-	s := &spread{fleet: newFleet(t, 2, 6)}
+func newSpread(t *testing.T, shared bool) *spread { return spreadOut(newFleet(t, 2, 6), shared) }
+
+// spreadOut puts the servers of a fleet into the regions in turn.
+func spreadOut(f *fleet, shared bool) *spread {
+	s := &spread{fleet: f}
 	for i, server := range s.servers {
 		zone := []string{"a", "b", "c"}[i%3]
-		server.arrived = func(id string) { s.record(id, zone) }
+		server.arrived = func(id string) { s.record(id, zone, server.entry.ID) }
 		server.entry.FailureDomain = "zone-" + zone
 	}
 	s.feeds.change(func() {
@@ -64,10 +67,10 @@
 	return s
 }
 
-func (s *spread) record(id, region string) {
+func (s *spread) record(id, region, server string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.arrivals = append(s.arrivals, arrival{id, region, time.Now()})
+	s.arrivals = append(s.arrivals, arrival{id, region, server, time.Now()})
 }
 
 // regionsOf returns the regions of the servers that a request arrived at, in order.
@@ -90,9 +93,12 @@
 
 func (s *spread) call(id string) forward.Call { return s.callTo("score", id) }
 
-func (s *spread) callTo(route, id string) forward.Call {
+func (s *spread) callTo(route, id string) forward.Call { return s.callAt(0, route, id) }
+
+// callAt returns a call that arrives at a gateway now.
+func (s *spread) callAt(gateway int, route, id string) forward.Call {
 	path := "/" + route + "/" + id
-	tb := s.gateways[0].view.Current().Table
+	tb := s.gateways[gateway].view.Current().Table
 	return forward.Call{
 		Route: tb.Match("app.example", path), ID: id, Method: http.MethodPost, URI: path, Path: path, Host: "app.example", Organisation: "o",
 		Regions: tb.RegionsOf("app.example", path, "o"), Header: http.Header{hostedtest.HeaderAttempt: {id}}, Body: []byte("x"), Deadline: time.Now().Add(time.Second),
