gateway/forward: the first broker of the random fleet grants its whole part

As in a gateway, the broker that is first in rank with a fresh view grants the larger part at servers that may be cold.

--- a/gateway/forward/fleet_test.go
+++ b/gateway/forward/fleet_test.go
@@ -252,8 +252,9 @@
 		Servers: listed, Logger: zap.NewNop(), NewBroker: func(string) permits.Broker {
 			return decide.New(decide.DefaultConfig(), evidence.New(evidence.Default))
 		},
-		Grants: func(server *members.Server, _ string, _ int, now time.Time) (int, bool) {
-			return g.forward.BrokerGrants(server, false, now)
+		Grants: func(server *members.Server, region string, shard int, now time.Time) (int, bool) {
+			isSole := v.IsFresh() && decide.Ranked(server.Service, region, shard, all)[0].VM == self.VM
+			return g.forward.BrokerGrants(server, isSole, now)
 		},
 	})
 	if f.feeds.cold != nil {
