--- a/soak/evacuations_test.go
+++ b/soak/evacuations_test.go
@@ -22,6 +22,9 @@
 	evacuationBound = 5 * time.Second
 	// heldTime is how long the evacuation that outlasts the faults is judged under load.
 	heldTime = 2 * time.Second
+	// backCallers send at the same time, more than one server has places for: an idle service sends
+	// all to the server that has been the fastest.
+	backCallers = 5 * serviceSlots
 	// backTime is how long the servers of a failure domain have to serve again.
 	backTime = 20 * time.Second
 )
@@ -95,10 +98,12 @@
 	require.Eventually(sys.t, func() bool {
 		n++
 		sys.runJob(rec, seed, uint64(7100+n), fmt.Sprintf("back%d", n))
-		c := newClient(sys, rec, seed, uint64(8000+n))
-		for _, g := range sys.gatewayProcs {
-			c.ask(context.Background(), g, "POST", "/score/x", fmt.Sprintf("back-%s-%d", g.name, n), nil)
+		var callers sync.WaitGroup
+		for i := range backCallers {
+			c, g := newClient(sys, rec, seed, uint64(8000+n)), sys.gatewayProcs[i%gatewayCount]
+			callers.Go(func() { c.ask(context.Background(), g, "POST", "/score/x", fmt.Sprintf("back-%d-%d", n, i), nil) })
 		}
+		callers.Wait()
 		return hasServed(sys.services, domain, back) && hasServed(sys.engines, domain, back)
 	}, backTime, 20*time.Millisecond, "%s does not serve again", domain)
 }
