gateway/jobs, decide/cold: an owner without work says so and soon doesn't count

Now records say before which offset their writer has read all and runs nothing; whoever reads that lets it count for one more second, beside its new place if it gets work again. Written only where engines need care. Ruled out: less time until expiry (an owner that lags sends for 10 s). A test of an owner that stays slow beside one without work fails before.

--- a/decide/cold/senders.go
+++ b/decide/cold/senders.go
@@ -1,6 +1,9 @@
 package cold
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// senderExpiry is how long after its last record, or after it last had work, a process still
@@ -37,6 +40,14 @@
 // of the shares of those ranks that neither the known processes nor the newcomers can have.
 type Senders struct {
 	byProcess map[string]*sender
+	// ended are those that send nothing any more, while what they have sent last still counts.
+	ended []endedSender
+}
+
+type endedSender struct {
+	process string
+	since   uint64
+	until   time.Time
 }
 
 type sender struct {
@@ -44,7 +55,7 @@
 	incarnation                 string
 	enteredAt, heardAt, ownedAt time.Time
 	enteredAfter                time.Time // it entered later than this
-	hasEnded                    bool      // a later incarnation has been heard, which has had no work
+	gaveAt                      uint64    // position of the last record that gave it work
 }
 
 // NewSenders returns a list without processes.
@@ -53,11 +64,11 @@
 // Enter records that the record at a position, which was appended after the given time, gave an
 // incarnation of a process work.
 func (s *Senders) Enter(process, incarnation string, position uint64, after, now time.Time) {
-	if e := s.byProcess[process]; e != nil && !e.hasEnded {
-		e.heardAt, e.ownedAt, e.incarnation = now, now, incarnation
+	if e := s.byProcess[process]; e != nil {
+		e.heardAt, e.ownedAt, e.incarnation, e.gaveAt = now, now, incarnation, position
 		return
 	}
-	s.byProcess[process] = &sender{since: position, incarnation: incarnation, enteredAt: now, heardAt: now, ownedAt: now, enteredAfter: after}
+	s.byProcess[process] = &sender{since: position, gaveAt: position, incarnation: incarnation, enteredAt: now, heardAt: now, ownedAt: now, enteredAfter: after}
 }
 
 // Heard records that the record at a position, which was appended after the given time, is of an
@@ -67,14 +78,13 @@
 func (s *Senders) Heard(process, incarnation string, position uint64, after, now time.Time, hasWork func() bool) {
 	e := s.byProcess[process]
 	switch {
-	case e == nil || e.hasEnded:
+	case e == nil:
 		if hasWork() {
 			s.Enter(process, incarnation, position, after, now)
 		}
 		return
 	case e.incarnation != incarnation && !hasWork():
-		e.hasEnded = true
-		e.heardAt = now.Add(Second - senderExpiry)
+		s.end(process, now)
 		return
 	}
 	e.heardAt, e.incarnation = now, incarnation // one that has had work may not know that it has none now
@@ -83,6 +93,20 @@
 	}
 }
 
+// Idle records that an incarnation of a process sends nothing by records before a position. If none has
+// given it work since, what it has sent soon doesn't count any more.
+func (s *Senders) Idle(process, incarnation string, before uint64, now time.Time) {
+	if e := s.byProcess[process]; e != nil && e.incarnation == incarnation && e.gaveAt < before {
+		s.end(process, now)
+	}
+}
+
+// end lets a process count for as long as what it has sent last, also if it enters again meanwhile.
+func (s *Senders) end(process string, now time.Time) {
+	s.ended = append(s.ended, endedSender{process: process, since: s.byProcess[process].since, until: now.Add(Second)})
+	delete(s.byProcess, process)
+}
+
 // Leave removes a process, which enters again with the next record that gives it work.
 func (s *Senders) Leave(process string) { delete(s.byProcess, process) }
 
@@ -143,6 +167,17 @@
 			p.Newcomers++
 		}
 	}
+	s.ended = slices.DeleteFunc(s.ended, func(e endedSender) bool { return !asOf.Before(e.until) })
+	for _, e := range s.ended {
+		if e.process == process {
+			continue
+		}
+		p.Known++
+		if e.since <= since {
+			p.Rank++
+			p.IsFirst = false
+		}
+	}
 	return p
 }
 
--- a/decide/cold/senders_test.go
+++ b/decide/cold/senders_test.go
@@ -15,6 +15,7 @@
 	life   string // incarnation of the writer
 	gives  string // process that gets work; empty: none
 	ends   string // process that has no more work
+	idle   int    // its writer sends nothing by records before this one; 0: not told
 }
 
 // sharedLog is a log that processes read in order, some of them late.
@@ -50,6 +51,7 @@
 		if r.ends != "" {
 			delete(p.working, r.ends)
 		}
+		p.senders.Idle(r.writer, r.life, uint64(r.idle), at)
 		p.senders.Heard(r.writer, r.life, position, after, at, func() bool { return p.working[r.writer] })
 	}
 	p.readAt = now
@@ -58,6 +60,9 @@
 // tell appends a record of the process.
 func (p *process) tell(log *sharedLog, r record, now time.Duration) {
 	r.writer, r.life = p.name, p.life
+	if !p.working[p.name] {
+		r.idle = p.next
+	}
 	log.records = append(log.records, r)
 	p.standing.Told(now, uint64(len(log.records)-1))
 }
@@ -289,3 +294,27 @@
 	other.read(log, 7*time.Second)
 	require.Equal(t, Shares(24)[0], other.step(24, 7*time.Second))
 }
+
+// Guards against an owner whose steps are slow for 20 s because owners that had one step each, and have
+// nothing to do, keep their part of the shares.
+func TestOwnerWithoutWorkSoonDoesNotCount(t *testing.T) {
+	log, first, second := &sharedLog{}, newProcess("vm-0", 0), newProcess("vm-1", 0)
+	first.tell(log, record{gives: first.name}, 2*time.Second)
+	second.tell(log, record{gives: second.name}, 2*time.Second)
+	second.read(log, 2*time.Second)
+	require.Equal(t, Shares(24)[1], second.step(24, 2*time.Second))
+	second.tell(log, record{ends: first.name}, 3*time.Second)
+	first.tell(log, record{}, 4*time.Second) // it has not read that its work is over
+	second.read(log, 4*time.Second)
+	require.Equal(t, Shares(24)[1], second.step(24, 4*time.Second))
+	first.read(log, 5*time.Second)
+	first.tell(log, record{}, 5*time.Second)
+	second.read(log, 5*time.Second)
+	require.Equal(t, Shares(24)[1], second.step(24, 5500*time.Millisecond), "what it has sent within the last second counts")
+	second.tell(log, record{}, 7*time.Second)
+	second.read(log, 7*time.Second)
+	require.Equal(t, Shares(24)[0], second.step(24, 7*time.Second))
+	first.tell(log, record{gives: first.name}, 8*time.Second)
+	first.read(log, 8*time.Second)
+	require.Equal(t, Shares(24)[1], first.step(24, 8*time.Second), "it has entered again")
+}
--- a/fold/jobs/record.go
+++ b/fold/jobs/record.go
@@ -142,14 +142,17 @@
 	Releases   []string    `json:"r,omitempty"`  // ids of jobs that their owner releases
 	Leaving    bool        `json:"lv,omitempty"` // the writer takes no more jobs
 	Capacity   int         `json:"cp,omitempty"` // items that the writer can run; 0: not reported
-	Starts     []Start     `json:"st,omitempty"`
-	Results    []Result    `json:"rs,omitempty"`
-	Ends       []string    `json:"e,omitempty"` // ids of jobs that their trainer ended
-	Engines    []Engine    `json:"en,omitempty"`
+	// IdleBefore means that the writer sends no samples of jobs that were given to it before this offset;
+	// 0: not reported.
+	IdleBefore uint64   `json:"ib,omitempty"`
+	Starts     []Start  `json:"st,omitempty"`
+	Results    []Result `json:"rs,omitempty"`
+	Ends       []string `json:"e,omitempty"` // ids of jobs that their trainer ended
+	Engines    []Engine `json:"en,omitempty"`
 }
 
 // IsEmpty reports whether the record contains no updates. An empty record is a
-// heartbeat of its writer. Capacity is not an update.
+// heartbeat of its writer. Capacity and IdleBefore are no updates.
 func (r *Record) IsEmpty() bool {
 	return r.Acceptance == nil && !r.Leaving && len(r.Claims)+len(r.Releases)+len(r.Starts)+len(r.Results)+len(r.Ends)+len(r.Engines) == 0
 }
--- a/gateway/jobs/cold.go
+++ b/gateway/jobs/cold.go
@@ -26,7 +26,7 @@
 )
 
 // recordSenders records which processes may send samples, by the record at an offset; mu is held.
-func (x *Index) recordSenders(offset uint64, writer jobs.Writer, change *jobs.Change, now time.Time) {
+func (x *Index) recordSenders(offset uint64, r *jobs.Record, change *jobs.Change, now time.Time) {
 	for _, changed := range [][]string{change.Accepted, change.Owned} {
 		for _, id := range changed {
 			if j := x.state.Jobs[id]; j != nil && !j.Released {
@@ -34,7 +34,8 @@
 			}
 		}
 	}
-	x.senders.Heard(writer.VM, writer.Incarnation, offset, x.asOf, now, func() bool { return x.hasOpenJob(writer.VM) })
+	x.senders.Idle(r.Writer.VM, r.Writer.Incarnation, r.IdleBefore, now)
+	x.senders.Heard(r.Writer.VM, r.Writer.Incarnation, offset, x.asOf, now, func() bool { return x.hasOpenJob(r.Writer.VM) })
 }
 
 // hasOpenJob reports whether a process of the VM owns a job that is open; mu is held.
@@ -53,6 +54,7 @@
 	standing      cold.Standing
 	place         cold.Place // among the processes that send samples
 	shownRank     atomic.Int64
+	idleBefore    atomic.Uint64 // IdleBefore of this process's next record
 	log           *zap.Logger
 
 	toldMu sync.Mutex // guards standing, which the outbox tells
@@ -66,6 +68,7 @@
 	c.runner, c.excess, c.sends = r, 1, cold.NewSends(time.Now())
 	c.log = logs.Limited(r.zlog, withheldLogInterval)
 	metrics.Gauge("jobs_cold_rank", func() any { return c.shownRank.Load() })
+	r.out.idleBefore = c.idleBefore.Load
 	r.out.onAppended = func(sentAt time.Duration, offset uint64) {
 		c.toldMu.Lock()
 		defer c.toldMu.Unlock()
@@ -77,6 +80,15 @@
 // at which cold engines take requests. It must be called before Run.
 func (r *Runner) SetColdBounds(excess, slack float64) { r.cold.excess, r.cold.slack = excess, slack }
 
+// recordIdle records whether this process runs and loads nothing as of all records before an offset, so
+// that the others need not count it.
+func (c *coldSamples) recordIdle(isIdle bool, before uint64) {
+	if !isIdle || !c.needsCare() {
+		before = 0
+	}
+	c.idleBefore.Store(before)
+}
+
 // check determines this process's rank.
 func (c *coldSamples) check(now time.Time) {
 	if !c.needsCare() {
--- a/gateway/jobs/index.go
+++ b/gateway/jobs/index.go
@@ -278,7 +278,7 @@
 		x.engineReportedAt[jobs.EngineKey{Server: e.Server, Model: e.Model}] = now
 	}
 	change := x.state.Apply(rec.Offset, r)
-	x.recordSenders(rec.Offset, r.Writer, &change, now)
+	x.recordSenders(rec.Offset, r, &change, now)
 	if x.asOf.IsZero() {
 		return // past changes were logged when they happened
 	}
--- a/gateway/jobs/outbox.go
+++ b/gateway/jobs/outbox.go
@@ -71,6 +71,8 @@
 	// needsHeartbeat reports whether this process has to append heartbeats, and isCandidate
 	// whether it appends some while it is idle.
 	needsHeartbeat, isCandidate func() bool
+	// idleBefore returns the IdleBefore of records.
+	idleBefore func() uint64
 	// onTextAppended is called with each text that the log has stored.
 	onTextAppended func(textKey, string)
 
@@ -94,7 +96,7 @@
 
 func newOutbox(log Log, writer jobs.Writer, partitions int, needsHeartbeat func() bool, onTextAppended func(textKey, string), zlog *zap.Logger) *outbox {
 	o := &outbox{
-		log: log, zlog: zlog, retryLog: logs.Limited(zlog, retryLogInterval), writer: writer, partitions: max(1, partitions), needsHeartbeat: needsHeartbeat, isCandidate: func() bool { return true }, onTextAppended: onTextAppended,
+		log: log, zlog: zlog, retryLog: logs.Limited(zlog, retryLogInterval), writer: writer, partitions: max(1, partitions), needsHeartbeat: needsHeartbeat, isCandidate: func() bool { return true }, idleBefore: func() uint64 { return 0 }, onTextAppended: onTextAppended,
 		appenders: map[textPart]*partitionAppender{}, urgent: make(chan struct{}, 1),
 	}
 	metrics.Gauge("jobs_queued_append_bytes", func() any { return o.queuedBytes() })
@@ -251,7 +253,7 @@
 // encodeRecords splits r into records of a size that the log accepts.
 func (o *outbox) encodeRecords(r *jobs.Record) ([][]byte, error) {
 	s := &recordSplitter{writer: o.writer}
-	s.part = jobs.Record{Writer: o.writer, Capacity: o.capacity, Claims: r.Claims, Leaving: r.Leaving, Engines: r.Engines, Ends: r.Ends}
+	s.part = jobs.Record{Writer: o.writer, Capacity: o.capacity, Claims: r.Claims, Leaving: r.Leaving, Engines: r.Engines, Ends: r.Ends, IdleBefore: o.idleBefore()}
 	for _, start := range r.Starts {
 		s.part.Starts = append(s.part.Starts, start)
 		s.grow(entryOverheadBytes)
--- a/gateway/jobs/ownership.go
+++ b/gateway/jobs/ownership.go
@@ -13,8 +13,8 @@
 )
 
 // reconcileJobs takes the jobs that this process owns according to the log, drops all others,
-// and claims jobs whose owner is gone.
-func (r *Runner) reconcileJobs(ctx context.Context, now time.Time) {
+// and claims jobs whose owner is gone. It returns the offset before which it has seen all records.
+func (r *Runner) reconcileJobs(ctx context.Context, now time.Time) uint64 {
 	r.index.mu.Lock()
 	defer r.index.mu.Unlock()
 	clear(r.claimDelays)
@@ -45,6 +45,7 @@
 			r.claim(j, now)
 		}
 	})
+	return r.index.nextOffset
 }
 
 // shouldClaim reports whether this process should claim a job: its owner has released it, was an
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -194,7 +194,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	r.reconcileJobs(ctx, now)
+	asOf := r.reconcileJobs(ctx, now)
+	r.cold.recordIdle(len(r.active)+len(r.loading) == 0, asOf)
 	r.cold.check(now)
 	if len(r.active) == 0 {
 		return
