Lost failure domains are prepared for where the settings say that one may be lost

The detection of a cut domain, suspicion of domains, ranked claims and a first hedge elsewhere acted on every deployment, also on those whose sheet bears no lost domain: they are to be served as before. Setting [topology] lost_domains (rendered from the platform's fault tolerance) switches them on; ranked claims also where there are several regions, as they prefer the owner's.

--- a/gateway/forward/domain_test.go
+++ b/gateway/forward/domain_test.go
@@ -25,6 +25,7 @@
 	pf.Servers[0].Fail(hostedtest.ServerFaults{Unresponsive: true})
 	pf.Servers[1].Fail(hostedtest.ServerFaults{Unresponsive: true})
 	s := share(t, pf, fixedEvidence{limit: 100}, nil)
+	s.proc.Forward.BearsLostDomains = true
 	for i := range 30 {
 		reply, err := s.proc.Forward.Send(context.Background(), newCall(t, s.proc, fmt.Sprint("r", i), "/score/x"))
 		require.Nil(t, err)
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -126,6 +126,8 @@
 	// Bodies bounds the bodies that one server holds; nil: nothing does.
 	Bodies *ServerBodies
 	Reach  *reach.Monitor // tells when this process is cut off; nil: never
+	// BearsLostDomains makes the first hedge of a request leave the failure domains that are silent.
+	BearsLostDomains bool
 
 	domain      string
 	log         *zap.Logger
--- a/gateway/forward/permits.go
+++ b/gateway/forward/permits.go
@@ -110,11 +110,11 @@
 const maxAvoidedServers = 64
 
 // avoid returns the servers that the next attempt must not go to: those asked before, and for the
-// first hedge all of the failure domains that are silent, so that a request is not sent twice into
-// a domain that is cut off. It names no domains if no server would be left.
+// first hedge all of the failure domains that are silent if whole ones may be lost, so that a request is
+// not sent twice into a domain that is cut off. It names no domains if no server would be left.
 func (s *callState) avoid(isHedge bool) []string {
 	avoid := slices.Clone(s.asked)
-	if !isHedge || s.inFlight == 0 || s.hedgedElsewhere {
+	if !s.forwarder.BearsLostDomains || !isHedge || s.inFlight == 0 || s.hedgedElsewhere {
 		return avoid
 	}
 	s.hedgedElsewhere = true
--- a/gateway/jobs/domain_test.go
+++ b/gateway/jobs/domain_test.go
@@ -24,7 +24,7 @@
 	var entries []*entry
 	for i, self := range members {
 		others := append(append([]fanout.Member{}, members[:i]...), members[i+1:]...)
-		n := &jobs.Neighbours{Self: self, Others: func() []fanout.Member { return others }, Regions: regions}
+		n := &jobs.Neighbours{Self: self, Others: func() []fanout.Member { return others }, Regions: regions, LostDomains: 1}
 		p, writer := pf.NewProcess(t), fold.Writer{VM: self.VM, Incarnation: "1"}
 		e := &entry{Process: p, index: jobs.NewIndex(p.Store, zap.NewNop())}
 		e.service = jobs.NewService(e.index, p.Store, writer, 3, 600, zap.NewNop())
--- a/gateway/jobs/neighbours.go
+++ b/gateway/jobs/neighbours.go
@@ -15,6 +15,17 @@
 	// Others returns all other gateways.
 	Others  func() []fanout.Member
 	Regions *topology.Topology
+	// LostDomains is how many failure domains may be lost at the same time; 0: the loss of a whole one is
+	// not prepared for.
+	LostDomains int
+}
+
+// bearsLostDomains reports whether the loss of a whole failure domain is prepared for.
+func (n *Neighbours) bearsLostDomains() bool { return n != nil && n.LostDomains > 0 }
+
+// ranksClaims reports whether lost owners' jobs are claimed in an order that regards places.
+func (n *Neighbours) ranksClaims() bool {
+	return n.bearsLostDomains() || n.regions().HasSeveralRegions()
 }
 
 // domainOf returns the failure domain of a gateway's VM; empty: unknown.
--- a/gateway/jobs/ownership.go
+++ b/gateway/jobs/ownership.go
@@ -113,7 +113,7 @@
 // everything that it runs. With a delay drawn for each job, six steps went to five processes,
 // which competed for slots and each had to learn the pace of every engine again. index.mu is held.
 func (r *Runner) takeOverDelay(owner jobs.Writer, now time.Time) time.Duration {
-	if r.neighbours != nil {
+	if r.neighbours.ranksClaims() {
 		delay, known := r.claimDelays[owner]
 		if !known {
 			recent := r.index.recentWriters(now)
--- a/gateway/jobs/placing.go
+++ b/gateway/jobs/placing.go
@@ -239,7 +239,7 @@
 		usable[s.ID] = s
 		load := own[s.ID] + others[s.ID]
 		e := place.Engine{ID: s.ID, Slots: r.probation.Slots(s.ID, s.SlotsAt(now), load, own[s.ID]), Load: load, Pace: paces[s.ID]}
-		e.Cost = place.Cost(r.neighbours.regions().Distance(r.neighbours.domain(), s.FailureDomain), r.domains.IsSuspect(s.FailureDomain, now))
+		e.Cost = place.Cost(r.neighbours.regions().Distance(r.neighbours.domain(), s.FailureDomain), r.neighbours.bearsLostDomains() && r.domains.IsSuspect(s.FailureDomain, now))
 		e.Versions, e.Loading = r.versions(s, now)
 		out = append(out, e)
 	}
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -96,10 +96,13 @@
 	index.Texts.SetPeers(peers.Addr)
 	index.SetPlaces(newPlaces(v.Topology, peers, cfg.Process.FailureDomain))
 	limitRelays(store, v.Topology, peers)
-	monitor := reach.New(reach.Config{FailureDomain: self.FailureDomain, Peers: peers.Members, SinceAnswer: followed.sinceAnswer, Logger: logs.Part(log, "reach")})
-	ready.reach, handler.Reach, forwarder.Reach = monitor, monitor, monitor
+	var monitor *reach.Monitor
+	if cfg.Topology.LostDomains > 0 {
+		monitor = reach.New(reach.Config{FailureDomain: self.FailureDomain, Peers: peers.Members, SinceAnswer: followed.sinceAnswer, Logger: logs.Part(log, "reach")})
+	}
+	ready.reach, handler.Reach, forwarder.Reach, forwarder.BearsLostDomains = monitor, monitor, monitor, monitor != nil
 	handler.Jobs.SetReach(monitor)
-	neighbours := &gatewayjobs.Neighbours{Self: self, Others: peers.Members, Regions: regions}
+	neighbours := &gatewayjobs.Neighbours{Self: self, Others: peers.Members, Regions: regions, LostDomains: cfg.Topology.LostDomains}
 	handler.Jobs.SetNeighbours(neighbours)
 	runner.SetNeighbours(neighbours)
 	index.Texts.SetNeighbours(neighbours)
@@ -122,7 +125,9 @@
 	permits.run(ctx, loops.Go)
 	scaling.run(ctx, loops.Go)
 	loops.Go(func() { peers.Run(ctx) })
-	loops.Go(func() { monitor.Run(ctx) })
+	if monitor != nil {
+		loops.Go(func() { monitor.Run(ctx) })
+	}
 	loops.Go(func() { v.Run(ctx) })
 	loops.Go(func() { v.RunCopies(ctx, processCount) })
 	loops.Go(func() { forwarder.Quarantine.Run(ctx) })
--- a/gateway/server/settings.go
+++ b/gateway/server/settings.go
@@ -25,6 +25,8 @@
 // Topology holds where the deployment's failure domains are.
 type Topology struct {
 	Regions []string `ini:"topology.regions" help:"region of each failure domain, as FAILURE_DOMAIN:REGION; empty: not told, and distances between regions are not considered"`
+	// LostDomains switches on what prepares for the loss of a whole failure domain.
+	LostDomains int `ini:"topology.lost_domains" default:"0" min:"0" max:"1000" help:"failure domains that may be lost at the same time; 0: the loss of a whole one is not prepared for"`
 }
 
 // parse returns the topology. The settings have been validated.
