--- a/gateway/jobs/lost_domains_test.go
+++ b/gateway/jobs/lost_domains_test.go
@@ -16,7 +16,9 @@
 func TestClaimsAreRankedOnlyWhereDomainsMayBeLostOrRegionsAreSeveral(t *testing.T) {
 	several := topology.New(map[string]string{"a": "east", "b": "west"})
 	one := topology.New(map[string]string{"a": "east", "b": "east"})
-	others := func() []fanout.Member { return []fanout.Member{{VM: "vm1", FailureDomain: "b"}, {VM: "vm2", FailureDomain: "b"}} }
+	others := func() []fanout.Member {
+		return []fanout.Member{{VM: "vm1", FailureDomain: "b"}, {VM: "vm2", FailureDomain: "b"}}
+	}
 	owner := jobs.Writer{VM: "vm2", Incarnation: "1"}
 	delayWith := func(n *Neighbours) time.Duration {
 		r := &Runner{writer: jobs.Writer{VM: "vm0"}, neighbours: n, index: &Index{lastRecordAt: map[jobs.Writer]time.Time{}}, claimDelays: map[jobs.Writer]time.Duration{}}
