One reading of a service's care for cold servers, and of a peer's call

gateway/forward and gateway/jobs each read what cold servers of a service need out of the table, with checks of their own for a table or service that is not there: table.ColdOf does both now. Three handlers of calls for texts and bodies decoded them in the same lines: decodeCall. Two conditions with the same result are one, twice in gateway/forward; a comment of decide/fanout is wrapped. Behaviour is as before. Checked: tests of decide/table, decide/cold, decide/fanout, gateway/forward, jobs, server; hack/lint.

--- a/decide/fanout/fanout.go
+++ b/decide/fanout/fanout.go
@@ -2,11 +2,12 @@
 // of them follow. If every process read them from the log, its bandwidth would have to grow with
 // the square of the fleet: the number of readers times the entries that all servers write.
 //
-// The gateways of each failure domain form a tree, or those of each region that is far from the log. A few roots read from the log; every other
-// process reads from its parent, which serves the records it has read itself. Each process
-// derives the tree from the list of gateways and from the parents that have failed it, so that
-// processes need not agree: a parent always ranks before its children, whatever else they believe
-// to have failed, so that no cycle exists. The package does no I/O and reads no clock.
+// The gateways of each failure domain form a tree, or those of each region that is far from the
+// log. A few roots read from the log; every other process reads from its parent, which serves the
+// records it has read itself. Each process derives the tree from the list of gateways and from the
+// parents that have failed it, so that processes need not agree: a parent always ranks before its
+// children, whatever else they believe to have failed, so that no cycle exists. The package does no
+// I/O and reads no clock.
 package fanout
 
 import (
--- a/decide/table/table.go
+++ b/decide/table/table.go
@@ -177,6 +177,14 @@
 	return t, nil
 }
 
+// ColdOf returns what cold servers of a service need; nil: no care, or there is no table or service.
+func (t *Table) ColdOf(service string) *Cold {
+	if t == nil {
+		return nil
+	}
+	return t.Services[service].Cold
+}
+
 func (t *Table) validate(r *Route) error {
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
 		return errors.Errorf("prefix %q does not start and end with a slash", r.Prefix)
--- a/gateway/forward/cold.go
+++ b/gateway/forward/cold.go
@@ -58,11 +58,7 @@
 	if c.view == nil {
 		return nil
 	}
-	t := c.view.Current().Table
-	if t == nil {
-		return nil
-	}
-	return t.Services[service].Cold
+	return c.view.Current().Table.ColdOf(service)
 }
 
 // parts returns how the requests that a server takes in any second are split; false: it needs no
--- a/gateway/forward/failures.go
+++ b/gateway/forward/failures.go
@@ -14,10 +14,7 @@
 		s.lastFailure.reply.Failures = s.failures
 		return s.lastFailure.reply, nil, true
 	}
-	if s.isQuarantined() {
-		return nil, s.noServerError(), true
-	}
-	if s.mayHaveRun == 0 && s.lacksRegion() {
+	if s.isQuarantined() || s.mayHaveRun == 0 && s.lacksRegion() {
 		return nil, s.noServerError(), true
 	}
 	if s.mayHaveRun == 0 && s.refusal != nil {
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -357,12 +357,9 @@
 }
 
 // launch starts an attempt at another server, or asks for the permit that it needs. It
-// returns false if no server can be picked or the request is quarantined.
+// returns false if no server can be picked, none is in an allowed region, or the request is quarantined.
 func (s *callState) launch(ctx context.Context) bool {
-	if s.isQuarantined() {
-		return false
-	}
-	if s.lacksRegion() {
+	if s.isQuarantined() || s.lacksRegion() {
 		return false
 	}
 	if s.isShared() {
--- a/gateway/jobs/cold.go
+++ b/gateway/jobs/cold.go
@@ -141,12 +141,7 @@
 
 // careOf returns what servers of the service need; nil: no care.
 func (c *coldSamples) careOf(service string) *table.Cold {
-	if t := c.runner.view.Current().Table; t != nil {
-		if s, known := t.Services[service]; known {
-			return s.Cold
-		}
-	}
-	return nil
+	return c.runner.view.Current().Table.ColdOf(service)
 }
 
 // share returns how many samples this process may send to an engine in any second, and whether the
--- a/gateway/jobs/held_texts.go
+++ b/gateway/jobs/held_texts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -110,8 +109,7 @@
 // ServeHeldTexts returns texts to a peer that may not read them, from memory or the log.
 func (c *TextCache) ServeHeldTexts(w http.ResponseWriter, r *http.Request) {
 	var requested []requestedText
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCallBytes)).Decode(&requested); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !decodeCall(w, r, &requested) {
 		return
 	}
 	f := &textFill{cache: c}
@@ -173,8 +171,7 @@
 // ServeHeldItem returns the body of an item to a peer that may not read it.
 func (c *TextCache) ServeHeldItem(w http.ResponseWriter, r *http.Request) {
 	var wanted heldItem
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCallBytes)).Decode(&wanted); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !decodeCall(w, r, &wanted) {
 		return
 	}
 	if !c.mayRead(wanted.Ref.Regions) {
--- a/gateway/jobs/textcalls.go
+++ b/gateway/jobs/textcalls.go
@@ -144,11 +144,20 @@
 	return resp, nil
 }
 
+// decodeCall decodes the body of a peer's call. It returns false if it has answered that the body is
+// invalid.
+func decodeCall(w http.ResponseWriter, r *http.Request, value any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCallBytes)).Decode(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+	return err == nil
+}
+
 // ServeHTTP returns the texts that this process has in memory to a peer.
 func (c *TextCache) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var requested []requestedText
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCallBytes)).Decode(&requested); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !decodeCall(w, r, &requested) {
 		return
 	}
 	returned := make([]returnedText, 0, len(requested))
