--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,11 +1,10 @@
-// Case 3: a stream whose server falls silent is never answered, whatever its route's timeout.
+// Case 3: the fencing token of a restarted orders process is lower than before.
 package main
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"net/http"
-	"sync"
 	"time"
 
 	"dandelionsill.org/platform/hosted/hostedtest"
@@ -14,96 +13,97 @@
 )
 
 const (
-	engineCount = 8
-	streams     = 96
-	timeout     = 3000 * time.Millisecond // of the route
-	goal        = 1000 * time.Millisecond // of the route
-	patience    = 4 * goal                // a client leaves a stream without an event after that
-	slack       = 500 * time.Millisecond  // of the rule
-	deadline    = 10 * time.Second        // that clients state
+	zone     = "zone-b"
+	loadTime = 900 * time.Millisecond // of the pages' sheets
+	killAt   = 500 * time.Millisecond
+	downFor  = 500 * time.Millisecond
 )
 
+var models = []string{"m0", "m1"}
+
 func main() { lab.Run(run) }
 
 func run(l *lab.Lab, trouble bool) (bool, error) {
 	ctx := context.Background()
 	store := hostedtest.NewStore()
 	defer store.Close()
-	store.Put(hostedtest.TopicOperator, "config", config())
-	var servers []*hostedtest.Server
-	for i := range engineCount {
-		e := hostedtest.NewEngine(fmt.Sprintf("e%d", i), "engines", "m")
+	store.Put(hostedtest.TopicOperator, "config", hostedtest.Config(1))
+	engines := map[string]*hostedtest.Server{}
+	for i, domain := range []string{"zone-a", zone, "zone-c"} {
+		name := fmt.Sprintf("side-%d", i)
+		e := hostedtest.NewEngine(fmt.Sprintf("e%d", i), "engines", models...)
 		defer e.Close()
-		e.EventInterval, e.Events, e.Slots = 40*time.Millisecond, 20, 8
-		servers = append(servers, e)
+		e.FailureDomain, e.LoadTime = domain, loadTime
+		engines[name] = e
+		if err := startOrders(l, name, store, e); err != nil {
+			return false, err
+		}
 	}
 	stop := make(chan struct{})
 	defer close(stop)
-	go lab.Heartbeats(store, func() []*hostedtest.Server { return servers }, stop)
-	gateways, err := lab.StartGateways(ctx, l, store, 2)
-	if err != nil {
-		return false, err
+	go heartbeats(store, engines, stop)
+	side, engine := "side-1", engines["side-1"]
+	time.Sleep(2 * time.Second)
+
+	name := func(version int) {
+		for _, m := range models {
+			store.Put(hostedtest.TopicOperator, "version/"+m, map[string]any{"model": m, "version": version})
+		}
+		l.Note("version %d is named for %d models", version, len(models))
+	}
+	store.Evacuate(zone, false)
+	l.Note("the operator evacuates %s", zone)
+	time.Sleep(500 * time.Millisecond)
+	name(2)
+	time.Sleep(4 * time.Second)
+	name(3)
+	time.Sleep(4 * time.Second)
+	store.Evacuate(zone, true)
+	l.Note("the operator takes the evacuation of %s back", zone)
+	if !lab.Eventually(ctx, 10*time.Second, func() bool { return len(engine.Orders()) > 0 }) {
+		return false, errors.New("the engine of the zone got no order")
 	}
-	time.Sleep(time.Second)
 	if trouble {
-		servers[0].Fail(hostedtest.ServerFaults{Unresponsive: true})
-		l.Note("engine e0 accepts requests and stays silent")
+		time.Sleep(killAt)
+		l.Kill(side)
+		time.Sleep(downFor)
+		if err := startOrders(l, side, store, engine); err != nil {
+			return false, err
+		}
 	}
-
-	var mu sync.Mutex
-	unanswered, late, answered := 0, 0, 0
-	var clients sync.WaitGroup
-	for i := range streams {
-		clients.Go(func() {
-			id := fmt.Sprintf("stream-%d", i)
-			start := time.Now()
-			attempt, cancel := context.WithTimeout(ctx, patience)
-			defer cancel()
-			a := lab.Send(attempt, gateways[i%len(gateways)], http.MethodPost, "/talk/"+id, id, deadline, []byte("x"))
-			took := time.Since(start)
-			mu.Lock()
-			defer mu.Unlock()
-			l.Note("%s was sent at %s; status %d after %.3f s, %v", id, l.At(start), a.Status, took.Seconds(), a.Err)
-			if a.Status == http.StatusOK {
-				answered++
-			}
-			if took > timeout {
-				unanswered++
-			}
-			if took > timeout+slack {
-				late++
-			}
-		})
-		time.Sleep(8 * time.Millisecond)
+	if !lab.Eventually(ctx, 20*time.Second, func() bool { return len(engine.Orders()) >= len(models) }) {
+		return false, fmt.Errorf("the engine got %d orders instead of %d", len(engine.Orders()), len(models))
 	}
-	clients.Wait()
-	for _, a := range servers[0].Arrivals() {
-		l.Note("%s reached e0 at %s", a.ID, l.At(a.At))
+	broken, highest := false, uint64(0)
+	for _, o := range engine.Orders() {
+		l.Note("order at the engine of %s: holder %s, fence %d, model %s, version %d, expect %d", side, o.Holder, o.Fence, o.Model, o.Version, o.Expect)
+		if o.Fence < highest {
+			broken = true
+			l.Note("the fence %d is lower than %d before", o.Fence, highest)
+		}
+		highest = max(highest, o.Fence)
 	}
-	l.Note("%d of %d streams were answered whole; %d had no final answer at the route's timeout, %d none %v later", answered, streams, unanswered, late, slack)
-	return late >= 8 && 2*late > unanswered, nil
+	return broken, nil
 }
 
-// config returns the configuration of the stand-in with one more route, to the engines: its streams
-// may not be resumed.
-func config() map[string]any {
-	c := hostedtest.Config(1)
-	routes := c["routes"].([]map[string]any)
-	for _, r := range routes {
-		if r["name"] == "chat" {
-			talk := map[string]any{}
-			for field, value := range r {
-				talk[field] = value
-			}
-			talk["name"], talk["resumable"], talk["timeout_ms"], talk["goal_ms"] = "talk", false, timeout.Milliseconds(), goal.Milliseconds()
-			for field, value := range talk {
-				if value == "/chat/" {
-					talk[field] = "/talk/"
-				}
-			}
-			routes = append(routes, talk)
+func startOrders(l *lab.Lab, name string, store *hostedtest.Store, e *hostedtest.Server) error {
+	return l.Start(name, "dandelion-orders", fmt.Sprintf(
+		"[process]\nname = %s\nfailure_domain = %s\ngrace = 8s\nmetrics = %s\n[topology]\nregions = zone-a:r,zone-b:r,zone-c:r\n[store]\naddress = %s\nreads_per_s = 2000\n[engine]\naddress = %s\n",
+		name, e.FailureDomain, lab.FreeAddr(), store.Addr(), e.Addr()))
+}
+
+// heartbeats writes the entries of the engines, as each server does.
+func heartbeats(store *hostedtest.Store, engines map[string]*hostedtest.Server, stop <-chan struct{}) {
+	tick := time.NewTicker(1200 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		for _, e := range engines {
+			store.Put(hostedtest.TopicServers, e.ID, e.Entry("ready"))
+		}
+		select {
+		case <-stop:
+			return
+		case <-tick.C:
 		}
 	}
-	c["routes"] = routes
-	return c
 }
