--- a/review/3/main.go
+++ b/review/3/main.go
@@ -5,6 +5,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"dandelionsill.org/platform/hosted/hostedtest"
@@ -35,13 +37,13 @@
 		defer e.Close()
 		e.FailureDomain, e.LoadTime = domain, loadTime
 		engines[name] = e
-		if err := startOrders(l, name, store, e); err != nil {
+		if err := lab.StartOrders(l, name, store, e); err != nil {
 			return false, err
 		}
 	}
 	stop := make(chan struct{})
 	defer close(stop)
-	go heartbeats(store, engines, stop)
+	go lab.Heartbeats(store, func() []*hostedtest.Server { return slices.Collect(maps.Values(engines)) }, stop)
 	side, engine := "side-1", engines["side-1"]
 	time.Sleep(2 * time.Second)
 
@@ -67,7 +69,7 @@
 		time.Sleep(killAt)
 		l.Kill(side)
 		time.Sleep(downFor)
-		if err := startOrders(l, side, store, engine); err != nil {
+		if err := lab.StartOrders(l, side, store, engine); err != nil {
 			return false, err
 		}
 	}
@@ -85,25 +87,3 @@
 	}
 	return broken, nil
 }
-
-func startOrders(l *lab.Lab, name string, store *hostedtest.Store, e *hostedtest.Server) error {
-	return l.Start(name, "dandelion-orders", fmt.Sprintf(
-		"[process]\nname = %s\nfailure_domain = %s\ngrace = 8s\nmetrics = %s\n[topology]\nregions = zone-a:r,zone-b:r,zone-c:r\n[store]\naddress = %s\nreads_per_s = 2000\n[engine]\naddress = %s\n",
-		name, e.FailureDomain, lab.FreeAddr(), store.Addr(), e.Addr()))
-}
-
-// heartbeats writes the entries of the engines, as each server does.
-func heartbeats(store *hostedtest.Store, engines map[string]*hostedtest.Server, stop <-chan struct{}) {
-	tick := time.NewTicker(1200 * time.Millisecond)
-	defer tick.Stop()
-	for {
-		for _, e := range engines {
-			store.Put(hostedtest.TopicServers, e.ID, e.Entry("ready"))
-		}
-		select {
-		case <-stop:
-			return
-		case <-tick.C:
-		}
-	}
-}
--- a/review/lab/gateway.go
+++ b/review/lab/gateway.go
@@ -29,11 +29,20 @@
 // Start starts the gateway's process with settings like those that deploy/gateway.ini renders.
 func (g *Gateway) Start(l *Lab) error {
 	return l.Start(g.Name, "dandelion-gateway", fmt.Sprintf(
-		"[process]\nname = %s\nfailure_domain = zone-a\ngrace = 8s\nmetrics = %s\n[topology]\nregions = zone-a:r\n[store]\naddress = %s\nparts = 12\nreads_per_s = 2000\n"+
+		"[process]\nname = %s\nfailure_domain = zone-a\ngrace = 8s\nmetrics = %s\n[topology]\nregions = zone-a:r,zone-b:r,zone-c:r\n[store]\naddress = %s\nparts = 12\nreads_per_s = 2000\n"+
 			"[listen]\ncallers = %s\nready = %s\npeers = %s\n[permits]\nlisten = %s\n[vm]\ncpu_share = 0.8\nlink_mbps = 1000\nmemory_mb = 314\n",
 		g.Name, FreeAddr(), g.store, g.Callers, g.ready, g.peers, g.permits))
 }
 
+// StartOrders starts the orders process beside an engine with settings like those that
+// deploy/orders.ini renders.
+func StartOrders(l *Lab, name string, store *hostedtest.Store, engine *hostedtest.Server) error {
+	return l.Start(name, "dandelion-orders", fmt.Sprintf(
+		"[process]\nname = %s\nfailure_domain = %s\ngrace = 8s\nmetrics = %s\n[topology]\nregions = zone-a:r,zone-b:r,zone-c:r\n"+
+			"[store]\naddress = %s\nreads_per_s = 2000\n[engine]\naddress = %s\n",
+		name, engine.FailureDomain, FreeAddr(), store.Addr(), engine.Addr()))
+}
+
 // IsReady reports whether the gateway answers the readiness check with 200.
 func (g *Gateway) IsReady() bool {
 	client := http.Client{Timeout: time.Second}
