--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -88,14 +89,18 @@
 // At returns a time as the record shows it.
 func (l *Lab) At(t time.Time) string { return fmt.Sprintf("%.3f", t.Sub(l.started).Seconds()) }
 
-// FreeAddr returns a loopback address with a free port.
+// FreeAddr returns a loopback address with a free port. The port is below those that the system
+// gives to outgoing connections and to the stand-ins, so that none of them takes it meanwhile.
 func FreeAddr() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return ""
+	const first, count = 10000, 20000
+	for {
+		addr := fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count))
+		listener, err := net.Listen("tcp", addr)
+		if err == nil {
+			_ = listener.Close()
+			return addr
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
 }
 
 // Start starts a program of target/ with settings, as the deploy file does, and writes its
