gateway/view: log which part of a feed the first complete list covers

The agent's fencing token is derived from what has been read of the operator's feed. Two causes of a token that falls at a restart would look alike in the orders: the list lacks the offset of a dropped key, or the process read an older state than its predecessor (through another process). The line tells them apart: the first has newest_offset + 1 < next and age 0, the second a lower next, or an age.

--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -207,6 +207,9 @@
 			f.recordFailure(ctx, err)
 			continue
 		}
+		if !f.feedRead {
+			f.logFirstList(page)
+		}
 		f.feedRead = true
 		f.recordSuccess()
 		v.replaceAll(feed, page)
@@ -218,6 +221,17 @@
 	}
 }
 
+// logFirstList logs which part of the feed the first complete list covers. The list lacks the
+// records of dropped keys, so that the feed may end after the newest listed record.
+func (f *follower) logFirstList(page platform.FeedPage) {
+	newest := uint64(0)
+	for _, c := range page.Changes {
+		newest = max(newest, c.Offset)
+	}
+	f.view.log.Info("The first complete list was read.", zap.Stringer("feed", f.feed), zap.Int("records", len(page.Changes)),
+		zap.Uint64("newest_offset", newest), zap.Uint64("next", page.Next), zap.Duration("age", page.Age))
+}
+
 // nextSnapshotDelay returns how long after a complete list the next one is due, if the
 // read took the given time.
 func (v *View) nextSnapshotDelay(took time.Duration) time.Duration {
