gateway/orders: the fencing token covers dropped keys and what earlier incarnations read

Cause: the token was the highest offset among the records read of the operator's feed. A process that starts reads the newest record of each key, and a dropped key (the end of an evacuation) has none, so that its offset was lost.

A second cause looks alike and is fixed with it: in a large fleet an agent reads the feed through other processes, which may lag behind what its predecessor had read. Ruled out for the case (three processes, all read the store, age 0), shown by a test. A copy of the feed is ruled out as well: agents don't use copies.

Now the token is the feed's end as far as it was read, which complete lists tell too, and before its first order an agent asks the store itself for the feed's end. All that an earlier incarnation had read lies before that, whichever way it was read, so that the token can't fall. One read in an agent's life.

view_test asserted the highest offset, 5; it asserts the end now, 6, which is as strict.

--- a/gateway/evacuations/evacuations_test.go
+++ b/gateway/evacuations/evacuations_test.go
@@ -57,7 +57,8 @@
 	return platform.FeedPage{}, ctx.Err()
 }
 
-func (f *feeds) SaveCopy(context.Context, platform.Feed) error { return nil }
+func (f *feeds) End(context.Context, platform.Feed, uint64) (uint64, error) { return 0, nil }
+func (f *feeds) SaveCopy(context.Context, platform.Feed) error              { return nil }
 
 func (f *feeds) LoadCopy(context.Context, platform.Feed) ([]platform.Change, error) {
 	return nil, errors.NotFoundf("copy")
--- a/gateway/forward/fleet_test.go
+++ b/gateway/forward/fleet_test.go
@@ -144,6 +144,11 @@
 	}
 }
 
+// End implements platform.Feeds.
+func (f *feeds) End(_ context.Context, feed platform.Feed, _ uint64) (uint64, error) {
+	return f.read(feed).Next, nil
+}
+
 // SaveCopy implements platform.Feeds.
 func (*feeds) SaveCopy(context.Context, platform.Feed) error { return nil }
 
--- a/gateway/jobs/regions_test.go
+++ b/gateway/jobs/regions_test.go
@@ -179,6 +179,9 @@
 	<-ctx.Done()
 	return platform.FeedPage{}, ctx.Err()
 }
+func (oneTable) End(_ context.Context, _ platform.Feed, from uint64) (uint64, error) {
+	return from, nil
+}
 func (oneTable) SaveCopy(context.Context, platform.Feed) error                      { return nil }
 func (oneTable) LoadCopy(context.Context, platform.Feed) ([]platform.Change, error) { return nil, nil }
 
--- a/gateway/orders/orders.go
+++ b/gateway/orders/orders.go
@@ -84,7 +84,10 @@
 	loadTime     loads.LoadTimeEstimator
 	cadence      map[string]*loads.CadenceEstimator
 	fencingToken uint64
-	unreachable  bool // the engine's state could not be read the last time
+	// fencedAgainstPast: no earlier incarnation of this agent had a higher fencing token.
+	fencedAgainstPast bool
+	awaitsFeedEnd     bool // the end of the operator's feed could not be read the last time
+	unreachable       bool // the engine's state could not be read the last time
 	// staleServer is the ID of an entry whose server no longer runs at the engine's address,
 	// as a misdirected order has shown; empty: none.
 	staleServer string
@@ -122,7 +125,7 @@
 // next step.
 func (a *Agent) step(ctx context.Context) time.Duration {
 	snap := a.cfg.View.Current()
-	a.fencingToken = max(a.fencingToken, snap.OperatorOffset+1)
+	a.fencingToken = max(a.fencingToken, snap.OperatorEnd)
 	a.recordNewVersions(snap)
 	self, peers := a.findEngine(snap)
 	if self == nil || self.Leaving {
@@ -149,9 +152,32 @@
 	if due := a.dueAt(self, target); time.Now().Before(due) {
 		return max(time.Until(due), time.Millisecond)
 	}
+	if !a.fenceAgainstPast(ctx) {
+		return busyInterval
+	}
 	return a.order(ctx, snap, self, report, target)
 }
 
+// fenceAgainstPast raises the fencing token, before this incarnation's first order, to at least that of any
+// earlier incarnation. Those derived it from what they had read of the operator's feed, and this one may know
+// less: it may read the feed through a process that has fallen behind. Only the store knows the feed's end.
+func (a *Agent) fenceAgainstPast(ctx context.Context) bool {
+	if a.fencedAgainstPast {
+		return true
+	}
+	end, err := a.cfg.View.ReadOperatorEnd(ctx)
+	if err != nil {
+		if !a.awaitsFeedEnd {
+			a.log.Warn("An order waits: the end of the operator's feed can't be read.", zap.Error(err))
+		}
+		a.awaitsFeedEnd = true
+		return false
+	}
+	a.log.Info("Determined the first fencing token.", zap.Uint64("read", a.fencingToken), zap.Uint64("end", end))
+	a.fencingToken, a.fencedAgainstPast = max(a.fencingToken, end), true
+	return true
+}
+
 // dueAt returns when a load should start. The engines of a failure domain that is taken back load in
 // waves as if the version had just been named: all of them are behind, and loads slow each other down.
 func (a *Agent) dueAt(self *members.Server, target *loads.Target) time.Time {
--- a/gateway/view/evacuations_test.go
+++ b/gateway/view/evacuations_test.go
@@ -1,6 +1,7 @@
 package view
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -168,6 +169,25 @@
 	})
 }
 
+// Failure: a process starts after keys were dropped, whose records are in no complete list. Guards against
+// an end of the feed that differs from that of a process that has read every record.
+func TestEndOfTheFeedIsTheSameHoweverItWasRead(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newMemoryFeeds()
+		reader := New(f, zap.NewNop())
+		for i := range rapid.IntRange(1, 20).Draw(t, "records") {
+			evacuate(f, rapid.SampledFrom([]string{"x", "y"}).Draw(t, "domain"), rapid.Bool().Draw(t, "over"))
+			reader.apply(platform.FeedOperator, f.changes[platform.FeedOperator][i:])
+			list, err := f.Snapshot(context.Background(), platform.FeedOperator)
+			require.NoError(t, err)
+			starter := New(f, zap.NewNop())
+			starter.replaceAll(platform.FeedOperator, list)
+			require.EqualValues(t, i+1, starter.Current().OperatorEnd)
+			require.Equal(t, reader.Current().OperatorEnd, starter.Current().OperatorEnd)
+		}
+	})
+}
+
 func TestServersHaveTheirRegionAndTimeOfBeingCold(t *testing.T) {
 	v := New(newMemoryFeeds(), zap.NewNop())
 	v.Topology = topology.New(map[string]string{"x": "east"})
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -66,9 +66,9 @@
 	// BackSince holds the failure domains whose evacuation has ended within the last backMemory, with
 	// the time when this process learnt of it: their servers may be cold.
 	BackSince map[string]time.Time
-	// OperatorOffset is the highest offset read of the operator's feed. It only grows,
-	// and offsets are the same in every process, so that it serves as a fencing token.
-	OperatorOffset uint64
+	// OperatorEnd is the offset after the newest record of the operator's feed that is known, be it
+	// that of a dropped key, which no complete list contains. It only grows.
+	OperatorEnd uint64
 }
 
 // Server returns the server of a service with the given id; false if there is none.
@@ -86,8 +86,7 @@
 	// Changed is notified of each new snapshot.
 	Changed signal.Signal
 	// UseCopies lets the view read copies of the feeds while the feeds can't be read.
-	// It is set before Run. An agent must not set it: its fencing token is the newest
-	// offset that it has read, which a copy would decrease.
+	// It is set before Run.
 	UseCopies bool
 	// MinReadInterval returns the least time between two reads of a feed's changes; nil
 	// means none. It is set before Run. Each change ends the waiting reads of all
@@ -132,6 +131,12 @@
 // Configurations have to be in force within 2 s of their acknowledgement.
 const maxConfigAge = 2 * pollWait
 
+// ReadOperatorEnd reads the current end of the operator's feed from the store itself. What this process
+// or an earlier one has read of the feed, be it through another process, lies before it.
+func (v *View) ReadOperatorEnd(ctx context.Context) (uint64, error) {
+	return v.feeds.End(ctx, platform.FeedOperator, v.Current().OperatorEnd)
+}
+
 // IsFresh reports whether the configuration is new enough to refuse a request for a
 // route that it lacks. A process that falls behind an overloaded store, or can't reach
 // it, would otherwise permanently refuse callers of routes that were added meanwhile.
@@ -345,6 +350,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	next := *v.current.Load()
+	next.OperatorEnd = max(next.OperatorEnd, completeBefore)
 	for _, c := range changes {
 		v.applyOperator(&next, c)
 	}
@@ -395,7 +401,7 @@
 // that are not newer than those in force are ignored, so that a configuration is never
 // replaced by an older one.
 func (v *View) applyOperator(next *Snapshot, c platform.Change) {
-	next.OperatorOffset = max(next.OperatorOffset, c.Offset)
+	next.OperatorEnd = max(next.OperatorEnd, c.Offset+1)
 	switch {
 	case c.Err != nil:
 		v.logUnreadable(platform.FeedOperator, c)
--- a/gateway/view/view_test.go
+++ b/gateway/view/view_test.go
@@ -108,6 +108,15 @@
 	}
 }
 
+func (f *memoryFeeds) End(_ context.Context, feed platform.Feed, _ uint64) (uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return 0, platform.ErrLogUnavailable
+	}
+	return uint64(len(f.changes[feed])), nil
+}
+
 func tableOf(t *testing.T, version uint64) *table.Table {
 	tb, err := table.New(version, nil, nil, table.Limits{})
 	require.NoError(t, err)
@@ -148,7 +157,7 @@
 		f.add(platform.FeedOperator, platform.Change{Err: platform.ErrNotFound})
 		time.Sleep(100 * time.Millisecond)
 		require.EqualValues(t, 3, v.Current().Versions["m"])
-		require.EqualValues(t, 5, v.Current().OperatorOffset)
+		require.EqualValues(t, 6, v.Current().OperatorEnd)
 	})
 }
 
