gateway: samples and calls for their scores are owed, however many servers crash under them

Cause: three ends of servers under a sample, without a whole text, put it into the quarantine of poison requests for an hour, in all processes. All samples of an engine end with it, so that no rule for bystanders tells them from a culprit, and a flapping engine is the one with free slots. The same holds for the call for a sample's score, without which a finished text is never listed.

Ruled out: engines that get nothing after failures ('Sample starts.' names the last incarnation for other samples meanwhile), an owner that is gone (no 'Claiming a batch job.'). 'Sample is quarantined' names exactly the samples that starve.

Items that are handed in for later never make servers crash, so samples and their calls are no subjects of the quarantine any more: neither suspected nor held back nor recorded. Callers' requests are quarantined as before. A broken stream of a sample no longer dials its server to see whether that has ended.

--- a/gateway/forward/quarantine.go
+++ b/gateway/forward/quarantine.go
@@ -12,8 +12,12 @@
 	"dandelionsill.org/quarantine"
 )
 
-// newSubject returns the call's request as a subject of the quarantine.
+// newSubject returns the call's request as a subject of the quarantine; nil if it is no subject: a call for
+// an accepted sample is owed like the sample, and is never what makes servers crash.
 func (f *Forwarder) newSubject(c *Call) *quarantine.TrackedRequest {
+	if c.Internal {
+		return nil
+	}
 	return f.Quarantine.Track(func() poison.Content {
 		return poison.Content{Caller: c.Organisation + poison.CallerFromHeader(c.Header), Method: c.Method, Host: c.Host, URI: c.URI, Body: c.Body}
 	})
--- a/gateway/gatewaytest/gatewaytest.go
+++ b/gateway/gatewaytest/gatewaytest.go
@@ -77,11 +77,23 @@
 
 // add registers a server and stops it at the end of the test.
 func (p *Platform) add(t testing.TB, s *hostedtest.Server) *hostedtest.Server {
-	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	closeAtEnd(t, s)
 	p.Register(s, "ready")
 	return s
 }
 
+// NewEngine starts another engine of the model m, which is not registered yet. The test puts it into
+// Engines.
+func (p *Platform) NewEngine(t testing.TB, id string) *hostedtest.Server {
+	engine := hostedtest.NewEngine(id, "engines", "m")
+	closeAtEnd(t, engine)
+	return engine
+}
+
+func closeAtEnd(t testing.TB, s *hostedtest.Server) {
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+}
+
 // Register writes the entry of a server in a state into the store.
 func (p *Platform) Register(s *hostedtest.Server, state string) {
 	p.Store.Put(hostedtest.TopicServers, s.ID, s.Entry(state))
--- a/gateway/jobs/active_item.go
+++ b/gateway/jobs/active_item.go
@@ -1,17 +1,14 @@
 package jobs
 
 import (
-	"net/http"
 	"time"
 
 	"dandelionsill.org/decide/place"
-	"dandelionsill.org/decide/poison"
 	"dandelionsill.org/decide/residency"
 	"dandelionsill.org/decide/route"
 	"dandelionsill.org/decide/table"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/platform/hosted"
-	"dandelionsill.org/quarantine"
 )
 
 // phase is the state of an item at its owner.
@@ -69,21 +66,6 @@
 	eventsBefore  int
 	brokenStreams int
 	avoidUntil    map[string]time.Time
-
-	subject          *quarantine.TrackedRequest // nil until it is needed
-	quarantineLogged bool                       // whether the quarantine was logged
-}
-
-// subject returns the item's subject in the quarantine; r.mu is held. Groups that a trainer
-// submits again, because it did not wait for them, are the same requests in the later job.
-func (r *Runner) subject(a *activeItem) *quarantine.TrackedRequest {
-	if a.subject == nil {
-		item := &a.item
-		a.subject = r.quarantine.Track(func() poison.Content {
-			return poison.Content{Caller: a.job.Organisation, Method: http.MethodPost, Host: item.Host, URI: item.Path, Body: item.Body}
-		})
-	}
-	return a.subject
 }
 
 // newActiveItem takes an item with the text generated before, which is appended again under
--- a/gateway/jobs/placing.go
+++ b/gateway/jobs/placing.go
@@ -12,7 +12,6 @@
 
 	"dandelionsill.org/decide/members"
 	"dandelionsill.org/decide/place"
-	"dandelionsill.org/decide/poison"
 	"dandelionsill.org/decide/residency"
 	"dandelionsill.org/fold/jobs"
 )
@@ -65,9 +64,6 @@
 			if a.phase == waiting && a.complete {
 				r.completeText(ctx, a)
 			}
-			if a.phase == waiting && r.isQuarantined(a) {
-				continue
-			}
 			if service := a.pickService(snap.Table); service != "" {
 				p := pool{service, a.regions.String()}
 				byPool[p] = append(byPool[p], a)
@@ -114,23 +110,6 @@
 	return slices.DeleteFunc(slices.Clone(servers), func(s members.Server) bool { return !regions.Allows(s.Region) })
 }
 
-// isQuarantined reports whether the item is in quarantine because each engine that ran it
-// crashed. It then waits until the quarantine or its job ends: this is not a failure that may
-// be reported to its trainer, and the next engine would crash too, with all samples there.
-func (r *Runner) isQuarantined(a *activeItem) bool {
-	subject := r.subject(a)
-	if subject.Verdict() != poison.Quarantined {
-		return false
-	}
-	if !a.quarantineLogged {
-		a.quarantineLogged = true
-		samplesQuarantined.Add(1)
-		r.zlog.Warn("Sample is quarantined: each engine that ran it crashed.", zap.String("id", a.item.ID), zap.String("job", a.job.ID),
-			zap.String("request", string(subject.Fingerprint())), zap.Duration("for", subject.RecordRefusal()), zap.Int("events", len(a.events)))
-	}
-	return true
-}
-
 func (r *Runner) placePool(ctx context.Context, servers []members.Server, active []*activeItem, now time.Time) {
 	slices.SortFunc(active, func(x, y *activeItem) int { return cmp.Compare(x.item.ID, y.item.ID) })
 	engines, usable := r.usableEngines(servers, now)
--- a/gateway/jobs/runner.go
+++ b/gateway/jobs/runner.go
@@ -14,7 +14,6 @@
 	"dandelionsill.org/gateway/backend"
 	"dandelionsill.org/gateway/forward"
 	"dandelionsill.org/gateway/view"
-	"dandelionsill.org/quarantine"
 )
 
 // Time limits of an owner.
@@ -59,30 +58,27 @@
 )
 
 var (
-	streamsStarted     = metrics.Counter("jobs_streams_started_total")
-	streamsBroken      = metrics.Counter("jobs_streams_broken_total")
-	streamsTimedOut    = metrics.Counter("jobs_streams_silent_total")
-	samplesMigrated    = metrics.Counter("jobs_samples_moved_total")
-	samplesRestarted   = metrics.Counter("jobs_samples_restarted_total")
-	claimsWritten      = metrics.Counter("jobs_claims_total")
-	resultsWritten     = metrics.Counter("jobs_results_total")
-	scoreFailures      = metrics.Counter("jobs_score_failures_total")
-	samplesReused      = metrics.Counter("jobs_samples_reused_total")
-	samplesAbandoned   = metrics.Counter("jobs_samples_given_up_total")
-	samplesQuarantined = metrics.Counter("jobs_samples_quarantined_total")
-	jobsWithoutRegion  = metrics.Counter("jobs_without_region_total")
-	versionsTooOld     = metrics.Counter("jobs_versions_too_old_total")
-	samplesFinished    = metrics.Counter("jobs_samples_finished_total")
+	streamsStarted    = metrics.Counter("jobs_streams_started_total")
+	streamsBroken     = metrics.Counter("jobs_streams_broken_total")
+	streamsTimedOut   = metrics.Counter("jobs_streams_silent_total")
+	samplesMigrated   = metrics.Counter("jobs_samples_moved_total")
+	samplesRestarted  = metrics.Counter("jobs_samples_restarted_total")
+	claimsWritten     = metrics.Counter("jobs_claims_total")
+	resultsWritten    = metrics.Counter("jobs_results_total")
+	scoreFailures     = metrics.Counter("jobs_score_failures_total")
+	samplesReused     = metrics.Counter("jobs_samples_reused_total")
+	samplesAbandoned  = metrics.Counter("jobs_samples_given_up_total")
+	jobsWithoutRegion = metrics.Counter("jobs_without_region_total")
+	versionsTooOld    = metrics.Counter("jobs_versions_too_old_total")
+	samplesFinished   = metrics.Counter("jobs_samples_finished_total")
 )
 
 // Runner runs the items of the jobs that this process owns.
 type Runner struct {
-	index   *Index
-	view    *view.View
-	forward *forward.Forwarder
-	pool    *backend.Pool
-	// quarantine keeps items that crash engines away from all of them.
-	quarantine    *quarantine.Quarantine
+	index         *Index
+	view          *view.View
+	forward       *forward.Forwarder
+	pool          *backend.Pool
 	neighbours    *Neighbours // nil: unknown
 	zlog          *zap.Logger
 	writer        jobs.Writer
@@ -123,7 +119,7 @@
 // this process can run.
 func NewRunner(index *Index, log Log, f *forward.Forwarder, writer jobs.Writer, partitions, capacity int, zlog *zap.Logger) *Runner {
 	r := &Runner{
-		index: index, view: f.View, forward: f, pool: f.Pool, quarantine: f.Quarantine, zlog: zlog, writer: writer,
+		index: index, view: f.View, forward: f, pool: f.Pool, zlog: zlog, writer: writer,
 		planRequested: make(chan struct{}, 1),
 		active:        map[string]map[string]*activeItem{}, loading: map[string]bool{}, reusable: map[string]reusableText{}, lengths: map[string]*place.LengthEstimator{},
 		observedVersions: map[jobs.EngineKey]uint64{}, deniedAt: map[jobs.EngineKey]time.Time{}, excludedUntil: map[string]time.Time{}, refusals: map[string]int{}, claimedAt: map[string]time.Time{},
--- a/gateway/jobs/score.go
+++ b/gateway/jobs/score.go
@@ -20,9 +20,6 @@
 	defaultScoreTimeout = 2 * time.Second
 	// scoreRetryPause is the pause between two calls for one score.
 	scoreRetryPause = 60 * time.Millisecond
-	// maxQuarantinePause bounds the pause after a call that is in quarantine, and so how long
-	// a score may be missing after the quarantine has ended.
-	maxQuarantinePause = 5 * time.Second
 )
 
 // fetchScore requests the score of a complete text until it gets one, the calls have failed as
@@ -46,20 +43,12 @@
 			r.abandonUnscored(a)
 			return
 		}
-		if !sleep.For(ctx, pauseAfter(err)) || !r.isScoring(a) {
+		if !sleep.For(ctx, scoreRetryPause) || !r.isScoring(a) {
 			return
 		}
 	}
 }
 
-// pauseAfter returns the pause after a call that returned no score.
-func pauseAfter(err *kinds.Error) time.Duration {
-	if err == nil || err.Kind() != string(kinds.Quarantined) {
-		return scoreRetryPause
-	}
-	return min(maxQuarantinePause, max(scoreRetryPause, err.Answer().RetryAfter))
-}
-
 func (r *Runner) logMissingScore(a *activeItem, reply *forward.Reply, err *kinds.Error, failures int) {
 	fields := []zap.Field{zap.String("id", a.item.ID), zap.String("score_id", a.item.Score.ID), zap.String("job", a.job.ID), zap.Int("failures", failures)}
 	if reply != nil {
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -17,7 +17,6 @@
 	"dandelionsill.org/gateway/backend"
 	"dandelionsill.org/gateway/link"
 	"dandelionsill.org/platform/hosted"
-	"dandelionsill.org/quarantine"
 )
 
 // endReason is why a stream ended.
@@ -60,25 +59,16 @@
 	streamsStarted.Add(1)
 	s := &stream{
 		runner: r, active: a, number: a.streamNumber, server: server.ID, serverName: server.Name, addr: server.Addr, resumedAfter: len(a.events),
-		requiredVersion: a.requiredVersion(), isFar: r.neighbours.isFar(server.FailureDomain), subject: r.subject(a), beforeSend: r.cold.beforeSend(a, server, now),
+		requiredVersion: a.requiredVersion(), isFar: r.neighbours.isFar(server.FailureDomain), beforeSend: r.cold.beforeSend(a, server, now),
 		service: a.service, region: server.Region,
 	}
 	r.report(a, true)
-	service := a.service
 	r.tasks.Go(func() {
 		defer stop()
 		end, status, err := s.run(ctx)
 		if ctx.Err() != nil {
 			return // the item was requeued or stopped before
 		}
-		switch {
-		case end == broken && r.forward.ServerCrashed(ctx, service, server):
-			r.zlog.Warn("A server ended while it ran a request.", zap.String("id", a.item.ID), zap.String("job", a.job.ID),
-				zap.String("request", string(s.subject.Fingerprint())), zap.String("server", server.ID))
-			s.subject.RecordCrash(server.ID)
-		case end == complete:
-			s.subject.RecordCompletion()
-		}
 		r.handleStreamEnd(parent, s, end, status, err)
 	})
 }
@@ -93,8 +83,7 @@
 	addr            string
 	resumedAfter    int // number of events from earlier streams
 	requiredVersion uint64
-	isFar           bool // the engine is in another region
-	subject         *quarantine.TrackedRequest
+	isFar           bool        // the engine is in another region
 	beforeSend      func() bool // nil: the engine needs no care
 	service, region string      // of the engine
 }
--- a/quarantine/request.go
+++ b/quarantine/request.go
@@ -10,7 +10,7 @@
 
 // TrackedRequest is a request that is being sent to servers. Its fingerprint is computed when
 // it is first needed: nothing is hashed while no request is suspected. It is safe for
-// concurrent use.
+// concurrent use. A nil TrackedRequest is one that is never suspected.
 type TrackedRequest struct {
 	q           *Quarantine
 	fingerprint func() poison.Fingerprint
@@ -27,9 +27,14 @@
 }
 
 // Fingerprint returns the request's fingerprint.
-func (r *TrackedRequest) Fingerprint() poison.Fingerprint { return r.fingerprint() }
+func (r *TrackedRequest) Fingerprint() poison.Fingerprint {
+	if r == nil {
+		return ""
+	}
+	return r.fingerprint()
+}
 
-// Verdict returns the current verdict on the request; a nil TrackedRequest is clear. Call it
+// Verdict returns the current verdict on the request. Call it
 // before each attempt, because other processes may have reported crashes since the last one.
 func (r *TrackedRequest) Verdict() poison.Verdict {
 	if r == nil || r.q.Empty() {
@@ -43,13 +48,16 @@
 
 // RecordCrash records that a server crashed while it ran the request.
 func (r *TrackedRequest) RecordCrash(server string) {
+	if r == nil {
+		return
+	}
 	r.crashed.Store(true)
 	r.q.RecordCrash(r.fingerprint(), server)
 }
 
 // RecordNoAnswer records that an attempt ended without an answer from a server.
 func (r *TrackedRequest) RecordNoAnswer() {
-	if r.crashed.Load() {
+	if r != nil && r.crashed.Load() {
 		r.q.RecordNoAnswer(r.fingerprint())
 	}
 }
@@ -57,7 +65,7 @@
 // RecordCompletion records that a server ran the request to its end. It also clears a request
 // whose crashes are attributed to another one, because it may see more crashes later.
 func (r *TrackedRequest) RecordCompletion() {
-	if !r.q.Empty() {
+	if r != nil && !r.q.Empty() {
 		r.q.RecordCompletion(r.fingerprint())
 	}
 }
