entry/steps: samples and calls for their scores are owed, however many servers end under them

The same fault as in gateway/jobs on the own path: after three ends of engines under a sample its step could not end for an hour, though other engines had room; so for the call for its score.

Samples and scores are no subjects of the quarantine here either; a lost run goes on elsewhere after the backoff that losses have anyway (2 s at most, 5 s for scores).

--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -163,9 +163,7 @@
 		Explain: e.ring,
 		Logger:  logs.Part(e.logger, "steps"),
 		Policy:  e.settings.Steps,
-
-		Quarantine: e.quarantine,
-		MaxBody:    int64(e.settings.Entry.MaxStepBody),
+		MaxBody: int64(e.settings.Entry.MaxStepBody),
 	})
 }
 
--- a/entry/steps/generate.go
+++ b/entry/steps/generate.go
@@ -200,16 +200,22 @@
 		return
 	}
 	sm := st.samples[r.sample]
-	subject := s.subject(st, sm)
 	if err == nil {
-		subject.RecordCompletion()
 		s.handleResult(st, r, done)
 		return
 	}
-	s.recordServerEnd(subject, st.sampleName(sm), err)
+	s.logServerEnd(st.sampleName(sm), err)
 	s.handleLoss(st, r, err)
 }
 
+// logServerEnd logs that a server ended while it ran a sample or the call for its score, if err says so. The
+// sample is owed all the same: it is not what made the server end.
+func (s *Steps) logServerEnd(name string, err error) {
+	if e, ok := kinds.As(err); ok && e.EndedServer() != "" {
+		s.cfg.Logger.Warn("A server ended while it ran a request.", zap.String("sample", name), zap.String("server", e.EndedServer()))
+	}
+}
+
 func (s *Steps) handleResult(st *step, r *run, done *pb.GenerateDone) {
 	isFirst, cancels := st.plan.Finished(r.id, int(done.GetTokens()), st.elapsed())
 	s.execute(st, cancels, nil)
--- a/entry/steps/run.go
+++ b/entry/steps/run.go
@@ -150,10 +150,6 @@
 			s.cancelRun(st, a)
 			continue
 		}
-		if s.isHeldBack(st, a) {
-			st.plan.Lost(a.Run, 0, quarantineRetryDelay, st.elapsed())
-			continue
-		}
 		server := snap.ByName[a.Server]
 		if server == nil {
 			st.plan.Lost(a.Run, 0, failureBackoff, st.elapsed())
--- a/entry/steps/score.go
+++ b/entry/steps/score.go
@@ -12,10 +12,8 @@
 	"github.com/google/uuid"
 
 	"dandelionsill.org/base/sleep"
-	"dandelionsill.org/decide/poison"
 	"dandelionsill.org/entry/fleet"
 	"dandelionsill.org/kinds"
-	"dandelionsill.org/quarantine"
 	"dandelionsill.org/wire/pb"
 	"dandelionsill.org/wire/refusal"
 )
@@ -49,17 +47,13 @@
 	if err != nil {
 		panic(err) // strings and numbers always encode
 	}
-	subject := s.cfg.Quarantine.Track(func() poison.Content {
-		return poison.Content{Caller: st.key.Trainer, Method: http.MethodPost, Host: st.trainer.Scorer, URI: st.trainer.ScorerPath, Body: body}
-	})
 	for wait := minScoreBackoff; ; wait = min(2*wait, maxScoreBackoff) {
-		score, err := s.score(st, subject, body)
+		score, err := s.score(st, body)
 		if err == nil {
-			subject.RecordCompletion()
 			s.recordScore(st, sm, score)
 			return
 		}
-		s.recordServerEnd(subject, st.sampleName(sm), err)
+		s.logServerEnd(st.sampleName(sm), err)
 		s.cfg.Explain.Add(st.ctx, "steps", st.sampleName(sm), "not scored", err.Error())
 		if !sleep.For(st.ctx, wait) {
 			return
@@ -78,10 +72,7 @@
 }
 
 // score makes one call to the scorer, at its least loaded server.
-func (s *Steps) score(st *step, subject *quarantine.TrackedRequest, body []byte) (float64, error) {
-	if subject.Verdict() == poison.Quarantined {
-		return 0, kinds.Hold().Refuse(kinds.Quarantined, "each server of scorer %s that ran it crashed", st.trainer.Scorer)
-	}
+func (s *Steps) score(st *step, body []byte) (float64, error) {
 	sv := s.leastLoadedScorer(st.trainer.Scorer)
 	if sv == nil {
 		return 0, kinds.Hold().Refuse(kinds.NoServer, "no server of scorer %s is ready", st.trainer.Scorer)
--- a/entry/steps/step.go
+++ b/entry/steps/step.go
@@ -14,20 +14,17 @@
 	foldsteps "dandelionsill.org/fold/steps"
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/manifest"
-	"dandelionsill.org/quarantine"
 	"dandelionsill.org/wire/pb"
 )
 
 // sample is the state of one sample beyond what the plan keeps.
 type sample struct {
-	group          *group
-	index          uint32
-	partial        *partial         // longest partial sample of its lost runs
-	done           *pb.GenerateDone // result; nil: not finished, or acknowledged
-	score          *float64
-	losses         int
-	subject        *quarantine.TrackedRequest // nil: not needed yet
-	heldBackLogged bool                       // the log message about its quarantine was written
+	group   *group
+	index   uint32
+	partial *partial         // longest partial sample of its lost runs
+	done    *pb.GenerateDone // result; nil: not finished, or acknowledged
+	score   *float64
+	losses  int
 }
 
 type group struct {
--- a/entry/steps/steps.go
+++ b/entry/steps/steps.go
@@ -26,7 +26,6 @@
 	"dandelionsill.org/entry/fleet"
 	foldsteps "dandelionsill.org/fold/steps"
 	"dandelionsill.org/platform"
-	"dandelionsill.org/quarantine"
 )
 
 const (
@@ -56,9 +55,6 @@
 	Explain *explain.Ring
 	Logger  *zap.Logger
 	Policy  Policy
-	// Quarantine keeps samples that crash engines away from further engines; nil: a new
-	// one that is not shared.
-	Quarantine *quarantine.Quarantine
 	// IdleTimeout is the time without a request of its trainer after which a step is
 	// abandoned.
 	IdleTimeout time.Duration
@@ -75,9 +71,6 @@
 	if c.Logger == nil {
 		c.Logger = zap.NewNop()
 	}
-	if c.Quarantine == nil {
-		c.Quarantine = quarantine.New(c.Logger)
-	}
 	if c.IdleTimeout == 0 {
 		c.IdleTimeout = defaultIdleTimeout
 	}
