gateway: bytes without end from a server break the attempt

Callers saw nothing yet: a server in trouble may send bytes that are no answer until its caller closes, and a gateway of 144 to 314 MB would have read them until the request's deadline, or until an engine counts as silent, and been killed for its memory.

Bodies had a bound, but not where they are passed on for want of room, and 32 MB for each call for a score, of which only the head is used.

The attempt counts as a broken connection. Ruled out: agents of the own path, whose heads, bodies and lines are bounded.

--- a/gateway/backend/backend.go
+++ b/gateway/backend/backend.go
@@ -193,6 +193,8 @@
 
 // readFinalResponse reads the head of the final answer and skips interim (1xx) ones.
 func readFinalResponse(c *conn, method string) (*http.Response, error) {
+	c.source.left = maxHeadBytes
+	defer func() { c.source.left = unbounded }()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
@@ -318,6 +320,10 @@
 	return body, nil
 }
 
+// Bound makes reads of the body fail before more than n further bytes are read. A body of
+// exactly n bytes can be read to its end only if its length is known beforehand.
+func (a *Answer) Bound(n int) { a.Body = &boundedReader{input: a.Body, left: n, err: errBodyTooLong} }
+
 // MarkComplete records that the body was read to its end, so that Close can keep the
 // connection.
 func (a *Answer) MarkComplete() { a.complete = true }
--- a/gateway/backend/backend_test.go
+++ b/gateway/backend/backend_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
+
+	"dandelionsill.org/platform/hosted/hostedtest"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -283,6 +285,26 @@
 
 // The caller disconnects. The connection is closed immediately, so that the server
 // stops.
+// Failure: a server in trouble sends bytes without end in place of a head. Guards against a process that
+// reads them until it runs out of memory.
+func TestEndlessHeadIsBroken(t *testing.T) {
+	for name, endless := range map[string]hostedtest.Endless{
+		"status line": hostedtest.EndlessStatus, "header fields": hostedtest.EndlessHead, "interim answers": hostedtest.EndlessInterim,
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newTestServer(t, func(_ *http.Request, w net.Conn) bool {
+				hostedtest.WriteEndless(w, endless, func(int) {})
+				return false
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			_, err := NewPool(requestID).Do(ctx, server.addr, &Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}})
+			require.ErrorIs(t, err, ErrBroken)
+			require.NoError(t, ctx.Err(), "the request must not wait for its deadline")
+		})
+	}
+}
+
 func TestCancelClosesConnection(t *testing.T) {
 	stopped := make(chan struct{})
 	arrived := make(chan struct{})
--- a/gateway/backend/conn.go
+++ b/gateway/backend/conn.go
@@ -2,16 +2,20 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // conn is a connection to a backend server. It carries one request at a time.
 type conn struct {
 	net.Conn
+	source *boundedReader // what reader reads from
 	reader *bufio.Reader
 	writer *bufio.Writer
 	// expires is when the server may close the idle connection.
@@ -25,7 +29,38 @@
 )
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), writer: bufio.NewWriterSize(c, writeBufferBytes)}
+	source := &boundedReader{input: c, left: unbounded, err: errHeadTooLong}
+	return &conn{Conn: c, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), writer: bufio.NewWriterSize(c, writeBufferBytes)}
+}
+
+// maxHeadBytes bounds the head of an answer with all interim answers before it. net/http bounds neither.
+const maxHeadBytes = 64 << 10
+
+var (
+	errHeadTooLong = errors.New("head of the answer is too long")
+	errBodyTooLong = errors.New("body of the answer is too long")
+)
+
+// unbounded is the value of boundedReader.left while there is no bound.
+const unbounded = -1
+
+// boundedReader returns an error in place of more than a number of bytes.
+type boundedReader struct {
+	input io.Reader
+	left  int // bytes that may still be read
+	err   error
+}
+
+func (r *boundedReader) Read(p []byte) (int, error) {
+	if r.left == unbounded {
+		return r.input.Read(p)
+	}
+	if r.left == 0 {
+		return 0, r.err
+	}
+	n, err := r.input.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
 }
 
 // isUsable reports whether an idle connection can carry another request. It peeks at
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -50,6 +50,9 @@
 	refusedRetryDelay = 20 * time.Millisecond
 	// maxBodyBytes bounds the body of an answer that is buffered completely.
 	maxBodyBytes = 32 << 20
+	// maxInternalBodyBytes bounds the body of an answer to a call for a sample, of which only the
+	// head is used. Hundreds of such answers may arrive at once.
+	maxInternalBodyBytes = 256 << 10
 	// retryAfter is the retry delay suggested to callers whose request did not run. A
 	// full server completes a few requests in this time.
 	retryAfter = 250 * time.Millisecond
@@ -450,7 +453,11 @@
 		return f.receive(&call, server, answer)
 	}
 	defer answer.Close()
-	body, err := answer.ReadAll(maxBodyBytes)
+	limit := int64(maxBodyBytes)
+	if call.Internal {
+		limit = maxInternalBodyBytes
+	}
+	body, err := answer.ReadAll(limit)
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/forward/reply.go
+++ b/gateway/forward/reply.go
@@ -58,6 +58,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	r.rest.Bound(maxBodyBytes + 1 - len(r.Body))
 	r.Body = nil
 	r.room.Release()
 	defer context.AfterFunc(ctx, r.rest.Abort)()
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -172,6 +172,9 @@
 	case !ok:
 		return streamBroken, errors.Errorf("status %d in place of the rest", answer.Status)
 	}
+	if !ok {
+		answer.Bound(maxBodyBytes)
+	}
 	if !ok || !s.call.Route.Resumable {
 		return s.copyBody(answer)
 	}
