quarantine: crashes that were removed during an outage are forgotten

Callers would see: a request that another process had cleared is refused for an hour by a process that could not read the store meanwhile.

Only the changes told of removals, and those were missed.

Now a process remembers which crashes it read from the store, and drops those that a complete list lacks. A log without keys lists only what it still holds, so that its lists remove nothing.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -37,7 +37,9 @@
 	mu      sync.Mutex // guards the following fields
 	tracker *poison.Tracker
 	// unsent are crashes that have not been queued for other processes yet.
-	unsent  map[poison.Fingerprint][]poison.Crash
+	unsent map[poison.Fingerprint][]poison.Crash
+	// inStore are the crashes, by key, that the store held when this process last read it.
+	inStore map[string]poison.Fingerprint
 	toPeers queue
 	toStore queue
 
@@ -49,7 +51,7 @@
 func New(log *zap.Logger) *Quarantine {
 	q := &Quarantine{
 		log: log, now: time.Now, tracker: poison.NewTracker(), unsent: map[poison.Fingerprint][]poison.Crash{},
-		toPeers: newQueue(), toStore: newQueue(),
+		inStore: map[string]poison.Fingerprint{}, toPeers: newQueue(), toStore: newQueue(),
 	}
 	q.statuses.Store(&map[poison.Fingerprint]poison.Status{})
 	metrics.Gauge("quarantine_suspects", func() any { return len(*q.statuses.Load()) })
@@ -150,6 +152,40 @@
 	q.publish(from, added...)
 }
 
+// recordStored records which crashes the store holds according to changes that were read from it.
+func (q *Quarantine) recordStored(changes []Change) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for i := range changes {
+		if c := &changes[i]; c.Gone {
+			delete(q.inStore, c.Key())
+		} else {
+			q.inStore[c.Key()] = c.Crash.Request
+		}
+	}
+}
+
+// removeUnlisted removes the crashes that the store held before and that its complete list lacks: other
+// processes removed them while this one could not read the changes.
+func (q *Quarantine) removeUnlisted(list []Change) {
+	listed := make(map[string]bool, len(list))
+	for i := range list {
+		listed[list[i].Key()] = true
+	}
+	var removed []Change
+	q.mu.Lock()
+	for key, request := range q.inStore {
+		if !listed[key] {
+			removed = append(removed, Change{Crash: poison.Crash{Request: request}, Gone: true, droppedKey: key})
+		}
+	}
+	q.mu.Unlock()
+	if len(removed) > 0 {
+		q.recordStored(removed)
+		q.Apply("store's list", removed)
+	}
+}
+
 // publish updates the statuses that Verdict reads, and logs the crashes that were added and
 // the requests that are quarantined by them; q.mu must be held.
 func (q *Quarantine) publish(from string, added ...poison.Crash) {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -82,10 +82,14 @@
 // crash records crashes of several servers under a request.
 func (p *process) crash(request poison.Fingerprint, servers int) {
 	for i := range servers {
-		p.RecordCrash(request, fmt.Sprintf("server %d of %s", i, request))
+		p.RecordCrash(request, serverOf(request, i))
 	}
 }
 
+func serverOf(request poison.Fingerprint, i int) string {
+	return fmt.Sprintf("server %d of %s", i, request)
+}
+
 func (p *process) requireVerdict(t *testing.T, request poison.Fingerprint, want poison.Verdict) {
 	t.Helper()
 	requireVerdict(t, p.Quarantine, request, want)
@@ -176,6 +180,31 @@
 	require.Equal(t, poison.Clear, f.start(t, true).Verdict("r"), "its crashes are removed from the store too")
 }
 
+// Failure: a request is cleared while a process reaches neither its peers nor the store. Guards against a
+// process that refuses the request for an hour: the store's list doesn't contain removed crashes.
+func TestCrashesThatWereRemovedDuringAnOutageAreForgotten(t *testing.T) {
+	f := newFleet(t)
+	one, unlisted := f.start(t, true), f.start(t, false)
+	one.crash("r", poison.QuarantineThreshold)
+	one.crash("s", poison.QuarantineThreshold)
+	for _, p := range []*process{one, unlisted} {
+		p.requireVerdict(t, "r", poison.Quarantined)
+		p.requireVerdict(t, "s", poison.Quarantined)
+	}
+	stored := func() bool { return len(f.store.Records(hostedtest.TopicCrashes)) >= 2*poison.QuarantineThreshold }
+	require.Eventually(t, stored, testTimeout, time.Millisecond)
+	one.stop()
+	f.store.Fail(hostedtest.StoreFaults{Down: true})
+	reads := f.store.Calls(hostedtest.PathNewest)
+	require.Eventually(t, func() bool { return f.store.Calls(hostedtest.PathNewest) >= reads+2 }, testTimeout, time.Millisecond)
+	for i := range poison.QuarantineThreshold { // by a process that reaches the store
+		f.store.Drop(hostedtest.TopicCrashes, poison.Crash{Request: "r", Server: serverOf("r", i)}.Key())
+	}
+	f.store.Fail(hostedtest.StoreFaults{})
+	unlisted.requireVerdict(t, "r", poison.Clear)
+	require.Equal(t, poison.Quarantined, unlisted.Verdict("s"))
+}
+
 // Foreign records in the store and invalid calls of peers must change nothing.
 func TestInvalidRecordsAndRequestsAreIgnored(t *testing.T) {
 	f := newFleet(t)
--- a/quarantine/share.go
+++ b/quarantine/share.go
@@ -66,7 +66,10 @@
 
 // sharing holds what a process needs to exchange changes with other processes.
 type sharing struct {
-	store          platform.KeyedStore
+	store platform.KeyedStore
+	// keepsKeys: the store's complete list contains each crash that was not removed. A log without
+	// keys also lacks those whose records it no longer keeps.
+	keepsKeys      bool
 	peers          Peers
 	readsPerSecond float64
 	sends          sync.WaitGroup
@@ -78,6 +81,8 @@
 // processes together; 0: unknown.
 func (q *Quarantine) EnableSharing(store platform.KeyedStore, peers Peers, readsPerSecond float64) {
 	q.sharing.store, q.sharing.peers, q.sharing.readsPerSecond = store, peers, readsPerSecond
+	_, isLog := store.(*logStore)
+	q.sharing.keepsKeys = !isLog
 	q.sharing.callSlots = make(chan struct{}, maxConcurrentCalls)
 }
 
@@ -215,7 +220,7 @@
 	for ctx.Err() == nil {
 		records, next, err := q.sharing.store.Newest(ctx, platform.StreamCrashes)
 		if err == nil {
-			q.applyRecords(records)
+			q.applyList(records)
 		}
 		q.initialized.Store(true) // an unavailable store must not keep a process from serving
 		if err == nil {
@@ -266,8 +271,16 @@
 	}
 }
 
-// applyRecords applies records from the store and skips those that can't be decoded.
-func (q *Quarantine) applyRecords(records []platform.KeyedRecord) {
+// applyList applies the complete list of the records in the store.
+func (q *Quarantine) applyList(records []platform.KeyedRecord) {
+	if list := q.applyRecords(records); q.sharing.keepsKeys {
+		q.removeUnlisted(list)
+	}
+}
+
+// applyRecords applies records from the store and returns their changes. It skips those that can't be
+// decoded.
+func (q *Quarantine) applyRecords(records []platform.KeyedRecord) []Change {
 	changes := make([]Change, 0, len(records))
 	for _, r := range records {
 		if c, ok := decodeChange(r); ok {
@@ -277,6 +290,8 @@
 		}
 	}
 	if len(changes) > 0 {
+		q.recordStored(changes)
 		q.Apply("store", changes)
 	}
+	return changes
 }
