review: case 4, texts of a single_version route mixed after their owner's restart

A gateway that restarts while the partition of op/config gives no answer takes its jobs before it knows their route, and resumes texts at engines with other weights.

--- /dev/null
+++ b/review/testbed/testbed.go
@@ -0,0 +1,319 @@
+// Package testbed starts gateways and agents as separate processes for the cases of the second review,
+// between stand-ins of the platform, and records what they are sent and answer.
+package testbed
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"dandelionsill.org/platform/hosted/hostedtest"
+)
+
+// Exit codes of a case.
+const (
+	Held   = 0 // the rule was kept
+	Broken = 1
+	NotRun = 2 // the case could not run
+)
+
+// Host is the host of all routes in hostedtest.Config.
+const Host = "app.example"
+
+// Names of the headers that hostedtest does not name.
+const (
+	headerWait     = hostedtest.HeaderWait
+	headerDeadline = hostedtest.HeaderDeadline
+)
+
+// heartbeatInterval is how often servers write their entries, as in a small deployment.
+const heartbeatInterval = 1200 * time.Millisecond
+
+// Case is one run of a case.
+type Case struct {
+	// Trouble is false if the case is to run without its disruption.
+	Trouble bool
+
+	root, dir string
+	record    *os.File
+	started   time.Time
+
+	mu        sync.Mutex
+	processes []*Process
+	servers   map[*hostedtest.Server]bool // that write heartbeats
+}
+
+// Start prepares a run. It needs the environment variables CASE_RECORD, the path of the record, and
+// CASE_DIR, a temporary folder; the current folder is the repository's root.
+func Start() *Case {
+	c := &Case{Trouble: os.Getenv("TROUBLE") != "0", dir: os.Getenv("CASE_DIR"), started: time.Now(), servers: map[*hostedtest.Server]bool{}}
+	root, err := os.Getwd()
+	if err != nil || c.dir == "" {
+		fmt.Println("CASE_DIR is not set, or there is no current folder")
+		os.Exit(NotRun)
+	}
+	c.root = root
+	if c.record, err = os.Create(os.Getenv("CASE_RECORD")); err != nil {
+		fmt.Println(err)
+		os.Exit(NotRun)
+	}
+	c.Log("trouble: %v", c.Trouble)
+	return c
+}
+
+// Log writes a line with the time since the start to the record.
+func (c *Case) Log(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fmt.Fprintf(c.record, "%8.3f s  %s\n", time.Since(c.started).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// Finish ends all processes, writes the verdict and exits.
+func (c *Case) Finish(code int, format string, args ...any) {
+	for _, p := range c.all() {
+		p.Kill()
+	}
+	verdict := map[int]string{Held: "held", Broken: "BROKEN", NotRun: "not run"}[code] + ": " + fmt.Sprintf(format, args...)
+	c.Log("%s", verdict)
+	fmt.Println(verdict)
+	os.Exit(code)
+}
+
+func (c *Case) all() []*Process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]*Process(nil), c.processes...)
+}
+
+// must ends the case as not run if there is an error.
+func (c *Case) must(err error) {
+	if err != nil {
+		c.Finish(NotRun, "%v", err)
+	}
+}
+
+// FreeAddr returns a loopback address with a free port.
+func (c *Case) FreeAddr() string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.must(err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// Process is a process of the system.
+type Process struct {
+	Name string
+	// Callers is the address for callers; Ready is that for the readiness check.
+	Callers, Ready string
+
+	c        *Case
+	program  string
+	settings string
+	cmd      *exec.Cmd
+}
+
+// Gateway starts a gateway with the settings of a small deployment.
+func (c *Case) Gateway(name, store string) *Process {
+	p := &Process{Name: name, c: c, program: "dandelion-gateway", Callers: c.FreeAddr(), Ready: c.FreeAddr()}
+	p.write(fmt.Sprintf(`[process]
+name = %s
+failure_domain = brno-a
+grace = 8s
+metrics = %s
+[topology]
+regions = brno-a:brno,brno-b:brno,brno-c:brno
+[store]
+address = %s
+parts = 12
+reads_per_s = 2000
+[listen]
+callers = %s
+ready = %s
+peers = %s
+[permits]
+listen = %s
+[vm]
+cpu_share = 0.8
+link_mbps = 1000
+memory_mb = 314
+`, name, c.FreeAddr(), store, p.Callers, p.Ready, c.FreeAddr(), c.FreeAddr()))
+	p.Start()
+	return p
+}
+
+// Agent starts the agent of an engine.
+func (c *Case) Agent(name, store, engine string) *Process {
+	p := &Process{Name: name, c: c, program: "dandelion-orders"}
+	p.write(fmt.Sprintf(`[process]
+name = %s
+failure_domain = brno-a
+grace = 8s
+metrics = %s
+[topology]
+regions = brno-a:brno,brno-b:brno,brno-c:brno
+[store]
+address = %s
+reads_per_s = 2000
+[engine]
+address = %s
+`, name, c.FreeAddr(), store, engine))
+	p.Start()
+	return p
+}
+
+func (p *Process) write(settings string) {
+	p.settings = filepath.Join(p.c.dir, p.Name+".ini")
+	p.c.must(os.WriteFile(p.settings, []byte(settings), 0o644))
+	p.c.mu.Lock()
+	defer p.c.mu.Unlock()
+	p.c.processes = append(p.c.processes, p)
+}
+
+// Start starts the process, again if it was killed.
+func (p *Process) Start() {
+	log, err := os.OpenFile(filepath.Join(p.c.dir, p.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	p.c.must(err)
+	p.cmd = exec.Command(filepath.Join(p.c.root, "target", p.program), "--config", p.settings)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	p.c.must(p.cmd.Start())
+	pids, err := os.OpenFile(filepath.Join(p.c.dir, "pids"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	p.c.must(err)
+	defer pids.Close()
+	fmt.Fprintln(pids, p.cmd.Process.Pid)
+	p.c.Log("%s starts", p.Name)
+}
+
+// Kill ends the process with SIGKILL and waits for its end.
+func (p *Process) Kill() {
+	if p.cmd == nil {
+		return
+	}
+	_ = p.cmd.Process.Kill() // it may have ended by itself
+	_ = p.cmd.Wait()
+	p.cmd = nil
+	p.c.Log("%s was killed", p.Name)
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(s os.Signal) {
+	p.c.must(p.cmd.Process.Signal(s))
+	p.c.Log("%s gets signal %q", p.Name, s)
+}
+
+// WaitReady waits until the gateway's readiness check succeeds.
+func (p *Process) WaitReady() {
+	for range 200 {
+		if resp, err := http.Get("http://" + p.Ready + "/-/ready"); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	p.c.Finish(NotRun, "%s is not ready after 10 s", p.Name)
+}
+
+// Register writes the entry of a server now and at each heartbeat.
+func (c *Case) Register(store *hostedtest.Store, server *hostedtest.Server) {
+	c.mu.Lock()
+	c.servers[server] = true
+	c.mu.Unlock()
+	write := func() { store.Put(hostedtest.TopicServers, server.ID, server.Entry("ready")) }
+	write()
+	go func() {
+		for range time.Tick(heartbeatInterval) {
+			write()
+		}
+	}()
+}
+
+// Answer is what a caller got.
+type Answer struct {
+	Status int // 0: none
+	Body   []byte
+	Header http.Header
+	Took   time.Duration
+	Err    error
+}
+
+// caller opens a new connection for each request.
+var caller = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+
+// Call sends a request to a gateway and waits for its whole answer until the deadline that it states. A
+// caller that waits for less time than that gives patience; 0: the deadline.
+func (c *Case) Call(gateway *Process, method, path, id string, deadline, patience time.Duration, body []byte) Answer {
+	if patience == 0 {
+		patience = deadline
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	start := time.Now()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+gateway.Callers+path, bytes.NewReader(body))
+	c.must(err)
+	req.Host = Host
+	if id != "" {
+		req.Header.Set(hostedtest.HeaderAttempt, id)
+	}
+	req.Header.Set(headerDeadline, strconv.FormatInt(deadline.Milliseconds(), 10))
+	if strings.HasPrefix(path, hostedtest.PathJob) && method == http.MethodGet {
+		req.Header.Set(headerWait, "1000")
+	}
+	resp, err := caller.Do(req)
+	if err != nil {
+		return Answer{Err: err, Took: time.Since(start)}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return Answer{Status: resp.StatusCode, Body: data, Header: resp.Header, Took: time.Since(start), Err: err}
+}
+
+// Submit submits a batch job until a gateway accepts it, as a trainer does.
+func (c *Case) Submit(gateways []*Process, id string, job map[string]any) {
+	body, err := json.Marshal(job)
+	c.must(err)
+	for i := range 20 {
+		g := gateways[i%len(gateways)]
+		a := c.Call(g, http.MethodPost, "/jobs/"+id, id, 2*time.Second, 0, body)
+		c.Log("batch job %s is sent to %s: status %d %v", id, g.Name, a.Status, a.Err)
+		if a.Status == http.StatusAccepted {
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	c.Finish(NotRun, "batch job %s was not accepted", id)
+}
+
+// Result is a result of a batch job.
+type Result struct {
+	ID, State, Text, Score string
+	Versions               []uint64
+}
+
+// Results reads a batch job from its start until it has n results, for at most a time.
+func (c *Case) Results(gateway *Process, id string, n int, most time.Duration) []Result {
+	var page struct{ Results []Result }
+	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		a := c.Call(gateway, http.MethodGet, hostedtest.PathJob+id+"?after=0", "", 2500*time.Millisecond, 0, nil)
+		if a.Status != http.StatusOK || json.Unmarshal(a.Body, &page) != nil {
+			c.Log("batch job %s is read at %s: status %d %v", id, gateway.Name, a.Status, a.Err)
+			continue
+		}
+		c.Log("batch job %s is read at %s: %d results", id, gateway.Name, len(page.Results))
+		if len(page.Results) >= n {
+			break
+		}
+	}
+	return page.Results
+}
