review: case 5, streams that hang at an engine are never answered

On a streaming route that isn't resumable the gateway waits for the head of the answer without a bound: the route's timeout_ms does not apply.

--- a/review/testbed/testbed.go
+++ b/review/testbed/testbed.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -50,6 +51,7 @@
 	started   time.Time
 
 	mu        sync.Mutex
+	nextPort  int
 	processes []*Process
 	servers   map[*hostedtest.Server]bool // that write heartbeats
 }
@@ -103,12 +105,29 @@
 	}
 }
 
-// FreeAddr returns a loopback address with a free port.
+// Ports of processes lie below those that the kernel gives to outgoing connections.
+const (
+	firstPort = 12000
+	portCount = 18000
+)
+
+// FreeAddr returns a loopback address with a free port, another one at each call.
 func (c *Case) FreeAddr() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	c.must(err)
-	defer ln.Close()
-	return ln.Addr().String()
+	for range portCount {
+		c.mu.Lock()
+		if c.nextPort == 0 {
+			c.nextPort = rand.N(portCount)
+		}
+		c.nextPort++
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+c.nextPort%portCount)
+		c.mu.Unlock()
+		if ln, err := net.Listen("tcp", addr); err == nil {
+			ln.Close()
+			return addr
+		}
+	}
+	c.Finish(NotRun, "no free port")
+	return ""
 }
 
 // Process is a process of the system.
@@ -230,35 +249,63 @@
 	c.mu.Lock()
 	c.servers[server] = true
 	c.mu.Unlock()
-	write := func() { store.Put(hostedtest.TopicServers, server.ID, server.Entry("ready")) }
-	write()
 	go func() {
-		for range time.Tick(heartbeatInterval) {
-			write()
+		for c.isRegistered(server) {
+			store.Put(hostedtest.TopicServers, server.ID, server.Entry("ready"))
+			time.Sleep(heartbeatInterval)
 		}
 	}()
 }
 
+// Unregister ends the heartbeats of a server. Its entry stays.
+func (c *Case) Unregister(server *hostedtest.Server) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.servers, server)
+}
+
+func (c *Case) isRegistered(server *hostedtest.Server) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.servers[server]
+}
+
 // Answer is what a caller got.
 type Answer struct {
 	Status int // 0: none
 	Body   []byte
 	Header http.Header
 	Took   time.Duration
-	Err    error
+	// HeadAfter is the time until the status line; 0: there was none.
+	HeadAfter time.Duration
+	Err       error
 }
 
 // caller opens a new connection for each request.
 var caller = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 
-// Call sends a request to a gateway and waits for its whole answer until the deadline that it states. A
-// caller that waits for less time than that gives patience; 0: the deadline.
+// Call sends a request to a gateway and waits for its whole answer for at most patience; 0: for
+// the deadline that it states.
 func (c *Case) Call(gateway *Process, method, path, id string, deadline, patience time.Duration, body []byte) Answer {
 	if patience == 0 {
 		patience = deadline
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
+	return c.call(ctx, gateway, method, path, id, deadline, body, func() {})
+}
+
+// Stream sends a request for a stream and reads it to its end. The caller abandons it after a gap.
+func (c *Case) Stream(gateway *Process, path, id string, deadline, gap time.Duration) Answer {
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	timer := time.AfterFunc(gap, cancel)
+	defer timer.Stop()
+	return c.call(ctx, gateway, http.MethodPost, path, id, deadline, []byte("prompt"), func() { timer.Reset(gap) })
+}
+
+// call sends a request; received is called with each part of the answer.
+func (c *Case) call(ctx context.Context, gateway *Process, method, path, id string, deadline time.Duration, body []byte, received func()) Answer {
 	start := time.Now()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+gateway.Callers+path, bytes.NewReader(body))
 	c.must(err)
@@ -275,8 +322,20 @@
 		return Answer{Err: err, Took: time.Since(start)}
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
-	return Answer{Status: resp.StatusCode, Body: data, Header: resp.Header, Took: time.Since(start), Err: err}
+	a := Answer{Status: resp.StatusCode, Header: resp.Header, HeadAfter: time.Since(start)}
+	buf := make([]byte, 4<<10)
+	for {
+		received()
+		n, err := resp.Body.Read(buf)
+		a.Body = append(a.Body, buf[:n]...)
+		if err != nil {
+			if err != io.EOF {
+				a.Err = err
+			}
+			a.Took = time.Since(start)
+			return a
+		}
+	}
 }
 
 // Submit submits a batch job until a gateway accepts it, as a trainer does.
