--- a/review/7/main.go
+++ b/review/5/main.go
@@ -1,4 +1,4 @@
-// Command case-7 stops a gateway as the platform does, with SIGTERM and SIGKILL after the grace period, and sends
+// Command case-5 stops a gateway as the platform does, with SIGTERM and SIGKILL after the grace period, and sends
 // streams over connections that callers keep open.
 package main
 
