--- a/review/testbed/testbed.go
+++ b/review/testbed/testbed.go
@@ -1,11 +1,10 @@
-// Package testbed starts gateways and agents as separate processes for the cases of the second review,
+// Package testbed starts gateways as separate processes for the cases of the second review,
 // between stand-ins of the platform, and records what they are sent and answer.
 package testbed
 
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -15,7 +14,6 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -32,12 +30,6 @@
 // Host is the host of all routes in hostedtest.Config.
 const Host = "app.example"
 
-// Names of the headers that hostedtest does not name.
-const (
-	headerWait     = hostedtest.HeaderWait
-	headerDeadline = hostedtest.HeaderDeadline
-)
-
 // heartbeatInterval is how often servers write their entries, as in a small deployment.
 const heartbeatInterval = 1200 * time.Millisecond
 
@@ -53,13 +45,12 @@
 	mu        sync.Mutex
 	nextPort  int
 	processes []*Process
-	servers   map[*hostedtest.Server]bool // that write heartbeats
 }
 
 // Start prepares a run. It needs the environment variables CASE_RECORD, the path of the record, and
 // CASE_DIR, a temporary folder; the current folder is the repository's root.
 func Start() *Case {
-	c := &Case{Trouble: os.Getenv("TROUBLE") != "0", dir: os.Getenv("CASE_DIR"), started: time.Now(), servers: map[*hostedtest.Server]bool{}}
+	c := &Case{Trouble: os.Getenv("TROUBLE") != "0", dir: os.Getenv("CASE_DIR"), started: time.Now()}
 	root, err := os.Getwd()
 	if err != nil || c.dir == "" {
 		fmt.Println("CASE_DIR is not set, or there is no current folder")
@@ -139,7 +130,9 @@
 	c        *Case
 	program  string
 	settings string
-	cmd      *exec.Cmd
+
+	mu  sync.Mutex
+	cmd *exec.Cmd // nil: it was killed
 }
 
 // Gateway starts a gateway with the settings of a small deployment.
@@ -171,26 +164,6 @@
 	return p
 }
 
-// Agent starts the agent of an engine.
-func (c *Case) Agent(name, store, engine string) *Process {
-	p := &Process{Name: name, c: c, program: "dandelion-orders"}
-	p.write(fmt.Sprintf(`[process]
-name = %s
-failure_domain = brno-a
-grace = 8s
-metrics = %s
-[topology]
-regions = brno-a:brno,brno-b:brno,brno-c:brno
-[store]
-address = %s
-reads_per_s = 2000
-[engine]
-address = %s
-`, name, c.FreeAddr(), store, engine))
-	p.Start()
-	return p
-}
-
 func (p *Process) write(settings string) {
 	p.settings = filepath.Join(p.c.dir, p.Name+".ini")
 	p.c.must(os.WriteFile(p.settings, []byte(settings), 0o644))
@@ -201,20 +174,35 @@
 
 // Start starts the process, again if it was killed.
 func (p *Process) Start() {
+	p.c.must(p.start())
+	p.c.Log("%s starts", p.Name)
+}
+
+func (p *Process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	log, err := os.OpenFile(filepath.Join(p.c.dir, p.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	p.c.must(err)
+	if err != nil {
+		return err
+	}
 	p.cmd = exec.Command(filepath.Join(p.c.root, "target", p.program), "--config", p.settings)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
-	p.c.must(p.cmd.Start())
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
 	pids, err := os.OpenFile(filepath.Join(p.c.dir, "pids"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	p.c.must(err)
+	if err != nil {
+		return err
+	}
 	defer pids.Close()
-	fmt.Fprintln(pids, p.cmd.Process.Pid)
-	p.c.Log("%s starts", p.Name)
+	_, err = fmt.Fprintln(pids, p.cmd.Process.Pid)
+	return err
 }
 
 // Kill ends the process with SIGKILL and waits for its end.
 func (p *Process) Kill() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.cmd == nil {
 		return
 	}
@@ -226,7 +214,10 @@
 
 // Signal sends a signal to the process.
 func (p *Process) Signal(s os.Signal) {
-	p.c.must(p.cmd.Process.Signal(s))
+	p.mu.Lock()
+	err := p.cmd.Process.Signal(s)
+	p.mu.Unlock()
+	p.c.must(err)
 	p.c.Log("%s gets signal %q", p.Name, s)
 }
 
@@ -246,30 +237,15 @@
 
 // Register writes the entry of a server now and at each heartbeat.
 func (c *Case) Register(store *hostedtest.Store, server *hostedtest.Server) {
-	c.mu.Lock()
-	c.servers[server] = true
-	c.mu.Unlock()
+	write := func() { store.Put(hostedtest.TopicServers, server.ID, server.Entry("ready")) }
+	write()
 	go func() {
-		for c.isRegistered(server) {
-			store.Put(hostedtest.TopicServers, server.ID, server.Entry("ready"))
-			time.Sleep(heartbeatInterval)
+		for range time.Tick(heartbeatInterval) {
+			write()
 		}
 	}()
 }
 
-// Unregister ends the heartbeats of a server. Its entry stays.
-func (c *Case) Unregister(server *hostedtest.Server) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.servers, server)
-}
-
-func (c *Case) isRegistered(server *hostedtest.Server) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.servers[server]
-}
-
 // Answer is what a caller got.
 type Answer struct {
 	Status int // 0: none
@@ -313,10 +289,7 @@
 	if id != "" {
 		req.Header.Set(hostedtest.HeaderAttempt, id)
 	}
-	req.Header.Set(headerDeadline, strconv.FormatInt(deadline.Milliseconds(), 10))
-	if strings.HasPrefix(path, hostedtest.PathJob) && method == http.MethodGet {
-		req.Header.Set(headerWait, "1000")
-	}
+	req.Header.Set(hostedtest.HeaderDeadline, strconv.FormatInt(deadline.Milliseconds(), 10))
 	resp, err := caller.Do(req)
 	if err != nil {
 		return Answer{Err: err, Took: time.Since(start)}
@@ -337,42 +310,3 @@
 		}
 	}
 }
-
-// Submit submits a batch job until a gateway accepts it, as a trainer does.
-func (c *Case) Submit(gateways []*Process, id string, job map[string]any) {
-	body, err := json.Marshal(job)
-	c.must(err)
-	for i := range 20 {
-		g := gateways[i%len(gateways)]
-		a := c.Call(g, http.MethodPost, "/jobs/"+id, id, 2*time.Second, 0, body)
-		c.Log("batch job %s is sent to %s: status %d %v", id, g.Name, a.Status, a.Err)
-		if a.Status == http.StatusAccepted {
-			return
-		}
-		time.Sleep(200 * time.Millisecond)
-	}
-	c.Finish(NotRun, "batch job %s was not accepted", id)
-}
-
-// Result is a result of a batch job.
-type Result struct {
-	ID, State, Text, Score string
-	Versions               []uint64
-}
-
-// Results reads a batch job from its start until it has n results, for at most a time.
-func (c *Case) Results(gateway *Process, id string, n int, most time.Duration) []Result {
-	var page struct{ Results []Result }
-	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
-		a := c.Call(gateway, http.MethodGet, hostedtest.PathJob+id+"?after=0", "", 2500*time.Millisecond, 0, nil)
-		if a.Status != http.StatusOK || json.Unmarshal(a.Body, &page) != nil {
-			c.Log("batch job %s is read at %s: status %d %v", id, gateway.Name, a.Status, a.Err)
-			continue
-		}
-		c.Log("batch job %s is read at %s: %d results", id, gateway.Name, len(page.Results))
-		if len(page.Results) >= n {
-			break
-		}
-	}
-	return page.Results
-}
