--- a/review/5/main.go
+++ b/review/5/main.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -36,11 +37,23 @@
 	deadline = 12 * time.Second
 )
 
+// config returns a configuration with a second streaming route, to a service of its own. Its streams may not be resumed.
 func config() map[string]any {
 	c := hostedtest.Config(1)
-	c["routes"] = append(c["routes"].([]map[string]any), map[string]any{
-		"name": "brief", "host": testbed.Host, "path_prefix": "/brief/", "route_type": "streaming", "service": "brief", "max_attempts": 2, "timeout_ms": 10000, "goal_ms": 400,
-	})
+	routes := c["routes"].([]map[string]any)
+	for _, r := range routes {
+		if r["name"] != "chat" {
+			continue
+		}
+		brief := maps.Clone(r)
+		for field, value := range r {
+			if value == "/chat/" {
+				brief[field] = "/brief/"
+			}
+		}
+		brief["name"], brief["service"], brief["resumable"] = "brief", "brief", false
+		c["routes"] = append(routes, brief)
+	}
 	c["services"] = append(c["services"].([]map[string]any), map[string]any{"name": "brief", "max_conns": 150, "engine": map[string]any{"slots": 8}})
 	return c
 }
@@ -71,8 +84,8 @@
 	}
 	c.Register(store, hostedtest.NewServer("p0", "plain"))
 	g, other := c.Gateway("front-0", store.Addr()), c.Gateway("front-1", store.Addr())
-	g.WaitReady()
-	other.WaitReady()
+	g.WaitReady("/score/ready")
+	other.WaitReady("/score/ready")
 
 	var callers sync.WaitGroup
 	for i := range longStreams {
--- a/review/testbed/testbed.go
+++ b/review/testbed/testbed.go
@@ -124,8 +124,8 @@
 // Process is a process of the system.
 type Process struct {
 	Name string
-	// Callers is the address for callers; Ready is that for the readiness check.
-	Callers, Ready string
+	// Callers is the address for callers.
+	Callers string
 
 	c        *Case
 	program  string
@@ -137,7 +137,7 @@
 
 // Gateway starts a gateway with the settings of a small deployment.
 func (c *Case) Gateway(name, store string) *Process {
-	p := &Process{Name: name, c: c, program: "dandelion-gateway", Callers: c.FreeAddr(), Ready: c.FreeAddr()}
+	p := &Process{Name: name, c: c, program: "dandelion-gateway", Callers: c.FreeAddr()}
 	p.write(fmt.Sprintf(`[process]
 name = %s
 failure_domain = brno-a
@@ -159,7 +159,7 @@
 cpu_share = 0.8
 link_mbps = 1000
 memory_mb = 314
-`, name, c.FreeAddr(), store, p.Callers, p.Ready, c.FreeAddr(), c.FreeAddr()))
+`, name, c.FreeAddr(), store, p.Callers, c.FreeAddr(), c.FreeAddr(), c.FreeAddr()))
 	p.Start()
 	return p
 }
@@ -221,18 +221,15 @@
 	p.c.Log("%s gets signal %q", p.Name, s)
 }
 
-// WaitReady waits until the gateway's readiness check succeeds.
-func (p *Process) WaitReady() {
-	for range 200 {
-		if resp, err := http.Get("http://" + p.Ready + "/-/ready"); err == nil {
-			resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return
-			}
+// WaitReady waits until the gateway answers a request to the path with success.
+func (p *Process) WaitReady(path string) {
+	for i := range 200 {
+		if p.c.Call(p, http.MethodPost, path, fmt.Sprintf("ready-%s-%d", p.Name, i), 2*time.Second, 0, nil).Status == http.StatusOK {
+			return
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	p.c.Finish(NotRun, "%s is not ready after 10 s", p.Name)
+	p.c.Finish(NotRun, "%s is not ready", p.Name)
 }
 
 // Register writes the entry of a server now and at each heartbeat.
