gateway: a stopping process starts only what it can finish

Cause: a gateway asks callers to leave with its answers only, and an idle connection gets none. What came over it was served without comparing the time left with the time that it may take. Ruled out by the case's record (time after the SIGTERM at which each stream was sent, each over a connection used before): new callers sent by the balancer, and streams that began before the SIGTERM.

Front.StartDrain is gone: its test begins the stop in its place.

--- a/base/run/run.go
+++ b/base/run/run.go
@@ -179,6 +179,7 @@
 // waits until nothing is in flight.
 func (l *lifecycle) drain() {
 	stopping.Store(true)
+	l.log.Info("Stopping.", zap.Duration("delay", l.process.StopDelay), zap.Duration("drain_timeout", l.process.DrainTimeout))
 	l.setReady(false)
 	<-time.After(l.process.StopDelay)
 	if l.process.Drain == nil {
--- a/gateway/forward/failures.go
+++ b/gateway/forward/failures.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"dandelionsill.org/gateway/stopping"
 	"dandelionsill.org/kinds"
 )
 
@@ -14,6 +15,9 @@
 		s.lastFailure.reply.Failures = s.failures
 		return s.lastFailure.reply, nil, true
 	}
+	if refused := s.refuseStopping(); refused != nil {
+		return nil, refused, true
+	}
 	if s.isQuarantined() || s.mayHaveRun == 0 && s.lacksRegion() {
 		return nil, s.noServerError(), true
 	}
@@ -27,12 +31,15 @@
 }
 
 // contextError returns the error of a call whose ctx has ended: the caller
-// disconnected, or the deadline passed.
+// disconnected, the deadline passed, or this process stops.
 func (s *callState) contextError(ctx context.Context) *kinds.Error {
 	if ctx.Err() == context.Canceled {
 		if s.inFlight > 0 {
 			s.usage.RecordExecution(time.Since(s.start))
 		}
+		if context.Cause(ctx) == stopping.ErrEnded {
+			return s.unansweredAtStop()
+		}
 		return kinds.New(kinds.Cancelled, "the caller has gone")
 	}
 	if s.mayHaveRun == 0 {
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -26,6 +26,7 @@
 	"dandelionsill.org/gateway/backend"
 	broker "dandelionsill.org/gateway/permits"
 	"dandelionsill.org/gateway/reach"
+	"dandelionsill.org/gateway/stopping"
 	"dandelionsill.org/gateway/usage"
 	"dandelionsill.org/gateway/view"
 	"dandelionsill.org/kinds"
@@ -129,6 +130,7 @@
 	// Bodies bounds the bodies that one server holds; nil: nothing does.
 	Bodies *ServerBodies
 	Reach  *reach.Monitor // tells when this process is cut off; nil: never
+	Stop   *stopping.Stop // of this process; nil: it never stops
 	// BearsLostDomains makes the first hedge of a request leave the failure domains that are silent.
 	BearsLostDomains bool
 
@@ -138,6 +140,7 @@
 	policy      *route.Policy
 	sharing     *sharing // nil: no service is shared
 	cold        *coldSends
+	durations   routeDurations
 }
 
 // New returns a forwarder for a process in the failure domain.
@@ -156,12 +159,17 @@
 func (f *Forwarder) Send(ctx context.Context, call Call) (*Reply, *kinds.Error) {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
+	ctx, release := f.Stop.Bound(ctx)
+	defer release()
 	call.replies = f.newReplySet(&call)
 	s := f.newCallState(call)
 	defer s.usage.Done()
 	s.outcomes = make(chan outcome, call.Route.MaxAttempts+maxRefusals+2)
 	reply, err := s.run(ctx)
 	s.reportResult(reply)
+	if reply != nil && reply.Status < http.StatusInternalServerError {
+		f.durations.observe(call.Route.Name, time.Since(s.start))
+	}
 	call.replies.closeOthers(reply)
 	return reply, err
 }
@@ -237,10 +245,14 @@
 func (s *callState) run(ctx context.Context) (*Reply, *kinds.Error) {
 	s.hedge = time.NewTimer(s.hedgeDelay())
 	defer s.hedge.Stop()
+	if refused := s.refuseStopping(); refused != nil {
+		return nil, refused
+	}
 	if !s.launch(ctx) {
 		return nil, s.noServerError()
 	}
 	for {
+		recheck := s.forwarder.Stop.Recheck()
 		select {
 		case o := <-s.outcomes:
 			reply, err, done := s.handleOutcome(ctx, o)
@@ -254,6 +266,10 @@
 			}
 		case <-s.hedge.C:
 			s.startHedge(ctx)
+		case <-recheck:
+			if refused := s.refuseStopping(); refused != nil {
+				return nil, refused
+			}
 		case <-ctx.Done():
 			s.logNoPermit(s.asking)
 			return nil, s.contextError(ctx)
@@ -360,9 +376,10 @@
 }
 
 // launch starts an attempt at another server, or asks for the permit that it needs. It
-// returns false if no server can be picked, none is in an allowed region, or the request is quarantined.
+// returns false if no server can be picked, none is in an allowed region, the request is quarantined, or
+// this process stops before it could end.
 func (s *callState) launch(ctx context.Context) bool {
-	if s.isQuarantined() || s.lacksRegion() {
+	if s.isQuarantined() || s.lacksRegion() || !s.mayStart() {
 		return false
 	}
 	if s.isShared() {
--- a/gateway/forward/permits.go
+++ b/gateway/forward/permits.go
@@ -222,7 +222,7 @@
 func (s *callState) usePermit(ctx context.Context, a permitAnswer) bool {
 	server, known := s.forwarder.View.Current().Server(s.service, a.permit.Server)
 	isAllowed := s.regions().Allows(server.Region) // they may have changed since the ask
-	if known && isAllowed && server.TakesWork() && s.mayRepeat() && !s.isQuarantined() && (s.inFlight == 0 || !s.isSuspect()) {
+	if known && isAllowed && server.TakesWork() && s.mayRepeat() && s.mayStart() && !s.isQuarantined() && (s.inFlight == 0 || !s.isSuspect()) {
 		c := choice{server: server, eligible: 1, listed: len(s.forwarder.View.Current().Servers[s.service]), reason: "permit: " + a.permit.Reason, permit: a.permit, asked: a.took}
 		if !a.permit.IsOwn {
 			c.grantedAt = time.Now().Add(-a.permit.Age())
@@ -238,7 +238,7 @@
 		zap.Bool("region_allowed", isAllowed), zap.String("region", server.Region))
 	s.asked = append(s.asked, a.permit.Server)
 	s.refusals++
-	if a.noWait || s.lacksRegion() || s.refusals > maxRefusals || !s.mayRepeat() || s.isQuarantined() || s.inFlight > 0 && s.isSuspect() {
+	if a.noWait || s.lacksRegion() || s.refusals > maxRefusals || !s.mayRepeat() || !s.mayStart() || s.isQuarantined() || s.inFlight > 0 && s.isSuspect() {
 		return false
 	}
 	s.acquire(ctx, false)
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -47,6 +47,9 @@
 		if s.isQuarantined() {
 			return s.fail(s.noServerError())
 		}
+		if refused := s.refuseAtStop(); refused != nil {
+			return s.fail(refused)
+		}
 		if s.refusals <= maxRefusals && s.lacksRegion() {
 			return s.fail(s.noServerError())
 		}
@@ -66,6 +69,7 @@
 		case end == streamDone:
 			if s.status < http.StatusInternalServerError {
 				s.subject.RecordCompletion()
+				f.durations.observe(call.Route.Name, time.Since(s.start))
 			}
 			return s.status, nil
 		case end == streamRefused:
@@ -102,6 +106,19 @@
 	version   uint64 // weight version of that event, as reported to the caller
 }
 
+// refuseAtStop returns the error of a stream of which the caller has got nothing and will get nothing, because this
+// process stops; nil: it may go on.
+func (s *streamState) refuseAtStop() *kinds.Error {
+	switch {
+	case s.status != 0:
+		return nil
+	case s.forwarder.Stop.HasEnded():
+		return s.unansweredAtStop()
+	default:
+		return s.refuseStopping()
+	}
+}
+
 // fail returns err if nothing has been written to the caller; otherwise it aborts the
 // caller's connection.
 func (s *streamState) fail(err *kinds.Error) (int, *kinds.Error) {
@@ -121,6 +138,12 @@
 	if !s.call.Route.Resumable {
 		gapTimer.Stop()
 	}
+	// Until it has got anything, the caller can be told that this process stops.
+	unbind := func() bool { return true }
+	if s.status == 0 {
+		unbind = s.forwarder.Stop.AfterEnd(cancel)
+	}
+	defer unbind()
 	if err := s.forwarder.Bodies.acquire(ctx, s.call.Deadline, c.server.ID, len(s.call.Body)); err != nil {
 		return streamRefused, err
 	}
@@ -146,6 +169,7 @@
 		return streamRefused, nil
 	}
 	defer answer.Close()
+	unbind()
 	s.usage.RecordExecution(0) // the head arrives together with the first event
 	return s.forwardAnswer(answer, gapTimer)
 }
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -23,6 +23,7 @@
 	"dandelionsill.org/gateway/jobs"
 	"dandelionsill.org/gateway/pace"
 	"dandelionsill.org/gateway/reach"
+	"dandelionsill.org/gateway/stopping"
 	"dandelionsill.org/gateway/view"
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/platform/hosted"
@@ -64,14 +65,11 @@
 	// Reach tells when this process is cut off; nil: never. Callers that open a new connection may then
 	// get another process.
 	Reach *reach.Monitor
+	Stop  *stopping.Stop // of this process; nil: it never stops
 
 	inFlight atomic.Int64
-	draining atomic.Bool
 }
 
-// StartDrain makes Front close each connection after its next answer.
-func (f *Front) StartDrain() { f.draining.Store(true) }
-
 // InFlight returns the number of requests that are being served.
 func (f *Front) InFlight() int64 { return f.inFlight.Load() }
 
@@ -85,7 +83,7 @@
 		oteltrace.WithAttributes(attribute.String("id", hosted.AttemptID(r.Header))))
 	defer span.End()
 	r = r.WithContext(ctx)
-	if f.draining.Load() || f.Reach.IsIsolated() {
+	if f.Stop.IsStopping() || f.Reach.IsIsolated() {
 		w.Header().Set("Connection", "close")
 	}
 	if f.Bodies != nil {
@@ -120,11 +118,17 @@
 	if snap.Table == nil {
 		return 0, held.Refuse(kinds.NotReady, "no configuration yet")
 	}
+	if m, isStopping := f.Stop.Moment(); isStopping && m.Left <= 0 {
+		return 0, held.Refuse(kinds.Leaving, "this process stops now").WithRetryAfter(time.Millisecond)
+	}
 	call, err := hosted.ParseCall(r)
 	if err != nil {
 		return 0, held.Refuse(kinds.BadRequest, "%v", err)
 	}
 	if call.Kind != hosted.CallNone {
+		ctx, release := f.Stop.Bound(r.Context())
+		defer release()
+		r = r.WithContext(ctx)
 		if refused := f.authorizeJob(r.Context(), snap, r, call.Job); refused != nil {
 			return 0, refused
 		}
@@ -144,7 +148,7 @@
 	deadline := start.Add(answerTimeout(r, route))
 	room := f.Bodies.Reserve()
 	defer room.Release()
-	body, failed := f.readBody(w, r, &room, snap.Table.Limits.BodyBytes, deadline)
+	body, failed := f.readBody(w, r, &room, snap.Table.Limits.BodyBytes, f.Stop.Earliest(deadline))
 	if failed != nil {
 		room.Release()
 		return f.refuseBody(w, r, failed, start), nil
@@ -217,6 +221,8 @@
 	left := callerTimeout(r)
 	ctx, cancel := context.WithDeadline(r.Context(), start.Add(time.Duration(submitTimeShare*float64(left))))
 	defer cancel()
+	ctx, release := f.Stop.Bound(ctx)
+	defer release()
 	failed := f.Jobs.Submit(ctx, spec, items)
 	f.Log.Info("Batch job submission handled.", zap.String("job", spec.ID), zap.Int("step", spec.Step), zap.Int("items", len(items)),
 		zap.Duration("took", time.Since(start)), zap.Error(errorOrNil(failed)))
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -19,6 +19,7 @@
 	"dandelionsill.org/gateway/front"
 	"dandelionsill.org/gateway/gatewaytest"
 	"dandelionsill.org/gateway/jobs"
+	"dandelionsill.org/gateway/stopping"
 	"dandelionsill.org/gateway/view"
 	"dandelionsill.org/platform/hosted"
 	"dandelionsill.org/platform/hosted/hostedtest"
@@ -36,6 +37,7 @@
 	f := &front.Front{
 		View: p.View, Forward: p.Forward, Jobs: jobs.NewService(index, p.Store, writer, 3, 600, zap.NewNop()),
 		Log: zap.NewNop(), Latency: metrics.NewHistogram("front_test_latency"),
+		Stop: stopping.New(stopping.Times{Arrivals: time.Hour, Finish: time.Hour, Answer: time.Hour}, nil),
 	}
 	srv := httptest.NewServer(f)
 	t.Cleanup(srv.Close)
@@ -201,7 +203,7 @@
 		answered <- resp.StatusCode
 	}()
 	require.Eventually(t, func() bool { return f.InFlight() == 1 }, gatewaytest.MaxWait, time.Millisecond)
-	f.StartDrain()
+	f.Stop.Begin()
 	expiring, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
 	defer cancel()
 	require.Error(t, f.Drain(expiring))
--- a/gateway/jobs/api.go
+++ b/gateway/jobs/api.go
@@ -16,6 +16,7 @@
 	"dandelionsill.org/decide/table"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/reach"
+	"dandelionsill.org/gateway/stopping"
 	"dandelionsill.org/kinds"
 	"dandelionsill.org/platform"
 )
@@ -67,7 +68,8 @@
 	// table returns the configuration in force, nil while there is none.
 	table      func() *table.Table
 	reach      *reach.Monitor
-	neighbours *Neighbours // nil: unknown
+	stop       *stopping.Stop // of this process; nil: it never stops
+	neighbours *Neighbours    // nil: unknown
 }
 
 // NewService returns the service that answers from index. partitions is the number of
--- a/gateway/jobs/choose_owner.go
+++ b/gateway/jobs/choose_owner.go
@@ -8,6 +8,7 @@
 	"dandelionsill.org/decide/route"
 	"dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/reach"
+	"dandelionsill.org/gateway/stopping"
 )
 
 // SetNeighbours sets what is known of the other gateways. It must be called before the first call.
@@ -17,6 +18,9 @@
 // log. It must be called before the first call.
 func (s *Service) SetReach(m *reach.Monitor) { s.reach = m }
 
+// SetStop sets the stop of this process, which makes it own no further jobs. It must be called before the first call.
+func (s *Service) SetStop(stop *stopping.Stop) { s.stop = stop }
+
 // chooseOwner chooses the process that runs a job with that many items; nil: this process.
 // It prefers an owner of earlier jobs with a recent heartbeat and enough capacity: such an
 // owner has connections to the engines, and knows their pace and what else runs there.
@@ -25,8 +29,8 @@
 // is too small.
 //
 // With several regions it prefers processes of this one's region, where the caller is. Only processes
-// in the allowed regions are chosen; if none is known there, the job has no owner until a process
-// there claims it.
+// in the allowed regions are chosen; if none is known there, or this process stops, the job has no owner until
+// a process claims it.
 func (s *Service) chooseOwner(items int, allowed residency.Regions) *jobs.Writer {
 	s.index.mu.Lock()
 	defer s.index.mu.Unlock()
@@ -34,7 +38,10 @@
 	if allowed.IsRestricted() {
 		eligible = slices.DeleteFunc(eligible, func(o jobs.OwnerLoad) bool { return !allowed.Allows(s.index.places.regionOf(o.Owner.VM)) })
 	}
-	isAllowed := s.index.places.allows(allowed)
+	isAllowed := s.index.places.allows(allowed) && !s.stop.IsStopping()
+	if s.stop.IsStopping() { // the others may not have read yet that it leaves
+		eligible = slices.DeleteFunc(eligible, func(o jobs.OwnerLoad) bool { return o.Owner == s.writer })
+	}
 	canRun := isAllowed && s.capacity >= items
 	near, far := s.neighbours.splitOwners(eligible)
 	owner := s.chooseAmong(near, items, canRun)
--- a/gateway/jobs/ownership.go
+++ b/gateway/jobs/ownership.go
@@ -312,12 +312,22 @@
 	r.out.addRelease(j)
 }
 
+// ownsJob reports whether this process owns an open job that it has not released, be it one that it was given
+// a moment ago; mu is held.
+func (r *Runner) ownsJob() bool {
+	r.index.mu.Lock()
+	defer r.index.mu.Unlock()
+	owns := false
+	r.index.state.Each(func(j *jobs.Job) { owns = owns || j.Owner == r.writer && !j.Released && j.IsOpen() })
+	return owns
+}
+
 // WaitDrained waits until all jobs are released; it returns false if ctx ended first.
 func (r *Runner) WaitDrained(ctx context.Context) bool {
 	for {
 		changed := r.index.Changed.Next()
 		r.mu.Lock()
-		drained := len(r.active) == 0
+		drained := len(r.active) == 0 && !r.ownsJob()
 		r.mu.Unlock()
 		if drained {
 			return true
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -30,6 +30,7 @@
 	gatewayjobs "dandelionsill.org/gateway/jobs"
 	"dandelionsill.org/gateway/pace"
 	"dandelionsill.org/gateway/reach"
+	"dandelionsill.org/gateway/stopping"
 	"dandelionsill.org/gateway/view"
 	"dandelionsill.org/platform/hosted"
 	"dandelionsill.org/quarantine"
@@ -38,11 +39,16 @@
 // Timeouts of the process. Shares are parts of the grace period, the time between the request
 // to stop and the kill.
 const (
-	// serveShare is the share in which new connections are still served: the load balancer sends
-	// new callers until two of its readiness checks have failed.
+	// arrivalShare is the share in which new callers may still arrive: the load balancer sends them until
+	// two of its readiness checks have failed.
+	arrivalShare = 0.35
+	// serveShare is the share in which new connections are still served, which is longer than new callers arrive.
 	serveShare = 0.4
 	// drainShare is the share in which the requests that are then in flight may finish.
 	drainShare = 0.5
+	// answerShare is the share after which callers who have got nothing get a final answer, so that it reaches
+	// them before the kill.
+	answerShare = 0.95
 	// idleTimeout is longer than any caller keeps an idle connection, so that no request arrives
 	// while the gateway closes its connection.
 	idleTimeout = 5 * time.Minute
@@ -92,6 +98,9 @@
 		Jobs: gatewayjobs.NewService(index, store, writer, cfg.Store.Parts, capacity, logs.Part(log, "jobs")),
 	}
 	handler.Jobs.SetTable(func() *table.Table { return v.Current().Table })
+	stop := stopping.New(stoppingTimes(cfg.Process.Grace), nil)
+	handler.Stop, forwarder.Stop = stop, stop
+	handler.Jobs.SetStop(stop)
 	ready := &readiness{view: v, index: index, quarantine: forwarder.Quarantine}
 	index.Texts.SetPeers(peers.Addr)
 	index.SetPlaces(newPlaces(v.Topology, peers, cfg.Process.FailureDomain))
@@ -138,11 +147,11 @@
 		Servers: append(gatewayServers(cfg, handler, newPeerHandler(index, handler.View, forwarder.Quarantine, followed), ready), permits.servers()...),
 		Ready: func(isReady bool) {
 			ready.serving.Store(isReady)
-			releaseWork(isReady, handler, runner, usage, scaling, permits)
+			releaseWork(isReady, stop, runner, usage, scaling, permits)
 		},
-		StopDelay:    time.Duration(serveShare * float64(cfg.Process.Grace)),
+		StopDelay:    share(cfg.Process.Grace, serveShare),
 		Drain:        func(ctx context.Context) error { return drain(ctx, handler, runner, usage, log) },
-		DrainTimeout: time.Duration(drainShare * float64(cfg.Process.Grace)),
+		DrainTimeout: share(cfg.Process.Grace, drainShare),
 		Close:        func() { loops.Wait(); flushTraces(flush, log); out.Close() },
 		Reload: func(next any, changed []string) []string {
 			return reloadStore(store, &next.(*Gateway).Common, changed)
@@ -151,6 +160,11 @@
 	}, nil
 }
 
+// stoppingTimes returns the times of a stop with a grace period.
+func stoppingTimes(grace time.Duration) stopping.Times {
+	return stopping.Times{Arrivals: share(grace, arrivalShare), Finish: share(grace, serveShare+drainShare), Answer: share(grace, answerShare)}
+}
+
 // flushTimeout bounds the time in which the last spans are sent when the process stops.
 const flushTimeout = time.Second
 
@@ -165,14 +179,14 @@
 
 // releaseWork releases this process's jobs, duties and brokers as soon as the process starts to
 // stop; ready is false then.
-func releaseWork(ready bool, handler *front.Front, runner *gatewayjobs.Runner, usage *reporting, scaling *scaling, permits *sharing) {
+func releaseWork(ready bool, stop *stopping.Stop, runner *gatewayjobs.Runner, usage *reporting, scaling *scaling, permits *sharing) {
 	if ready {
 		return
 	}
+	stop.Begin()
 	usage.resign()
 	scaling.resign()
 	permits.leave()
-	handler.StartDrain()
 	runner.Drain()
 }
 
