gateway/jobs: a text keeps its version until it is known that it needn't

Cause: whether a route wants one version was read once, when a job is taken; "no routing table" counted as "not wanted", for good.

The rule is stored with the job at its submission, and the route of the moment adds to it at each plan. While neither says it for sure, because the operator's feed itself has not been read since the start, a text goes on with its version only and is not dropped, which is right for both kinds of routes.

gatewaytest starts processes with copies in use, as a gateway does.

--- a/fold/jobs/record.go
+++ b/fold/jobs/record.go
@@ -56,12 +56,24 @@
 	// Organisation is the name of the organisation that submitted the job; empty:
 	// every caller may access the job.
 	Organisation string `json:"og,omitempty"`
+	// Versions is how many weight versions may make a text, as of submission.
+	Versions VersionRule `json:"vr,omitempty"`
 	// Regions are the regions in which the job's items may be served, as of submission;
 	// empty: all. OrganisationRegions are those of its organisation alone.
 	Regions             []string `json:"rg,omitempty"`
 	OrganisationRegions []string `json:"or,omitempty"`
 }
 
+// VersionRule is how many weight versions may make one text.
+type VersionRule string
+
+// The rules.
+const (
+	VersionsUnknown VersionRule = "" // the accepting process was not sure, or of an earlier build
+	OneVersion      VersionRule = "one"
+	AnyVersions     VersionRule = "any"
+)
+
 // Acceptance is an accepted batch job, or the part of one that fits into a
 // record. All parts of a job are appended atomically.
 type Acceptance struct {
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -217,7 +217,7 @@
 	if err != nil {
 		return 0, kinds.Hold().Refuse(kinds.BadRequest, "%v", err)
 	}
-	spec.DueMS, spec.Organisation = route.Due.Milliseconds(), organisation
+	spec.DueMS, spec.Organisation, spec.Versions = route.Due.Milliseconds(), organisation, jobs.VersionRule(route, f.View.IsConfirmed())
 	left := callerTimeout(r)
 	ctx, cancel := context.WithDeadline(r.Context(), start.Add(time.Duration(submitTimeShare*float64(left))))
 	defer cancel()
@@ -293,7 +293,7 @@
 	row := err.Answer()
 	f.Log.Info("Request failed.", zap.String("id", id), zap.String("method", r.Method), zap.String("host", r.Host),
 		zap.String("path", r.URL.Path), zap.String("kind", err.Kind()), zap.Bool("not_run", row.NotRun), zap.Int("status", row.HTTP),
-		zap.Uint64("config", configVersion(f.View.Current())), zap.Duration("took", time.Since(start)), zap.String("why", err.Message()))
+		zap.Uint64("config", f.View.Current().ConfigVersion()), zap.Duration("took", time.Since(start)), zap.String("why", err.Message()))
 	if err.Kind() == string(kinds.Cancelled) {
 		panic(http.ErrAbortHandler) // the caller has disconnected
 	}
@@ -309,13 +309,6 @@
 	return status
 }
 
-func configVersion(snap *view.Snapshot) uint64 {
-	if snap.Table == nil {
-		return 0
-	}
-	return snap.Table.Version
-}
-
 // Drain waits until no request is being served. It returns an error if ctx ends first.
 func (f *Front) Drain(ctx context.Context) error {
 	const pollInterval = 20 * time.Millisecond
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"dandelionsill.org/base/metrics"
+	"dandelionsill.org/decide/table"
 	fold "dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/front"
 	"dandelionsill.org/gateway/gatewaytest"
@@ -212,3 +213,32 @@
 	resp, _ := send(t, "GET", url+"/nowhere/", attemptHeader("r"), nil)
 	require.True(t, resp.Close)
 }
+
+// Guards against a batch job whose later owner does not know what its route asked for: the route's version rule is stored
+// with the job.
+func TestSubmissionStoresWhatItsRouteAsksFor(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 1, 1)
+	f, url := newFront(t, pf)
+	ruleOf := func(job string) fold.VersionRule {
+		body, err := json.Marshal(hostedtest.Job(job, "m", 2, 1))
+		require.NoError(t, err)
+		resp, _ := send(t, "POST", url+"/jobs/x", attemptHeader(job), body)
+		require.Equal(t, 202, resp.StatusCode)
+		for _, data := range pf.Store.Records(jobs.Stream) {
+			r, err := fold.Decode(data)
+			require.NoError(t, err)
+			if r.Acceptance != nil && r.Acceptance.ID == job {
+				return r.Acceptance.Versions
+			}
+		}
+		return "no job"
+	}
+	require.Eventually(t, f.View.IsConfirmed, gatewaytest.MaxWait, time.Millisecond)
+	require.Equal(t, fold.AnyVersions, ruleOf("a"))
+	config := hostedtest.Config(2)
+	config["routes"].([]map[string]any)[0][hostedtest.FieldSingleVersion] = true
+	pf.Store.Put(hostedtest.TopicOperator, "config", config)
+	require.Eventually(t, func() bool { return f.View.Current().ConfigVersion() == 2 }, gatewaytest.MaxWait, time.Millisecond)
+	require.Equal(t, fold.OneVersion, ruleOf("b"))
+	require.Equal(t, fold.VersionsUnknown, jobs.VersionRule(&table.Route{}, false), "a route from a copy")
+}
--- a/gateway/gatewaytest/gatewaytest.go
+++ b/gateway/gatewaytest/gatewaytest.go
@@ -156,11 +156,21 @@
 
 // NewProcess starts a process and waits until its view contains all servers of the platform.
 func (p *Platform) NewProcess(t testing.TB) *Process {
+	proc := p.StartProcess(t)
+	require.Eventually(t, func() bool {
+		snap := proc.View.Current()
+		return snap.Table != nil && len(snap.Servers["engines"]) == len(p.Engines) && len(snap.Servers["plain"]) == len(p.Servers)
+	}, MaxWait, time.Millisecond)
+	return proc
+}
+
+// StartProcess starts a process that may know nothing of the platform yet, as during an outage.
+func (p *Platform) StartProcess(t testing.TB) *Process {
 	ctx, cancel := context.WithCancel(context.Background())
 	var loops sync.WaitGroup
 	store := hosted.NewStore(p.Store.Addr())
 	v := view.New(hosted.NewFeeds(store, store), zap.NewNop())
-	v.Topology = p.Topology
+	v.Topology, v.UseCopies = p.Topology, true
 	pool := backend.NewPool(hosted.AttemptID)
 	proc := &Process{Store: store, View: v, Pool: pool, Forward: forward.New(v, pool, "zone-a", zap.NewNop())}
 	proc.Go = func(f func(context.Context)) { loops.Go(func() { f(ctx) }) }
@@ -169,9 +179,5 @@
 	t.Cleanup(proc.Stop)
 	p.enableSharing(t, proc)
 	proc.Go(v.Run)
-	require.Eventually(t, func() bool {
-		snap := v.Current()
-		return snap.Table != nil && len(snap.Servers["engines"]) == len(p.Engines) && len(snap.Servers["plain"]) == len(p.Servers)
-	}, MaxWait, time.Millisecond)
 	return proc
 }
--- a/gateway/jobs/active_item.go
+++ b/gateway/jobs/active_item.go
@@ -31,8 +31,9 @@
 	// stored under the claim of the next owner.
 	claim uint64
 
-	// singleVersion is true if one weight version has to generate the complete text.
-	singleVersion bool
+	// versions is how many weight versions may generate the text, as of the last plan. As long as that is unknown,
+	// the text goes on with its version only, and is kept.
+	versions jobs.VersionRule
 	// service is the service that runs the item, and regions are those in which it may, according to
 	// the table routedBy.
 	service  string
@@ -80,7 +81,7 @@
 
 // requiredVersion returns the only version that may continue the item; 0: any.
 func (a *activeItem) requiredVersion() uint64 {
-	if !a.singleVersion || len(a.events) == 0 {
+	if a.versions == jobs.AnyVersions || len(a.events) == 0 {
 		return 0
 	}
 	return a.events[0].Version
--- /dev/null
+++ b/gateway/jobs/configuration_test.go
@@ -0,0 +1,101 @@
+package jobs_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	fold "dandelionsill.org/fold/jobs"
+	"dandelionsill.org/gateway/gatewaytest"
+	"dandelionsill.org/gateway/jobs"
+	"dandelionsill.org/platform"
+	"dandelionsill.org/platform/hosted"
+	"dandelionsill.org/platform/hosted/hostedtest"
+)
+
+// restart starts another incarnation of a process, which may know no configuration yet, and waits until it owns a job.
+func restart(t *testing.T, pf *gatewaytest.Platform, vm string) *entry {
+	p := pf.StartProcess(t)
+	core, lines := observer.New(zap.InfoLevel)
+	writer := fold.Writer{VM: vm, Incarnation: "2"}
+	e := &entry{Process: p, index: jobs.NewIndex(p.Store, zap.NewNop())}
+	e.service = jobs.NewService(e.index, p.Store, writer, 3, 600, zap.NewNop())
+	e.runner = jobs.NewRunner(e.index, p.Store, p.Forward, writer, 3, 600, zap.New(core))
+	p.Go(e.index.Run)
+	p.Go(e.runner.Run)
+	require.Eventually(t, func() bool { return lines.FilterMessage("Owning a batch job.").Len() > 0 }, gatewaytest.MaxWait, time.Millisecond)
+	return e
+}
+
+// copyConfiguration copies the operator's feed as it is now, for processes that can't read it.
+func copyConfiguration(t *testing.T, pf *gatewaytest.Platform) {
+	store := hosted.NewStore(pf.Store.Addr())
+	require.NoError(t, hosted.NewFeeds(store, store).SaveCopy(context.Background(), platform.FeedOperator))
+}
+
+// Guards against texts of two versions on a route that wants one: the process that made the first part is replaced by one that
+// takes the job before it knows the route, or knows it as it was before.
+func TestRestartedOwnerMakesTextsOfOneVersion(t *testing.T) {
+	for name, hasCopy := range map[string]bool{"no configuration": false, "older copy": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			pf := gatewaytest.NewPlatform(t, 2, 1)
+			outage := hostedtest.StoreFaults{UnavailableTopics: []string{hostedtest.TopicOperator, hostedtest.TopicCopies}}
+			if hasCopy {
+				copyConfiguration(t, pf)
+				outage.UnavailableTopics = outage.UnavailableTopics[:1]
+			}
+			config := hostedtest.Config(2)
+			config["routes"].([]map[string]any)[0][hostedtest.FieldSingleVersion] = true
+			pf.Store.Put(hostedtest.TopicOperator, "config", config)
+			for _, e := range pf.Engines {
+				e.EventInterval, e.Events = 5*time.Millisecond, 200
+			}
+			a := newEntry(t, pf, "a")
+			require.Eventually(t, func() bool { return a.View.Current().Table.Version == 2 }, gatewaytest.MaxWait, time.Millisecond)
+			a.submit(t, "j", 8, 1)
+			require.Eventually(t, func() bool { return reportedEvents(pf, "j") >= 48 }, gatewaytest.MaxWait, time.Millisecond)
+			a.Stop()
+			require.Eventually(t, func() bool { return pf.Engines[0].InFlight()+pf.Engines[1].InFlight() == 0 }, gatewaytest.MaxWait, time.Millisecond)
+			loadVersion2(t, pf.Engines[0])
+			pf.Register(pf.Engines[0], "ready")
+			pf.Store.Fail(outage)
+			a = restart(t, pf, "a")
+			if hasCopy {
+				require.Eventually(t, func() bool { return pf.Engines[1].InFlight() > 0 }, gatewaytest.MaxWait, time.Millisecond)
+				require.Equal(t, uint64(1), a.View.Current().ConfigVersion())
+			}
+			pf.Store.Fail(hostedtest.StoreFaults{})
+			results := a.results(t, "j", 8)
+			requireComplete(t, results, 200)
+			for _, r := range results {
+				require.Len(t, r.Versions, 1, r.Item)
+			}
+		})
+	}
+}
+
+// Guards against a job that loses what its route asked for when it was submitted, because the route has changed.
+func TestOneVersionHoldsFromTheSubmissionOn(t *testing.T) {
+	t.Parallel()
+	pf := gatewaytest.NewPlatform(t, 2, 1)
+	for _, e := range pf.Engines {
+		e.EventInterval, e.Events = 5*time.Millisecond, 200
+	}
+	a := newEntry(t, pf, "a")
+	spec, items := decode(t, "j", hostedtest.Job("j", "m", 8, 1))
+	spec.Versions = fold.OneVersion
+	require.Nil(t, a.service.Submit(t.Context(), spec, items))
+	require.Eventually(t, func() bool { return reportedEvents(pf, "j") >= 12 }, gatewaytest.MaxWait, time.Millisecond)
+	pf.Engines[1].Fail(hostedtest.ServerFaults{BreakAfter: 1})
+	loadVersion2(t, pf.Engines[0])
+	results := a.results(t, "j", 8)
+	requireComplete(t, results, 200)
+	for _, r := range results {
+		require.Len(t, r.Versions, 1, r.Item)
+	}
+}
--- a/gateway/jobs/ownership.go
+++ b/gateway/jobs/ownership.go
@@ -8,7 +8,6 @@
 
 	"dandelionsill.org/base/sleep"
 	"dandelionsill.org/decide/route"
-	"dandelionsill.org/decide/table"
 	"dandelionsill.org/fold/jobs"
 )
 
@@ -205,8 +204,7 @@
 func (r *Runner) startItems(j *jobs.Job, texts *jobs.Texts) {
 	active := make(map[string]*activeItem, len(j.Items))
 	r.active[j.ID] = active
-	route := r.routeOf(j)
-	singleVersion := route != nil && route.SingleVersion
+	versions := r.versionRule(j)
 	for id, state := range j.Items {
 		if state.Done() {
 			continue
@@ -217,18 +215,10 @@
 		}
 		item, _ := texts.Item(id)
 		active[id] = newActiveItem(j, item, earlier)
-		active[id].singleVersion = singleVersion
+		active[id].versions = versions
 	}
-	r.zlog.Info("Owning a batch job.", zap.String("job", j.ID), zap.Int("items", len(active)), zap.Uint64("claim", j.Claim))
-}
-
-// routeOf returns the route to which a job was submitted; nil: it was removed.
-func (r *Runner) routeOf(j *jobs.Job) *table.Route {
-	t := r.view.Current().Table
-	if t == nil {
-		return nil
-	}
-	return t.Match(j.Host, j.Path)
+	r.zlog.Info("Owning a batch job.", zap.String("job", j.ID), zap.Int("items", len(active)), zap.Uint64("claim", j.Claim),
+		zap.Uint64("config", r.view.Current().ConfigVersion()), zap.Bool("config_confirmed", r.view.IsConfirmed()), zap.String("version_rule", string(versions)))
 }
 
 // reusableText is the text so far of an item whose job was dropped or ended.
--- a/gateway/jobs/placing.go
+++ b/gateway/jobs/placing.go
@@ -60,6 +60,7 @@
 	byPool := map[pool][]*activeItem{}
 	snap := r.view.Current()
 	for _, active := range r.active {
+		r.followConfiguration(active)
 		for _, a := range active {
 			if a.phase == waiting && a.complete {
 				r.completeText(ctx, a)
@@ -75,6 +76,18 @@
 	}
 }
 
+// followConfiguration brings the version rule of a job's items up to date.
+func (r *Runner) followConfiguration(active map[string]*activeItem) {
+	var rule jobs.VersionRule
+	isKnown := false
+	for _, a := range active {
+		if !isKnown {
+			rule, isKnown = r.versionRule(a.job), true
+		}
+		a.versions = rule
+	}
+}
+
 // pool is the engines of a service that may run an item: those in its allowed regions.
 type pool struct {
 	service string
@@ -159,7 +172,7 @@
 // engine has that version, and engines never go back to an older one, or the engines that have
 // it delay the sample too much.
 func (r *Runner) shouldRestart(a *activeItem, s *place.Sample, engines []place.Engine, now time.Time) bool {
-	if s.OnlyVersion == 0 {
+	if s.OnlyVersion == 0 || a.versions != jobs.OneVersion {
 		return false
 	}
 	if !place.HasOnlyVersion(engines, s) {
--- a/gateway/jobs/ranking.go
+++ b/gateway/jobs/ranking.go
@@ -87,7 +87,7 @@
 
 func (r *Runner) describeStep(j *jobs.Job, now time.Time) place.Step {
 	due := defaultDue
-	if route := r.routeOf(j); route != nil && route.Due > 0 {
+	if route := r.routeAt(j.Host, j.Path); route != nil && route.Due > 0 {
 		due = route.Due
 	}
 	r.index.mu.Lock()
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -60,7 +60,7 @@
 	s := &stream{
 		runner: r, active: a, number: a.streamNumber, server: server.ID, serverName: server.Name, addr: server.Addr, resumedAfter: len(a.events),
 		requiredVersion: a.requiredVersion(), isFar: r.neighbours.isFar(server.FailureDomain), beforeSend: r.cold.beforeSend(a, server, now),
-		service: a.service, region: server.Region,
+		service: a.service, region: server.Region, versions: a.versions,
 	}
 	r.report(a, true)
 	r.tasks.Go(func() {
@@ -86,6 +86,7 @@
 	isFar           bool        // the engine is in another region
 	beforeSend      func() bool // nil: the engine needs no care
 	service, region string      // of the engine
+	versions        jobs.VersionRule
 }
 
 // mayStillSend is called right before the item is written to the engine. Since that was picked, its
@@ -190,7 +191,7 @@
 		if version < s.active.job.MinVersion {
 			return tooOld, nil
 		}
-		if s.active.singleVersion && s.requiredVersion == 0 {
+		if s.versions != jobs.AnyVersions && s.requiredVersion == 0 {
 			s.requiredVersion = version
 		}
 		if s.requiredVersion != 0 && version != s.requiredVersion {
@@ -287,14 +288,16 @@
 		a.restart()
 		r.requeue(a, avoidFull, now)
 	case wrongVersion:
-		samplesRestarted.Add(1)
-		a.restart()
+		if r.versionRule(a.job) == jobs.OneVersion {
+			samplesRestarted.Add(1)
+			a.restart()
+		}
 		r.requeue(a, avoidFull, now)
 	case impossible:
 		r.abandon(a, "never")
 	case failed:
 		a.failures++
-		if a.failures >= r.maxAttempts(a) {
+		if a.failures >= r.maxAttempts(a.job) {
 			r.abandon(a, "failures")
 			break
 		}
@@ -313,14 +316,6 @@
 	}
 }
 
-// maxAttempts returns how often an item may fail at engines.
-func (r *Runner) maxAttempts(a *activeItem) int {
-	if route := r.routeOf(a.job); route != nil {
-		return route.MaxAttempts
-	}
-	return 1
-}
-
 // abandon ends an item without a text.
 func (r *Runner) abandon(a *activeItem, why string) {
 	samplesAbandoned.Add(1)
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -81,6 +81,14 @@
 	return members.Server{}, false
 }
 
+// ConfigVersion returns the version of the configuration in force; 0: none has been read.
+func (s *Snapshot) ConfigVersion() uint64 {
+	if s.Table == nil {
+		return 0
+	}
+	return s.Table.Version
+}
+
 // View follows the store's feeds. Its zero value can't be used.
 type View struct {
 	// Changed is notified of each new snapshot.
@@ -141,9 +149,13 @@
 // route that it lacks. A process that falls behind an overloaded store, or can't reach
 // it, would otherwise permanently refuse callers of routes that were added meanwhile.
 func (v *View) IsFresh() bool {
-	return v.operatorReadAt.Load() != neverRead && v.ConfigAge() <= maxConfigAge
+	return v.IsConfirmed() && v.ConfigAge() <= maxConfigAge
 }
 
+// IsConfirmed reports whether the operator's feed itself has been read since the start. Until then the
+// configuration is unknown, or a copy that may lack what was acknowledged before the start.
+func (v *View) IsConfirmed() bool { return v.operatorReadAt.Load() != neverRead }
+
 // neverRead is the value of operatorReadAt before the first read.
 const neverRead = math.MinInt64
 
