gateway/jobs: an old configuration gives no item up

A process that starts from a copy of the configuration gave items up, as samples and for their scores, after as many failures as the copy's route allows, or after one where the copy has no route. Their trainers got "terminated" for items that their route still allowed to run. Not seen in a deployment; shown by a test.

An item that has failed as often as that goes to no engine until the operator's feed itself has been read, and the decision is taken then; calls for a score wait likewise. Waiting instead of trying on keeps an item that fails each time within its bound.

--- a/gateway/jobs/active_item.go
+++ b/gateway/jobs/active_item.go
@@ -34,6 +34,8 @@
 	// versions is how many weight versions may generate the text, as of the last plan. As long as that is unknown,
 	// the text goes on with its version only, and is kept.
 	versions jobs.VersionRule
+	// awaitsConfiguration is true if the item goes to no engine until it is sure how often it may fail.
+	awaitsConfiguration bool
 	// service is the service that runs the item, and regions are those in which it may, according to
 	// the table routedBy.
 	service  string
--- a/gateway/jobs/configuration.go
+++ b/gateway/jobs/configuration.go
@@ -1,6 +1,11 @@
 package jobs
 
 import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"dandelionsill.org/base/sleep"
 	"dandelionsill.org/decide/table"
 	"dandelionsill.org/fold/jobs"
 )
@@ -43,10 +48,49 @@
 	return now
 }
 
+// scoreAttempts returns how often a call for the item's score may fail.
+func (r *Runner) scoreAttempts(a *activeItem) int {
+	return r.attemptsAt(a.item.Score.Host, a.item.Score.Path)
+}
+
 // maxAttempts returns how often an item of the job may fail at engines.
-func (r *Runner) maxAttempts(j *jobs.Job) int {
-	if route := r.routeAt(j.Host, j.Path); route != nil {
+func (r *Runner) maxAttempts(j *jobs.Job) int { return r.attemptsAt(j.Host, j.Path) }
+
+// attemptsAt returns the attempts that a route allows; 1 if there is none.
+func (r *Runner) attemptsAt(host, path string) int {
+	if route := r.routeAt(host, path); route != nil {
 		return route.MaxAttempts
 	}
 	return 1
 }
+
+// giveUpFailed gives an item up that has failed as often as its route allows, or keeps it from engines while the route may be
+// another one. It reports whether it did either; r.mu is held.
+func (r *Runner) giveUpFailed(a *activeItem) bool {
+	limit := r.maxAttempts(a.job)
+	switch {
+	case a.failures < limit:
+		a.awaitsConfiguration = false
+		return false
+	case r.view.IsConfirmed():
+		r.abandon(a, "failures")
+		return true
+	}
+	if !a.awaitsConfiguration {
+		a.awaitsConfiguration = true
+		r.zlog.Info("A failed sample waits until the configuration is confirmed.", zap.String("id", a.item.ID), zap.String("job", a.job.ID),
+			zap.Int("failures", a.failures), zap.Int("limit", limit), zap.Uint64("config", r.view.Current().ConfigVersion()))
+	}
+	return true
+}
+
+// awaitConfirmed waits until the configuration is confirmed; false: ctx has ended, or the item is no longer
+// being scored.
+func (r *Runner) awaitConfirmed(ctx context.Context, a *activeItem) bool {
+	for !r.view.IsConfirmed() {
+		if !sleep.For(ctx, scoreRetryPause) || !r.isScoring(a) {
+			return false
+		}
+	}
+	return true
+}
--- a/gateway/jobs/configuration_test.go
+++ b/gateway/jobs/configuration_test.go
@@ -99,3 +99,54 @@
 		require.Len(t, r.Versions, 1, r.Item)
 	}
 }
+
+// Guards against items that are given up after fewer failures than their route allows, because the process that has just
+// started knows the route only as it was before.
+func TestItemsAreNotGivenUpByAnOldConfiguration(t *testing.T) {
+	for name, failing := range map[string]func(*gatewaytest.Platform) []*hostedtest.Server{
+		"samples": func(pf *gatewaytest.Platform) []*hostedtest.Server { return pf.Engines },
+		"scores":  func(pf *gatewaytest.Platform) []*hostedtest.Server { return pf.Servers },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			pf := gatewaytest.NewPlatform(t, 1, 1)
+			config := hostedtest.Config(2)
+			for _, r := range config["routes"].([]map[string]any) {
+				r["max_attempts"] = 1
+			}
+			pf.Store.Put(hostedtest.TopicOperator, "config", config)
+			copyConfiguration(t, pf)
+			pf.Store.Put(hostedtest.TopicOperator, "config", hostedtest.Config(3))
+			pf.Engines[0].Fail(hostedtest.ServerFaults{Refuse: true})
+			a := newEntry(t, pf, "a")
+			a.submit(t, "j", 2, 1)
+			a.Stop()
+			pf.Store.Fail(hostedtest.StoreFaults{UnavailableTopics: []string{hostedtest.TopicOperator}})
+			pf.Engines[0].Fail(hostedtest.ServerFaults{})
+			for _, s := range failing(pf) {
+				s.Fail(hostedtest.ServerFaults{Status: 500})
+			}
+			a = restart(t, pf, "a")
+			require.Eventually(t, func() bool { return executed(failing(pf)) == 2 }, gatewaytest.MaxWait, time.Millisecond)
+			require.Equal(t, uint64(2), a.View.Current().ConfigVersion())
+			for _, s := range failing(pf) {
+				s.Fail(hostedtest.ServerFaults{})
+			}
+			pf.Store.Fail(hostedtest.StoreFaults{})
+			requireComplete(t, a.results(t, "j", 2), 5)
+		})
+	}
+}
+
+// executed counts the requests that servers have run.
+func executed(servers []*hostedtest.Server) int {
+	n := 0
+	for _, s := range servers {
+		for _, a := range s.Arrivals() {
+			if a.Executed {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/gateway/jobs/placing.go
+++ b/gateway/jobs/placing.go
@@ -65,6 +65,9 @@
 			if a.phase == waiting && a.complete {
 				r.completeText(ctx, a)
 			}
+			if a.awaitsConfiguration && r.giveUpFailed(a) {
+				continue
+			}
 			if service := a.pickService(snap.Table); service != "" {
 				p := pool{service, a.regions.String()}
 				byPool[p] = append(byPool[p], a)
--- a/gateway/jobs/score.go
+++ b/gateway/jobs/score.go
@@ -27,7 +27,7 @@
 func (r *Runner) fetchScore(ctx context.Context, a *activeItem) {
 	failures := 0
 	for {
-		reply, limit, err := r.requestScore(ctx, a)
+		reply, err := r.requestScore(ctx, a)
 		switch {
 		case err == nil && reply.Status < http.StatusMultipleChoices:
 			r.finishScored(a, hosted.Seal(reply.Header))
@@ -39,9 +39,14 @@
 		}
 		scoreFailures.Add(1)
 		r.logMissingScore(a, reply, err, failures)
-		if failures >= limit {
-			r.abandonUnscored(a)
-			return
+		if failures >= r.scoreAttempts(a) {
+			if !r.awaitConfirmed(ctx, a) {
+				return
+			}
+			if failures >= r.scoreAttempts(a) {
+				r.abandonUnscored(a)
+				return
+			}
 		}
 		if !sleep.For(ctx, scoreRetryPause) || !r.isScoring(a) {
 			return
@@ -60,29 +65,28 @@
 	r.zlog.Info("No score yet.", fields...)
 }
 
-// requestScore makes one call; it also returns how many failures are allowed.
-func (r *Runner) requestScore(ctx context.Context, a *activeItem) (*forward.Reply, int, *kinds.Error) {
+// requestScore makes one call.
+func (r *Runner) requestScore(ctx context.Context, a *activeItem) (*forward.Reply, *kinds.Error) {
 	request := a.item.Score
 	table := r.view.Current().Table
 	if table == nil {
-		return nil, 1, kinds.Hold().Refuse(kinds.NotReady, "no configuration")
+		return nil, kinds.Hold().Refuse(kinds.NotReady, "no configuration")
 	}
 	route := table.Match(request.Host, request.Path)
 	if route == nil {
-		return nil, 1, kinds.Hold().Refuse(kinds.NotFound, "no route for the score")
+		return nil, kinds.Hold().Refuse(kinds.NotFound, "no route for the score")
 	}
 	timeout := defaultScoreTimeout
 	if route.Timeout > 0 {
 		timeout = route.Timeout
 	}
-	reply, err := r.forward.Send(ctx, forward.Call{
+	return r.forward.Send(ctx, forward.Call{
 		Route: route, ID: request.ID, Method: http.MethodPost, URI: request.Path, Host: request.Host,
 		Header: http.Header{}, Body: request.Body, Deadline: time.Now().Add(timeout), Internal: true, Priority: route.Priority,
 		// A score is a request of its own: its route's regions bind, not those of the job's
 		// route. It holds the organisation's data, so that the organisation's regions do.
 		Path: request.Path, Regions: route.Regions.And(residency.Only(a.job.OrganisationRegions)), OnBehalfOf: a.job.Organisation,
 	})
-	return reply, route.MaxAttempts, err
 }
 
 func (r *Runner) isScoring(a *activeItem) bool {
--- a/gateway/jobs/stream.go
+++ b/gateway/jobs/stream.go
@@ -297,11 +297,10 @@
 		r.abandon(a, "never")
 	case failed:
 		a.failures++
-		if a.failures >= r.maxAttempts(a.job) {
-			r.abandon(a, "failures")
-			break
+		r.giveUpFailed(a)
+		if a.phase == running {
+			r.requeue(a, avoidFailed, now)
 		}
-		r.requeue(a, avoidFailed, now)
 	default:
 		streamsBroken.Add(1)
 		r.requeue(a, avoidFailed, now)
