gateway/front: an old configuration opens no organisation's jobs

Not seen in a deployment; shown by a test.

Such a job proves that the configuration may be old: unless it is known to be the newest, the call is answered 503 with a Retry-After.

Evidence: TestOldConfigurationWithoutOrganisationsOpensNoJob failed before (200 in place of 503).

--- a/gateway/front/caller.go
+++ b/gateway/front/caller.go
@@ -62,6 +62,9 @@
 		return refused
 	}
 	if snap.Table.Organisations == nil {
+		if f.Jobs.HasOrganisation(job) && !f.View.IsFresh() {
+			return kinds.Hold().Refuse(kinds.NotReady, "batch job %q has an organisation, and version %d has none and may not be the newest", job, snap.Table.Version)
+		}
 		return nil
 	}
 	return f.Jobs.CheckAccess(ctx, job, organisation.Name)
--- a/gateway/front/caller_test.go
+++ b/gateway/front/caller_test.go
@@ -11,6 +11,7 @@
 
 	"dandelionsill.org/gateway/front"
 	"dandelionsill.org/gateway/gatewaytest"
+	"dandelionsill.org/platform/hosted"
 	"dandelionsill.org/platform/hosted/hostedtest"
 )
 
@@ -137,3 +138,32 @@
 	resp, _ := send(t, "DELETE", url+hostedtest.PathJob+"j", headerWithKey("c", "key-2"), nil)
 	require.Equal(t, 200, resp.StatusCode)
 }
+
+// Guards against a batch job of an organisation that everyone may read and end at a process whose configuration is older than
+// the organisations.
+func TestOldConfigurationWithoutOrganisationsOpensNoJob(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 1, 1)
+	f, url := newFront(t, pf)
+	pf.Store.Fail(hostedtest.StoreFaults{UnavailableTopics: []string{hostedtest.TopicOperator}})
+	require.Eventually(t, func() bool { return !f.View.IsFresh() }, gatewaytest.MaxWait, time.Millisecond)
+	body, err := json.Marshal(hostedtest.Job("j", "m", 2, 1))
+	require.NoError(t, err)
+	r, err := http.NewRequest("POST", "/jobs/x", nil)
+	require.NoError(t, err)
+	r.Host = "app.example"
+	r.Header.Set(hostedtest.HeaderAttempt, "j")
+	spec, items, err := hosted.DecodeJob(r, body)
+	require.NoError(t, err)
+	spec.Organisation = "a" // by another process, whose configuration is newer
+	require.Nil(t, f.Jobs.Submit(t.Context(), spec, items))
+	calls := []struct{ method, path string }{{"GET", hostedtest.PathJob + "j"}, {"GET", hostedtest.PathItem + "j?id=j-i0"}, {"DELETE", hostedtest.PathJob + "j"}}
+	for _, call := range calls {
+		resp, _ := send(t, call.method, url+call.path, attemptHeader("c"), nil)
+		require.Equal(t, 503, resp.StatusCode, call.path)
+		require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	}
+	pf.Store.Fail(hostedtest.StoreFaults{})
+	require.Eventually(t, f.View.IsFresh, gatewaytest.MaxWait, time.Millisecond)
+	resp, _ := send(t, "GET", url+hostedtest.PathJob+"j", attemptHeader("c"), nil)
+	require.Equal(t, 200, resp.StatusCode, "the operator has removed all organisations")
+}
--- a/gateway/jobs/api.go
+++ b/gateway/jobs/api.go
@@ -125,6 +125,14 @@
 // IsPublic reports whether the job is known and belongs to no organisation.
 func (s *Service) IsPublic(job string) bool { return s.isVisibleTo(job, "") }
 
+// HasOrganisation reports whether the job is known and belongs to an organisation.
+func (s *Service) HasOrganisation(job string) bool {
+	s.index.mu.Lock()
+	defer s.index.mu.Unlock()
+	j := s.index.state.Jobs[job]
+	return j != nil && j.Organisation != ""
+}
+
 // CheckAccess checks that callers of the organisation may access the job. It waits until
 // this process is sure that the job exists, and returns kinds.NotFound if it does not
 // exist or belongs to another organisation.
