gateway/forward: the end of a stop costs a call no context of its own

Each call had a context that ends with the process, for the few that have no answer then. The signal at which waiting calls are decided on again tells of the end too, so that one place decides: errorAtStop.

A stream that is ended so counts and says so on every path.

--- a/gateway/forward/failures.go
+++ b/gateway/forward/failures.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"dandelionsill.org/gateway/stopping"
 	"dandelionsill.org/kinds"
 )
 
@@ -31,15 +30,12 @@
 }
 
 // contextError returns the error of a call whose ctx has ended: the caller
-// disconnected, the deadline passed, or this process stops.
+// disconnected, or the deadline passed.
 func (s *callState) contextError(ctx context.Context) *kinds.Error {
 	if ctx.Err() == context.Canceled {
 		if s.inFlight > 0 {
 			s.usage.RecordExecution(time.Since(s.start))
 		}
-		if context.Cause(ctx) == stopping.ErrEnded {
-			return s.unansweredAtStop()
-		}
 		return kinds.New(kinds.Cancelled, "the caller has gone")
 	}
 	if s.mayHaveRun == 0 {
--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -159,8 +159,6 @@
 func (f *Forwarder) Send(ctx context.Context, call Call) (*Reply, *kinds.Error) {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
-	ctx, release := f.Stop.Bound(ctx)
-	defer release()
 	call.replies = f.newReplySet(&call)
 	s := f.newCallState(call)
 	defer s.usage.Done()
@@ -267,8 +265,8 @@
 		case <-s.hedge.C:
 			s.startHedge(ctx)
 		case <-recheck:
-			if refused := s.refuseStopping(); refused != nil {
-				return nil, refused
+			if err := s.errorAtStop(); err != nil {
+				return nil, err
 			}
 		case <-ctx.Done():
 			s.logNoPermit(s.asking)
--- a/gateway/forward/stopping.go
+++ b/gateway/forward/stopping.go
@@ -90,12 +90,15 @@
 	return s.refuse(kinds.Leaving, "this process stops before the request could end").WithRetryAfter(stopRetryAfter)
 }
 
-// unansweredAtStop returns the error of a call that has no answer when the process stops.
-func (s *callState) unansweredAtStop() *kinds.Error {
-	if s.mayHaveRun == 0 {
-		stopRefusals.Add(1)
-		return s.refuse(kinds.Leaving, "this process stops").WithRetryAfter(stopRetryAfter)
+// errorAtStop returns the error of a call whose caller has got nothing and will get nothing, because this process stops;
+// nil: it may go on.
+func (s *callState) errorAtStop() *kinds.Error {
+	if !s.forwarder.Stop.HasEnded() || s.mayHaveRun == 0 {
+		return s.refuseStopping()
 	}
 	stopCutOffs.Add(1)
+	if s.inFlight > 0 {
+		s.usage.RecordExecution(time.Since(s.start))
+	}
 	return kinds.New(kinds.OutcomeUnknown, "this process stops; no answer yet of the servers asked: %v", s.asked)
 }
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -47,8 +47,8 @@
 		if s.isQuarantined() {
 			return s.fail(s.noServerError())
 		}
-		if refused := s.refuseAtStop(); refused != nil {
-			return s.fail(refused)
+		if err := s.errorAtStop(); err != nil {
+			return s.fail(err)
 		}
 		if s.refusals <= maxRefusals && s.lacksRegion() {
 			return s.fail(s.noServerError())
@@ -79,6 +79,9 @@
 			return s.fail(s.contextError(ctx))
 		}
 		s.mayHaveRun++
+		if err := s.errorAtStop(); err != nil {
+			return s.fail(err)
+		}
 		if !call.Route.Repeatable() || s.mayHaveRun >= call.Route.MaxAttempts || s.status >= http.StatusMultipleChoices {
 			return s.fail(kinds.New(kinds.OutcomeUnknown, "the stream broke off: %v", err))
 		}
@@ -106,17 +109,12 @@
 	version   uint64 // weight version of that event, as reported to the caller
 }
 
-// refuseAtStop returns the error of a stream of which the caller has got nothing and will get nothing, because this
-// process stops; nil: it may go on.
-func (s *streamState) refuseAtStop() *kinds.Error {
-	switch {
-	case s.status != 0:
+// errorAtStop returns the error of a stream as that of a call. What the caller has begun to read goes on.
+func (s *streamState) errorAtStop() *kinds.Error {
+	if s.status != 0 {
 		return nil
-	case s.forwarder.Stop.HasEnded():
-		return s.unansweredAtStop()
-	default:
-		return s.refuseStopping()
 	}
+	return s.callState.errorAtStop()
 }
 
 // fail returns err if nothing has been written to the caller; otherwise it aborts the
--- a/gateway/stopping/stopping.go
+++ b/gateway/stopping/stopping.go
@@ -7,16 +7,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
-
 	"dandelionsill.org/base/boottime"
 	"dandelionsill.org/decide/drain"
 	"dandelionsill.org/gateway/signal"
 )
 
-// ErrEnded is the cause of contexts that end because the process does.
-const ErrEnded = errors.ConstError("the process has no time left")
-
 // recheckInterval is how often requests that wait are decided on again while the process stops.
 const recheckInterval = 50 * time.Millisecond
 
@@ -101,12 +96,12 @@
 	return s.recheck.Next()
 }
 
-// Bound returns a context that ends with ctx, and with the cause ErrEnded when the time for answers is over. The function that
-// releases it must be called.
+// Bound returns a context that ends with ctx, and when the time for answers is over. The function that releases it
+// must be called.
 func (s *Stop) Bound(ctx context.Context) (context.Context, context.CancelFunc) {
-	bound, cancel := context.WithCancelCause(ctx)
-	release := s.AfterEnd(func() { cancel(ErrEnded) })
-	return bound, func() { release(); cancel(nil) }
+	bound, cancel := context.WithCancel(ctx)
+	release := s.AfterEnd(cancel)
+	return bound, func() { release(); cancel() }
 }
 
 // AfterEnd calls f in its own goroutine when the time for answers is over, unless the returned function is called before.
