soak: callers keep connections open while their gateway stops

Why the soak was blind to streams that a stopping gateway is killed under: its callers opened a connection for each request, and its streams lasted for half a second. After the faults, a gateway now gets SIGTERM, and SIGKILL after its grace period; callers send streams that last for most of it at random times over connections that they have used before. What reaches an engine later than three eighths of the grace period must be answered whole, and what is answered "not run" must not have run.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -131,6 +131,7 @@
 	sys.verifyEvacuations(rec, calmSince)
 	sys.verifyRecord(rec)
 	peak := sys.verifyMemory(rec)
+	sys.verifyStop(rec, seed)
 	sys.stopAll()
 	if len(rec.violations) > 0 {
 		t.Errorf("seed %d:\n%s\nfaults:\n%s", seed, strings.Join(rec.violations, "\n"), strings.Join(faults, "\n"))
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -26,6 +26,7 @@
 	gatewayCount = 3
 	engineCount  = 4
 	serviceCount = 3
+	engineEvents = 60 // of a stream
 	modelName    = "m"
 )
 
@@ -68,7 +69,7 @@
 	sys.applyNextConfig()
 	for i := range engineCount {
 		e := hostedtest.NewEngine(fmt.Sprintf("e%d", i), "engines", modelName)
-		e.EventInterval, e.Events = 8*time.Millisecond, 60
+		e.EventInterval, e.Events = 8*time.Millisecond, engineEvents
 		e.FailureDomain = domainOf(i)
 		sys.engines = append(sys.engines, e)
 		sys.addServer(e)
@@ -150,7 +151,7 @@
 	store := newLink(sys.t, name+"-store", sys.store.Addr())
 	sys.links = append(sys.links, store)
 	path := filepath.Join(sys.dir, name+".ini")
-	text := fmt.Sprintf("[process]\nname = %s\nfailure_domain = zone-a\ngrace = 4s\n[store]\naddress = %s\n%s", name, store.addr, extra)
+	text := fmt.Sprintf("[process]\nname = %s\nfailure_domain = zone-a\ngrace = %s\n[store]\naddress = %s\n%s", name, graceTime, store.addr, extra)
 	require.NoError(sys.t, os.WriteFile(path, []byte(text), 0o600))
 	log, err := os.Create(filepath.Join(sys.dir, name+".log"))
 	require.NoError(sys.t, err)
