gateway/forward: the last moment of a stop is not missed

A call that looked for the next signal after the last one had been given, say since a server refused it at that moment, waited for its answer until the kill. The decision is now taken after the signal is asked for, and an answer that is there goes before it. Found by reading; no run shows it.

--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -251,6 +251,11 @@
 	}
 	for {
 		recheck := s.forwarder.Stop.Recheck()
+		if len(s.outcomes) == 0 { // an answer that is there is delivered
+			if err := s.errorAtStop(); err != nil {
+				return nil, err
+			}
+		}
 		select {
 		case o := <-s.outcomes:
 			reply, err, done := s.handleOutcome(ctx, o)
@@ -265,9 +270,6 @@
 		case <-s.hedge.C:
 			s.startHedge(ctx)
 		case <-recheck:
-			if err := s.errorAtStop(); err != nil {
-				return nil, err
-			}
 		case <-ctx.Done():
 			s.logNoPermit(s.asking)
 			return nil, s.contextError(ctx)
--- a/gateway/forward/stopping.go
+++ b/gateway/forward/stopping.go
@@ -8,15 +8,12 @@
 
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/decide/drain"
+	"dandelionsill.org/gateway/stopping"
 	"dandelionsill.org/kinds"
 )
 
-const (
-	// maxTimedRoutes bounds the routes whose durations are kept.
-	maxTimedRoutes = 4096
-	// stopRetryAfter is the retry delay suggested to callers of a process that stops: others serve them now.
-	stopRetryAfter = time.Millisecond
-)
+// maxTimedRoutes bounds the routes whose durations are kept.
+const maxTimedRoutes = 4096
 
 var (
 	stopRefusals = metrics.Counter("forward_stop_refusals_total")
@@ -87,7 +84,7 @@
 	s.forwarder.log.Info("This process stops before the request could end.", zap.String("id", s.call.ID), zap.String("route", s.call.Route.Name),
 		zap.Duration("left", moment.Left), zap.Bool("callers_arrive", moment.CallersArrive), zap.Duration("deadline", limit), zap.Int("observed", known.Observed),
 		zap.Duration("mean", known.Mean), zap.Duration("longest", known.Longest), zap.Duration("waited", time.Since(s.start)))
-	return s.refuse(kinds.Leaving, "this process stops before the request could end").WithRetryAfter(stopRetryAfter)
+	return s.refuse(kinds.Leaving, "this process stops before the request could end").WithRetryAfter(stopping.RetryAfter)
 }
 
 // errorAtStop returns the error of a call whose caller has got nothing and will get nothing, because this process stops;
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -119,7 +119,7 @@
 		return 0, held.Refuse(kinds.NotReady, "no configuration yet")
 	}
 	if m, isStopping := f.Stop.Moment(); isStopping && m.Left <= 0 {
-		return 0, held.Refuse(kinds.Leaving, "this process stops now").WithRetryAfter(time.Millisecond)
+		return 0, held.Refuse(kinds.Leaving, "this process stops now").WithRetryAfter(stopping.RetryAfter)
 	}
 	call, err := hosted.ParseCall(r)
 	if err != nil {
--- a/gateway/jobs/choose_owner.go
+++ b/gateway/jobs/choose_owner.go
@@ -38,17 +38,18 @@
 	if allowed.IsRestricted() {
 		eligible = slices.DeleteFunc(eligible, func(o jobs.OwnerLoad) bool { return !allowed.Allows(s.index.places.regionOf(o.Owner.VM)) })
 	}
-	isAllowed := s.index.places.allows(allowed) && !s.stop.IsStopping()
-	if s.stop.IsStopping() { // the others may not have read yet that it leaves
+	isStopping := s.stop.IsStopping()
+	if isStopping { // the log may not say yet that this process leaves
 		eligible = slices.DeleteFunc(eligible, func(o jobs.OwnerLoad) bool { return o.Owner == s.writer })
 	}
-	canRun := isAllowed && s.capacity >= items
+	mayOwn := s.index.places.allows(allowed) && !isStopping
+	canRun := mayOwn && s.capacity >= items
 	near, far := s.neighbours.splitOwners(eligible)
 	owner := s.chooseAmong(near, items, canRun)
 	if owner == nil && !canRun {
 		owner = s.chooseAmong(far, items, false)
 	}
-	if owner == nil && !isAllowed {
+	if owner == nil && !mayOwn {
 		return &jobs.Writer{}
 	}
 	return owner
--- a/gateway/jobs/configuration.go
+++ b/gateway/jobs/configuration.go
@@ -10,8 +10,8 @@
 	"dandelionsill.org/fold/jobs"
 )
 
-// What depends on the route of a job is decided by the configuration of the moment, and not once when the job is taken: a
-// process that has just started may know no configuration, or a copy that is older than the job.
+// The decisions of this file are taken by the configuration of the moment, and not once when a job is taken: a process
+// that has just started may know none, or a copy that is older than the job.
 
 // VersionRule returns how many weight versions may make a text of a job that is submitted to a route now. isConfirmed says
 // whether the route is from the operator's feed itself.
--- a/gateway/stopping/stopping.go
+++ b/gateway/stopping/stopping.go
@@ -12,6 +12,9 @@
 	"dandelionsill.org/gateway/signal"
 )
 
+// RetryAfter is the retry delay suggested to callers of a process that stops: others serve them now.
+const RetryAfter = time.Millisecond
+
 // recheckInterval is how often requests that wait are decided on again while the process stops.
 const recheckInterval = 50 * time.Millisecond
 
@@ -88,7 +91,7 @@
 }
 
 // Recheck returns a channel that is closed at the next time at which waiting requests have to be decided on
-// again; nil if that never happens.
+// again; nil if that never happens. Call it before the decision, because the last time would otherwise be missed.
 func (s *Stop) Recheck() <-chan struct{} {
 	if s == nil {
 		return nil
