gateway/forward: a failure that is there is answered at the end of a stop

A request that may be repeated and was at its next server when its process had to end was answered that its outcome is unknown, although a server's failure had come. That is passed on now, as at a deadline.

With this taken out TestFailureThatIsThereIsAnsweredBeforeTheKill fails (no reply).

--- a/gateway/forward/forward.go
+++ b/gateway/forward/forward.go
@@ -251,10 +251,8 @@
 	}
 	for {
 		recheck := s.forwarder.Stop.Recheck()
-		if len(s.outcomes) == 0 { // an answer that is there is delivered
-			if err := s.errorAtStop(); err != nil {
-				return nil, err
-			}
+		if reply, err, done := s.endAtStop(); done {
+			return reply, err
 		}
 		select {
 		case o := <-s.outcomes:
--- a/gateway/forward/stopping.go
+++ b/gateway/forward/stopping.go
@@ -87,6 +87,19 @@
 	return s.refuse(kinds.Leaving, "this process stops before the request could end").WithRetryAfter(stopping.RetryAfter)
 }
 
+// endAtStop returns the final answer or error of a call that this process can't wait for any longer, and true; false: the
+// call goes on. Answers that are there go first.
+func (s *callState) endAtStop() (*Reply, *kinds.Error, bool) {
+	if len(s.outcomes) > 0 {
+		return nil, nil, false
+	}
+	err := s.errorAtStop()
+	if err != nil && s.lastFailure != nil {
+		return s.finalFailure()
+	}
+	return nil, err, err != nil
+}
+
 // errorAtStop returns the error of a call whose caller has got nothing and will get nothing, because this process stops;
 // nil: it may go on.
 func (s *callState) errorAtStop() *kinds.Error {
--- a/gateway/forward/stopping_test.go
+++ b/gateway/forward/stopping_test.go
@@ -136,6 +136,32 @@
 	}
 }
 
+// Guards against a server's answer that is thrown away because another server has none when the process is killed, and against a
+// second attempt that is waited for until the kill.
+func TestFailureThatIsThereIsAnsweredBeforeTheKill(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 0, 2)
+	p := pf.NewProcess(t)
+	clock := stoppable(p.Forward)
+	for _, s := range pf.Servers {
+		s.Fail(hostedtest.ServerFaults{Status: http.StatusInternalServerError})
+	}
+	call := callUntil(t, p, "/score/x")
+	route := *call.Route
+	route.MaxAttempts = 10_000
+	call.Route = &route
+	replies := make(chan *forward.Reply)
+	go func() {
+		reply, _ := p.Forward.Send(t.Context(), call)
+		replies <- reply
+	}()
+	require.Eventually(t, func() bool { return len(arrivals(pf.Servers)) > 10 }, gatewaytest.MaxWait, time.Millisecond)
+	p.Forward.Stop.Begin()
+	clock.Store(int64(lastAnswer))
+	reply := <-replies
+	require.NotNil(t, reply)
+	require.Equal(t, http.StatusInternalServerError, reply.Status)
+}
+
 // Guards against a stream that a caller has begun to read and that is ended before its process is.
 func TestBegunStreamGoesOnWhileItsProcessStops(t *testing.T) {
 	pf := gatewaytest.NewPlatform(t, 2, 0)
