--- a/gateway/jobs/configuration_test.go
+++ b/gateway/jobs/configuration_test.go
@@ -19,14 +19,8 @@
 
 // restart starts another incarnation of a process, which may know no configuration yet, and waits until it owns a job.
 func restart(t *testing.T, pf *gatewaytest.Platform, vm string) *entry {
-	p := pf.StartProcess(t)
 	core, lines := observer.New(zap.InfoLevel)
-	writer := fold.Writer{VM: vm, Incarnation: "2"}
-	e := &entry{Process: p, index: jobs.NewIndex(p.Store, zap.NewNop())}
-	e.service = jobs.NewService(e.index, p.Store, writer, 3, 600, zap.NewNop())
-	e.runner = jobs.NewRunner(e.index, p.Store, p.Forward, writer, 3, 600, zap.New(core))
-	p.Go(e.index.Run)
-	p.Go(e.runner.Run)
+	e := runEntry(pf.StartProcess(t), fold.Writer{VM: vm, Incarnation: "2"}, zap.New(core))
 	require.Eventually(t, func() bool { return lines.FilterMessage("Owning a batch job.").Len() > 0 }, gatewaytest.MaxWait, time.Millisecond)
 	return e
 }
--- a/gateway/jobs/jobs_test.go
+++ b/gateway/jobs/jobs_test.go
@@ -39,11 +39,14 @@
 
 // startEntry starts a process and does not wait until it has read the log.
 func startEntry(t testing.TB, pf *gatewaytest.Platform, vm, incarnation string) *entry {
-	p := pf.NewProcess(t)
-	writer := fold.Writer{VM: vm, Incarnation: incarnation}
+	return runEntry(pf.NewProcess(t), fold.Writer{VM: vm, Incarnation: incarnation}, zap.NewNop())
+}
+
+// runEntry runs the parts for batch jobs in a process. The runner writes to log.
+func runEntry(p *gatewaytest.Process, writer fold.Writer, log *zap.Logger) *entry {
 	e := &entry{Process: p, index: jobs.NewIndex(p.Store, zap.NewNop())}
 	e.service = jobs.NewService(e.index, p.Store, writer, 3, 600, zap.NewNop())
-	e.runner = jobs.NewRunner(e.index, p.Store, p.Forward, writer, 3, 600, zap.NewNop())
+	e.runner = jobs.NewRunner(e.index, p.Store, p.Forward, writer, 3, 600, log)
 	p.Go(e.index.Run)
 	p.Go(e.runner.Run)
 	return e
