--- a/gateway/jobs/configuration_test.go
+++ b/gateway/jobs/configuration_test.go
@@ -11,7 +11,6 @@
 
 	fold "dandelionsill.org/fold/jobs"
 	"dandelionsill.org/gateway/gatewaytest"
-	"dandelionsill.org/gateway/jobs"
 	"dandelionsill.org/platform"
 	"dandelionsill.org/platform/hosted"
 	"dandelionsill.org/platform/hosted/hostedtest"
