--- a/ctl/logscan/logscan_test.go
+++ b/ctl/logscan/logscan_test.go
@@ -140,7 +140,7 @@
 
 func TestRequestCauses(t *testing.T) {
 	for kind, want := range map[string]Cause{
-		"cancelled": CauseCallerGone, "log_unavailable": CauseStarting, "not_ready": CauseStarting, "no_server": CauseNoServer, "quarantined": CausePoisonRequest,
+		"cancelled": CauseCallerGone, "log_unavailable": CauseStarting, "not_ready": CauseStarting, "leaving": CauseStopping, "no_server": CauseNoServer, "quarantined": CausePoisonRequest,
 		"overloaded": CauseRefused, "deadline_exceeded": CauseServerUnresponsive, "outcome_unknown": CauseUnknown, "too_large": CauseConfiguration,
 	} {
 		losses := NewLosses()
--- a/ctl/logscan/losses.go
+++ b/ctl/logscan/losses.go
@@ -34,6 +34,7 @@
 	CauseNoServer           Cause = "no server"
 	CausePoisonRequest      Cause = "crashes servers"
 	CauseStarting           Cause = "process starting"
+	CauseStopping           Cause = "process stopping"
 	CauseConfiguration      Cause = "refused by the configuration"
 	CauseUnknown            Cause = "not told"
 )
@@ -401,6 +402,8 @@
 		return CauseStarting
 	case "not_ready":
 		return CauseStarting
+	case "leaving":
+		return CauseStopping
 	case "no_server":
 		return CauseNoServer
 	case "quarantined":
