--- a/gateway/jobs/cold.go
+++ b/gateway/jobs/cold.go
@@ -35,16 +35,21 @@
 		}
 	}
 	x.senders.Idle(r.Writer.VM, r.Writer.Incarnation, r.IdleBefore, now)
-	x.senders.Heard(r.Writer.VM, r.Writer.Incarnation, offset, x.asOf, now, func() bool { return x.hasOpenJob(r.Writer.VM) })
+	x.senders.Heard(r.Writer.VM, r.Writer.Incarnation, offset, x.asOf, now, func() bool { return x.hasOpenJob(isOn(r.Writer.VM)) })
 }
 
-// hasOpenJob reports whether a process of the VM owns a job that is open; mu is held.
-func (x *Index) hasOpenJob(vm string) bool {
+// hasOpenJob reports whether such an owner has an open job that it has not released; mu is held.
+func (x *Index) hasOpenJob(isOwner func(jobs.Writer) bool) bool {
 	owns := false
-	x.state.Each(func(j *jobs.Job) { owns = owns || j.Owner.VM == vm && !j.Released && j.IsOpen() })
+	x.state.Each(func(j *jobs.Job) { owns = owns || isOwner(j.Owner) && !j.Released && j.IsOpen() })
 	return owns
 }
 
+// isOn tells which processes are on a VM: all of its incarnations.
+func isOn(vm string) func(jobs.Writer) bool {
+	return func(w jobs.Writer) bool { return w.VM == vm }
+}
+
 // coldSamples bounds what this process sends to engines that may become cold. The runner's mutex
 // guards it.
 type coldSamples struct {
@@ -98,7 +103,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	vm := c.runner.writer.VM
-	hasWork := len(c.runner.active) > 0 || x.hasOpenJob(vm)
+	hasWork := len(c.runner.active) > 0 || x.hasOpenJob(isOn(vm))
 	c.toldMu.Lock()
 	from, may := c.standing.Check(boottime.Now(), now.Sub(x.asOf), x.nextOffset, hasWork, func() { x.senders.Leave(vm) })
 	c.toldMu.Unlock()
--- a/gateway/jobs/configuration.go
+++ b/gateway/jobs/configuration.go
@@ -53,9 +53,6 @@
 	return r.attemptsAt(a.item.Score.Host, a.item.Score.Path)
 }
 
-// maxAttempts returns how often an item of the job may fail at engines.
-func (r *Runner) maxAttempts(j *jobs.Job) int { return r.attemptsAt(j.Host, j.Path) }
-
 // attemptsAt returns the attempts that a route allows; 1 if there is none.
 func (r *Runner) attemptsAt(host, path string) int {
 	if route := r.routeAt(host, path); route != nil {
@@ -67,7 +64,7 @@
 // giveUpFailed gives an item up that has failed as often as its route allows, or keeps it from engines while the route may be
 // another one. It reports whether it did either; r.mu is held.
 func (r *Runner) giveUpFailed(a *activeItem) bool {
-	limit := r.maxAttempts(a.job)
+	limit := r.attemptsAt(a.job.Host, a.job.Path)
 	switch {
 	case a.failures < limit:
 		a.awaitsConfiguration = false
--- a/gateway/jobs/configuration_test.go
+++ b/gateway/jobs/configuration_test.go
@@ -83,14 +83,7 @@
 	spec, items := decode(t, "j", hostedtest.Job("j", "m", 8, 1))
 	spec.Versions = fold.OneVersion
 	require.Nil(t, a.service.Submit(t.Context(), spec, items))
-	require.Eventually(t, func() bool { return reportedEvents(pf, "j") >= 12 }, gatewaytest.MaxWait, time.Millisecond)
-	pf.Engines[1].Fail(hostedtest.ServerFaults{BreakAfter: 1})
-	loadVersion2(t, pf.Engines[0])
-	results := a.results(t, "j", 8)
-	requireComplete(t, results, 200)
-	for _, r := range results {
-		require.Len(t, r.Versions, 1, r.Item)
-	}
+	requireOneVersion(t, pf, a)
 }
 
 // Guards against items that are given up after fewer failures than their route allows, because the process that has just
--- a/gateway/jobs/ownership.go
+++ b/gateway/jobs/ownership.go
@@ -204,7 +204,6 @@
 func (r *Runner) startItems(j *jobs.Job, texts *jobs.Texts) {
 	active := make(map[string]*activeItem, len(j.Items))
 	r.active[j.ID] = active
-	versions := r.versionRule(j)
 	for id, state := range j.Items {
 		if state.Done() {
 			continue
@@ -215,10 +214,9 @@
 		}
 		item, _ := texts.Item(id)
 		active[id] = newActiveItem(j, item, earlier)
-		active[id].versions = versions
 	}
 	r.zlog.Info("Owning a batch job.", zap.String("job", j.ID), zap.Int("items", len(active)), zap.Uint64("claim", j.Claim),
-		zap.Uint64("config", r.view.Current().ConfigVersion()), zap.Bool("config_confirmed", r.view.IsConfirmed()), zap.String("version_rule", string(versions)))
+		zap.Uint64("config", r.view.Current().ConfigVersion()), zap.Bool("config_confirmed", r.view.IsConfirmed()), zap.String("version_rule", string(r.versionRule(j))))
 }
 
 // reusableText is the text so far of an item whose job was dropped or ended.
@@ -307,9 +305,7 @@
 func (r *Runner) ownsJob() bool {
 	r.index.mu.Lock()
 	defer r.index.mu.Unlock()
-	owns := false
-	r.index.state.Each(func(j *jobs.Job) { owns = owns || j.Owner == r.writer && !j.Released && j.IsOpen() })
-	return owns
+	return r.index.hasOpenJob(func(w jobs.Writer) bool { return w == r.writer })
 }
 
 // WaitDrained waits until all jobs are released; it returns false if ctx ended first.
