crowd: tests in which many clients misuse the listeners of real processes

What callers see: a process is killed for its memory, or has no descriptor left for the store, servers, peers and readiness checks.

They check that the process lives, its memory (resident and unread in the kernel) and descriptors, and that ordinary requests are answered afterwards. Crowd and bounds are fixed here, before the product changes.

--- /dev/null
+++ b/crowd/frames_test.go
@@ -0,0 +1,181 @@
+package crowd
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+)
+
+// streamsPerClient is how many streams a client opens on one HTTP/2 connection.
+const streamsPerClient = 100
+
+// frames writes the frames of an HTTP/2 client. Its first error ends all writing.
+type frames struct {
+	*http2.Framer
+	headers bytes.Buffer
+	encoder *hpack.Encoder
+	next    uint32 // ID of the next stream
+}
+
+func newFrames(conn net.Conn) *frames {
+	f := &frames{Framer: http2.NewFramer(conn, conn), next: 1}
+	f.encoder = hpack.NewEncoder(&f.headers)
+	_, _ = io.WriteString(conn, http2.ClientPreface)
+	_ = f.WriteSettings()
+	return f
+}
+
+// open opens a stream of a gRPC method with further fields and leaves it open. It returns the stream's ID.
+func (f *frames) open(method string, fields ...hpack.HeaderField) (uint32, error) {
+	f.headers.Reset()
+	for _, field := range append([]hpack.HeaderField{
+		{Name: ":method", Value: "POST"}, {Name: ":scheme", Value: "http"}, {Name: ":path", Value: method},
+		{Name: ":authority", Value: "a"}, {Name: "content-type", Value: "application/grpc"}, {Name: "te", Value: "trailers"},
+	}, fields...) {
+		_ = f.encoder.WriteField(field) // a buffer does not fail
+	}
+	id := f.next
+	f.next += 2
+	return id, f.writeHeaders(id, f.headers.Bytes())
+}
+
+// writeHeaders writes a header block in frames of the size that every server accepts.
+func (f *frames) writeHeaders(id uint32, block []byte) error {
+	const maxFrame = 16 << 10
+	first := block[:min(len(block), maxFrame)]
+	rest := block[len(first):]
+	err := f.WriteHeaders(http2.HeadersFrameParam{StreamID: id, BlockFragment: first, EndHeaders: len(rest) == 0})
+	for len(rest) > 0 && err == nil {
+		piece := rest[:min(len(rest), maxFrame)]
+		rest = rest[len(piece):]
+		err = f.WriteContinuation(id, len(rest) == 0, piece)
+	}
+	return err
+}
+
+// streamForm is one way in which clients misuse an HTTP/2 connection.
+type streamForm struct {
+	name string
+	send func(f *frames, conn net.Conn, method string)
+}
+
+func streamForms() []streamForm {
+	return []streamForm{
+		{"ShortFields", func(f *frames, _ net.Conn, method string) {
+			var fields []hpack.HeaderField
+			for i := range 400 {
+				fields = append(fields, hpack.HeaderField{Name: strings.TrimSuffix(distinctLine(i), ":\r\n") + "x"})
+			}
+			openStreams(f, method, fields...)
+		}},
+		{"RepeatedLargeField", func(f *frames, _ net.Conn, method string) {
+			// The field is sent once; each repetition takes one byte.
+			var fields []hpack.HeaderField
+			for range 1000 {
+				fields = append(fields, hpack.HeaderField{Name: "a", Value: strings.Repeat("b", 3000)})
+			}
+			openStreams(f, method, fields...)
+		}},
+		{"EndlessFields", func(f *frames, _ net.Conn, _ string) {
+			block := bytes.Repeat([]byte{0x00, 0x01, 'a', 0x00}, 4<<10) // a field without a value, not indexed
+			err := f.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: block})
+			for sent := len(block); sent < endless && err == nil; sent += len(block) {
+				err = f.WriteContinuation(1, false, block)
+			}
+		}},
+		{"UnfinishedMessages", func(f *frames, _ net.Conn, method string) {
+			prefix := binary.BigEndian.AppendUint32([]byte{0}, 8<<20)
+			data := append(prefix, make([]byte, 16<<10-len(prefix))...)
+			for range streamsPerClient {
+				id, err := f.open(method)
+				for i := 0; i < 4 && err == nil; i++ {
+					err = f.WriteData(id, false, data)
+					data = make([]byte, 16<<10)
+				}
+				if err != nil {
+					return
+				}
+				data = append(prefix, make([]byte, 16<<10-len(prefix))...)
+			}
+		}},
+		{"OpenAndReset", func(f *frames, _ net.Conn, method string) {
+			for range 100 * streamsPerClient {
+				id, err := f.open(method)
+				if err == nil {
+					err = f.WriteRSTStream(id, http2.ErrCodeCancel)
+				}
+				if err != nil {
+					return
+				}
+			}
+		}},
+		{"UnreadPings", func(f *frames, conn net.Conn, _ string) {
+			var ping bytes.Buffer
+			_ = http2.NewFramer(&ping, nil).WritePing(false, [8]byte{}) // a buffer does not fail
+			repeat(conn, ping.String(), endless)
+		}},
+	}
+}
+
+func openStreams(f *frames, method string, fields ...hpack.HeaderField) {
+	for range streamsPerClient {
+		if _, err := f.open(method, fields...); err != nil {
+			return
+		}
+	}
+}
+
+// streamCrowd sends a form to a gRPC listener by many clients at once.
+func streamCrowd(t *testing.T, f streamForm, addr, method string) {
+	t.Helper()
+	var all sync.WaitGroup
+	for range clients {
+		all.Go(func() {
+			for range rounds {
+				conn, err := net.DialTimeout("tcp", addr, holdTime)
+				if err != nil {
+					continue // a refusal, as any that is seen later
+				}
+				_ = conn.SetDeadline(time.Now().Add(holdTime))
+				if f.name != "UnreadPings" {
+					go func() { _, _ = io.Copy(io.Discard, conn) }()
+				}
+				f.send(newFrames(conn), conn, method)
+				waitClosed(conn)
+				_ = conn.Close()
+			}
+		})
+	}
+	all.Wait()
+}
+
+// waitClosed waits until the other side has closed a connection or its deadline is over.
+func waitClosed(conn net.Conn) {
+	ping := [8]byte{}
+	framer := http2.NewFramer(conn, nil)
+	for framer.WritePing(false, ping) == nil {
+		<-time.After(100 * time.Millisecond)
+	}
+}
+
+// Guards against peers' connections that make a gateway hold more than its VM has, in header fields, streams and messages.
+func TestGatewayPermits(t *testing.T) {
+	for _, f := range streamForms() {
+		t.Run(f.name, func(t *testing.T) {
+			gw := startGateway(t)
+			stop := gw.watch()
+			streamCrowd(t, f, gw.permits, "/dandelion.v1.PermitBroker/Exchange")
+			most := stop()
+			gw.check(t, most)
+			gw.serves(t)
+		})
+	}
+}
