base/budget: reading within a share, and the budget of a VM, have one copy

Entry and gateway will both read bodies within a budget and derive the budget from the VM's memory. Moved from gateway/front and gateway/server; behaviour is unchanged.

--- a/base/budget/budget.go
+++ b/base/budget/budget.go
@@ -36,6 +36,22 @@
 	inUse, peak, refused int64
 }
 
+// vmPart is the part of a VM's memory that may be filled with what a process holds for others. Most of it may be there twice
+// for a moment, as a decoded job beside its body or in the kernel's buffers, and the collector lets the heap grow by a quarter:
+// together three quarters of the memory. The last quarter is for the runtime, the tables and the batch jobs.
+const vmPart = 0.3
+
+// ForVM returns the budget of a process on a VM with memoryMB of memory; nil if that is 0, not known.
+func ForVM(memoryMB float64) *Budget {
+	if memoryMB <= 0 {
+		return nil
+	}
+	return New(int64(vmPart * memoryMB * 1e6))
+}
+
+// Total returns the number of bytes of the budget.
+func (b *Budget) Total() int64 { return b.total }
+
 // Share adds a share with a guaranteed number of bytes, which is cut to what no share has been
 // guaranteed yet. All shares must be added before the first use.
 func (b *Budget) Share(name string, guaranteed int64) *Share {
@@ -177,6 +193,9 @@
 	return true
 }
 
+// Bytes returns how many bytes the reservation has.
+func (r *Reservation) Bytes() int64 { return r.bytes }
+
 // Release returns all bytes of the reservation to the share. Further calls do nothing.
 func (r *Reservation) Release() {
 	r.share.Release(r.bytes)
--- a/gateway/front/body.go
+++ b/gateway/front/body.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// bodyStepBytes is the first step in which a body of unknown length is read; later steps
-	// double what was read.
-	bodyStepBytes = 4 << 10
 	// bodyRetryAfter is the retry delay suggested to callers whose body had no room. Most
 	// requests that hold a body are answered in this time.
 	bodyRetryAfter = 250 * time.Millisecond
@@ -23,6 +20,7 @@
 	// its caller seems to have stopped, and no longer than requests are waited for by default.
 	maxDiscardPause = 500 * time.Millisecond
 	maxDiscardTime  = defaultDeadline
+	discardBytes    = 4 << 10 // read at a time
 )
 
 // readBody reads the request's body, which may have up to limit bytes; a limit of 0 or less means
@@ -61,7 +59,7 @@
 	if f.Bodies == nil || r.Header.Get("Expect") != "" || control.Flush() != nil {
 		return status
 	}
-	buf := make([]byte, bodyStepBytes)
+	buf := make([]byte, discardBytes)
 	for end := time.Now().Add(maxDiscardTime); time.Now().Before(end); {
 		if control.SetReadDeadline(time.Now().Add(maxDiscardPause)) != nil {
 			break
@@ -87,47 +85,17 @@
 
 // readWithin reads a body of up to limit bytes, for as many bytes as held can take.
 func readWithin(r *http.Request, held *budget.Reservation, limit int64) ([]byte, *kinds.Error) {
-	if r.ContentLength > limit {
+	body, err := held.ReadAll(r.Body, r.ContentLength, limit)
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.Is(err, budget.ErrTooLarge):
 		return nil, tooLarge(limit)
-	}
-	if r.ContentLength < 0 {
-		return readInSteps(r.Body, held, limit)
-	}
-	if !held.GrowLarge(r.ContentLength) {
+	case errors.Is(err, budget.ErrNoRoom):
 		return nil, noRoom()
-	}
-	body := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, body); err != nil {
+	default:
 		return nil, bodyError(err)
 	}
-	return body, nil
-}
-
-// readInSteps reads a body of unknown length.
-func readInSteps(from io.Reader, held *budget.Reservation, limit int64) ([]byte, *kinds.Error) {
-	var body []byte
-	for {
-		if len(body) == cap(body) {
-			step := min(max(bodyStepBytes, int64(cap(body))), limit+1-int64(cap(body)))
-			if !held.GrowLarge(step) {
-				return nil, noRoom()
-			}
-			larger := make([]byte, len(body), int64(cap(body))+step)
-			copy(larger, body)
-			body = larger
-		}
-		n, err := from.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if int64(len(body)) > limit {
-			return nil, tooLarge(limit)
-		}
-		if err == io.EOF {
-			return body, nil
-		}
-		if err != nil {
-			return nil, bodyError(err)
-		}
-	}
 }
 
 func tooLarge(limit int64) *kinds.Error {
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -116,6 +116,7 @@
 	runner.SetNeighbours(neighbours)
 	index.Texts.SetNeighbours(neighbours)
 	held := newHeldMemory(cfg.VM.MemoryMB)
+	held.budget.Publish()
 	handler.Bodies, forwarder.Answers, handler.ReadTime = held.bodies, held.answers, pace.MinTime
 	index.Texts.SetRoom(held.texts)
 	forwarder.Bodies = forward.NewServerBodies(int64(cfg.VM.ServerBodyMB * 1e6))
--- a/gateway/server/memory.go
+++ b/gateway/server/memory.go
@@ -15,12 +15,6 @@
 // saveMemory makes the garbage collector trade processor time for memory.
 func saveMemory() { debug.SetGCPercent(gcPercent) }
 
-// heldPart is the part of a VM's memory that may be filled with what the process holds for others.
-// Most of it may be there twice for a moment, as a decoded job beside its body or in the kernel's
-// buffers, and the collector lets the heap grow by a quarter: together three quarters of the
-// memory. The last quarter is for the runtime, the tables and the batch jobs.
-const heldPart = 0.3
-
 // Guaranteed parts of what may be held. The rest is common, so that each use can take half of all or
 // more while the others are quiet.
 const (
@@ -31,21 +25,21 @@
 
 // heldMemory is the room for what the process holds for others. The shares are nil if it is not bounded.
 type heldMemory struct {
+	budget                 *budget.Budget
 	bodies, answers, texts *budget.Share
 }
 
 // newHeldMemory returns the room on a VM with memoryMB of memory, 0 if it is not known.
 func newHeldMemory(memoryMB float64) heldMemory {
-	if memoryMB <= 0 {
+	b := budget.ForVM(memoryMB)
+	if b == nil {
 		return heldMemory{}
 	}
-	total := heldPart * memoryMB * 1e6
-	b := budget.New(int64(total))
-	held := heldMemory{
+	total := float64(b.Total())
+	return heldMemory{
+		budget:  b,
 		bodies:  b.Share("bodies", int64(bodiesPart*total)),
 		answers: b.Share("answers", int64(answersPart*total)),
 		texts:   b.Share("texts", int64(textsPart*total)),
 	}
-	b.Publish()
-	return held
 }
--- a/gateway/server/memory_test.go
+++ b/gateway/server/memory_test.go
@@ -23,8 +23,8 @@
 		for held.texts.Acquire(step) {
 			taken += step
 		}
-		require.LessOrEqual(t, taken, heldPart*memoryMB*1e6)
-		require.InDelta(t, answersPart*heldPart*memoryMB*1e6, held.answers.InUse(), step)
-		require.InDelta(t, textsPart*heldPart*memoryMB*1e6, held.texts.InUse(), step)
+		require.LessOrEqual(t, taken, float64(held.budget.Total()))
+		require.InDelta(t, answersPart*float64(held.budget.Total()), held.answers.InUse(), step)
+		require.InDelta(t, textsPart*float64(held.budget.Total()), held.texts.InUse(), step)
 	}
 }
