base/inbound: connections and heads are bounded by their sum, on every listener

What callers saw: clients that send legal heads of thousands of short lines, or heads and connections without end, ended a process for its memory, or took every descriptor, so that nobody else was served.

Cause: net/http builds a head before a handler runs, and nothing counts what it makes of short lines: some 230 bytes a line that stay while the request waits. Nothing counted connections, and max_header_bytes of the configuration was read nowhere.

Now each listener accepts within the bounds of its process: places (a part of the descriptors and of the budget, some reserved for each listener), and room for heads beyond what a place includes. A head is counted while net/http reads it, by bytes and line ends alone; who ends a head is left to net/http, so that two readers can't disagree. No room: 503, marked as not run, with Retry-After; larger than the configuration allows: 431. At the bound, a new connection replaces the one that has waited longest for a request to arrive, so slow and idle clients make room for those that ask. The kernel's receive buffer is set, since unread bytes count as memory. Trailers and heads that were read ahead are counted too. An ordinary head (32 lines, 4 KB) needs no room of its own.

Settings: [vm] memory_mb and descriptors, for all processes.

--- a/agent/server/build.go
+++ b/agent/server/build.go
@@ -20,7 +20,9 @@
 	"dandelionsill.org/agent/generate"
 	"dandelionsill.org/agent/once"
 	"dandelionsill.org/agent/weights"
+	"dandelionsill.org/base/budget"
 	"dandelionsill.org/base/explain"
+	"dandelionsill.org/base/inbound"
 	"dandelionsill.org/base/logs"
 	"dandelionsill.org/base/run"
 	"dandelionsill.org/base/trace"
@@ -62,10 +64,14 @@
 	server := b.newServer()
 	b.addLoop(server.Run)
 
+	bounds := inbound.New(set.VM, budget.ForVM(set.VM.MemoryMB), logs.Part(b.logger, "inbound"))
+	bounds.Publish()
 	grpcServer := run.NewGRPC(set.Process.Listen)
+	grpcServer.Bounds = bounds
 	pb.RegisterAgentServer(grpcServer.Server, server)
 	pb.RegisterPeerServer(grpcServer.Server, b.configKeeper)
 	httpServer := run.NewHTTP(set.Process.HTTP)
+	httpServer.Bounds = bounds
 	httpServer.HandleFunc("/v1/status", server.ServeStatus(peers.list))
 	wait := b.startLoops(ctx)
 	return b.process(server, []transport.Server{grpcServer, httpServer}, func() {
--- /dev/null
+++ b/base/inbound/http.go
@@ -0,0 +1,222 @@
+package inbound
+
+import (
+	"context"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+)
+
+const (
+	// defaultHeadBytes bounds a head where no other limit is told.
+	defaultHeadBytes = 64 << 10
+	// largestHead bounds a head whatever limit is told, in bytes.
+	largestHead = 1 << 20
+	// stallTimeout bounds the time in which a client must take in one write, unless the handler sets a deadline of its own.
+	stallTimeout = 30 * time.Second
+	// discardTimeout and discardBytes bound what is read of a refused request. A client that writes before it reads would
+	// otherwise get a reset in place of the refusal.
+	discardTimeout = 500 * time.Millisecond
+	discardBytes   = 64 << 10
+	// retryAfter is the delay after which a client that found no room may come back.
+	retryAfter = time.Second
+)
+
+// ErrNoRoom is the error of a body that can't be read further because there is no room for its trailer.
+var ErrNoRoom = errors.New("no room for the lines that a request's body may end with")
+
+// HTTPConfig configures how an HTTP server bounds heads.
+type HTTPConfig struct {
+	// HeadBytes returns the size of the largest head that is allowed now; 0 or nil: defaultHeadBytes.
+	HeadBytes func() int
+	// NotRun has the headers that mark an answer as that of a request that has not run.
+	NotRun http.Header
+}
+
+// Guard makes an HTTP server, which must be served by a Listener, bound its heads. Its handler, ConnContext and ConnState must
+// have been set.
+func Guard(s *http.Server, cfg HTTPConfig) {
+	s.MaxHeaderBytes = largestHead
+	s.DisableGeneralOptionsHandler = true // it would read a body that nobody counts
+	handler, connContext, connState := s.Handler, s.ConnContext, s.ConnState
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		conn := c.(*Conn)
+		conn.http = &cfg
+		ctx = context.WithValue(ctx, connKey{}, conn)
+		if connContext != nil {
+			ctx = connContext(ctx, c)
+		}
+		return ctx
+	}
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if connState != nil {
+			connState(c, state)
+		}
+		if state == http.StateIdle {
+			c.(*Conn).beginHead()
+		}
+	}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conn, ok := r.Context().Value(connKey{}).(*Conn); ok && !conn.endHead(r) {
+			conn.listener.refusedHead(conn, http.StatusServiceUnavailable)
+			cfg.writeRefusal(w)
+			return
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+type connKey struct{}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n == 0 || c.http == nil {
+		return n, err
+	}
+	c.mu.Lock()
+	c.head.receive(p, n)
+	reading := c.head.reading
+	tooLarge := reading && c.head.bytes > c.http.headBytes()+readAhead
+	// net/http reads a single byte while a handler runs, to see whether the client has left. Then it is too late to refuse.
+	fits := len(p) == 1 || c.reserve()
+	c.mu.Unlock()
+	switch {
+	case len(p) == 1:
+		return n, err
+	case tooLarge:
+		return 0, c.refuse(http.StatusRequestHeaderFieldsTooLarge)
+	case !fits && reading:
+		return 0, c.refuse(http.StatusServiceUnavailable)
+	case !fits:
+		c.bodyRefused.Store(true)
+		return 0, ErrNoRoom
+	}
+	return n, err
+}
+
+// reserve reports whether there is room for the head and the trailer. The connection's mutex is held.
+func (c *Conn) reserve() bool {
+	more := c.head.cost() - c.held.Bytes()
+	return more <= 0 || c.held.Grow(more)
+}
+
+// headBytes returns the size of the largest head.
+func (cfg *HTTPConfig) headBytes() int {
+	limit := 0
+	if cfg.HeadBytes != nil {
+		limit = cfg.HeadBytes()
+	}
+	if limit <= 0 {
+		limit = defaultHeadBytes
+	}
+	return min(limit, largestHead-readAhead)
+}
+
+// refusal returns the headers of an answer to a request of which nothing has run.
+func (cfg *HTTPConfig) refusal(status int) http.Header {
+	header := cfg.NotRun.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	header.Set("Connection", "close")
+	header.Set("Content-Length", "0")
+	if status == http.StatusServiceUnavailable {
+		header.Set("Retry-After", strconv.Itoa(int(retryAfter.Seconds())))
+	}
+	return header
+}
+
+// writeRefusal answers a request for whose head there is no room.
+func (cfg *HTTPConfig) writeRefusal(w http.ResponseWriter) {
+	maps.Copy(w.Header(), cfg.refusal(http.StatusServiceUnavailable))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// refusedHead reports a refused head.
+func (l *Listener) refusedHead(c *Conn, status int) {
+	l.bounds.headsRefused.Add(1)
+	l.bounds.log.Info("Refused a request for its head.", zap.String("listener", l.use.name), zap.Stringer("client", c.RemoteAddr()), zap.Int("status", status))
+}
+
+// refuse answers the request whose head is being read, of which nothing has run, and reads on for a moment. It returns the
+// error for net/http, which then closes the connection without an answer of its own.
+func (c *Conn) refuse(status int) error {
+	var text strings.Builder
+	text.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\n")
+	c.listener.refusedHead(c, status)
+	_ = c.http.refusal(status).Write(&text) // a builder does not fail
+	text.WriteString("\r\n")
+	_ = c.SetDeadline(time.Now().Add(discardTimeout))
+	if _, err := io.WriteString(c.TCPConn, text.String()); err == nil && c.CloseWrite() == nil {
+		_, _ = io.CopyN(io.Discard, c.TCPConn, discardBytes) // ends with the deadline or the client's end
+	}
+	return io.EOF
+}
+
+// endHead is called when net/http has read a head, before the handler. It returns false if there is no room for the head.
+func (c *Conn) endHead(r *http.Request) bool {
+	c.mu.Lock()
+	c.head.finish(r)
+	fits := c.reserve()
+	c.mu.Unlock()
+	if r.Body == nil || r.Body == http.NoBody {
+		c.wait(false)
+	} else {
+		r.Body = &body{r.Body, c}
+	}
+	return fits
+}
+
+// beginHead is called between two requests.
+func (c *Conn) beginHead() {
+	c.mu.Lock()
+	c.held.Release()
+	c.head.next()
+	c.mu.Unlock()
+	c.wait(true)
+}
+
+// body tells when a request has arrived completely.
+type body struct {
+	io.ReadCloser
+	conn *Conn
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.conn.wait(false)
+	}
+	if err != nil && b.conn.bodyRefused.Load() {
+		err = ErrNoRoom // net/http has replaced it where it looks for a trailer
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	if c.http != nil && !c.ownDeadline.Load() {
+		_ = c.TCPConn.SetWriteDeadline(time.Now().Add(stallTimeout)) // the write fails as well
+	}
+	return c.TCPConn.Write(p)
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.ownDeadline.Store(!t.IsZero())
+	return c.TCPConn.SetWriteDeadline(t)
+}
+
+// ReadFrom hides that of the TCP connection, which would write without Write's deadline.
+func (c *Conn) ReadFrom(r io.Reader) (int64, error) {
+	return io.Copy(struct{ io.Writer }{c}, r)
+}
--- /dev/null
+++ b/base/inbound/listener.go
@@ -0,0 +1,200 @@
+package inbound
+
+import (
+	"container/list"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"dandelionsill.org/base/budget"
+)
+
+// Listener accepts connections within the bounds of its process. At the bound, a new connection replaces the one that has
+// waited longest for a request to arrive; if none waits, the new one is closed.
+type Listener struct {
+	net.Listener
+	bounds *Bounds
+	use    Use
+	share  *budget.Share
+
+	// The mutex of bounds guards these.
+	open, peak       int
+	evicted, refused int64
+	waiting          list.List        // of *Conn, the longest waiting first
+	byAddr           map[string]*Conn // by remote address
+}
+
+// Listen listens on addr (IP:port) for a use.
+func (b *Bounds) Listen(addr string, use Use) (*Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			// Connections inherit it. A platform that does not know the option has buffers of its own.
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
+		})
+	}}
+	inner, err := config.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	l := &Listener{Listener: inner, bounds: b, use: use, share: b.share(use), byAddr: map[string]*Conn{}}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.listeners = append(b.listeners, l)
+	return l, nil
+}
+
+// Accept implements net.Listener. It returns connections of type *Conn.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c, evicted := l.admit(raw.(*net.TCPConn))
+		if evicted != nil {
+			l.bounds.log.Info("Closed a connection on which no request has arrived, to make room for a new one.",
+				zap.String("listener", l.use.name), zap.Stringer("client", evicted.RemoteAddr()))
+		}
+		if c != nil {
+			return c, nil
+		}
+		_ = raw.Close()
+		l.bounds.log.Warn("Closed a new connection; all others have requests in progress.",
+			zap.String("listener", l.use.name), zap.Stringer("client", raw.RemoteAddr()))
+	}
+}
+
+// admit returns the connection if there is room for it, else nil, and the last connection that it closed to make room.
+func (l *Listener) admit(raw *net.TCPConn) (admitted, evicted *Conn) {
+	l.bounds.mu.Lock()
+	defer l.bounds.mu.Unlock()
+	for !l.take() {
+		c := l.evict()
+		if c == nil {
+			l.refused++
+			return nil, evicted
+		}
+		evicted = c
+	}
+	c := &Conn{TCPConn: raw, listener: l, held: l.bounds.heads.Reserve()}
+	c.head.reading = true
+	l.byAddr[raw.RemoteAddr().String()] = c
+	c.setWaiting(true)
+	return c, evicted
+}
+
+// take takes a place for a connection and its bytes, and returns false if there is no room. The bounds' mutex is held.
+func (l *Listener) take() bool {
+	if l.open >= l.bounds.most(l) || !l.share.Acquire(l.use.cost) {
+		return false
+	}
+	l.open++
+	l.peak = max(l.peak, l.open)
+	return true
+}
+
+// most returns how many connections a listener may have open now: as many as leave the others what is reserved for them. The
+// mutex is held.
+func (b *Bounds) most(l *Listener) int {
+	if l.use.most > 0 {
+		return l.use.most
+	}
+	most := b.places
+	for _, other := range b.listeners {
+		if other != l {
+			most -= max(other.open, other.use.reserved(b.places))
+		}
+	}
+	return max(most, l.use.reserved(b.places))
+}
+
+// evict closes the connection that has waited longest for a request to arrive, and returns it; nil: none waits. The bounds'
+// mutex is held.
+func (l *Listener) evict() *Conn {
+	first := l.waiting.Front()
+	if first == nil {
+		return nil
+	}
+	c := first.Value.(*Conn)
+	l.evicted++
+	c.leave()
+	_ = c.TCPConn.Close() // its reader sees the end
+	return c
+}
+
+// find returns the open connection from a remote address; nil: none.
+func (l *Listener) find(addr net.Addr) *Conn {
+	l.bounds.mu.Lock()
+	defer l.bounds.mu.Unlock()
+	return l.byAddr[addr.String()]
+}
+
+// Conn is a connection that has a place.
+type Conn struct {
+	*net.TCPConn
+	listener *Listener
+
+	// The mutex of the listener's bounds guards these.
+	element *list.Element // in the listener's list of waiting connections; nil: not in it
+	left    bool          // the place is free again
+	streams int           // open gRPC streams
+
+	http        *HTTPConfig // nil: the connection is not for HTTP/1
+	ownDeadline atomic.Bool // the handler has set a deadline for its writes
+	bodyRefused atomic.Bool // there was no room for a trailer; the connection can't be read further
+
+	mu   sync.Mutex // guards these
+	head head
+	held budget.Reservation // for the head and the trailer of the current request
+}
+
+// leave gives the connection's place back. The bounds' mutex is held.
+func (c *Conn) leave() {
+	if c.left {
+		return
+	}
+	c.left = true
+	l := c.listener
+	c.setWaiting(false)
+	if addr := c.RemoteAddr().String(); l.byAddr[addr] == c {
+		delete(l.byAddr, addr)
+	}
+	l.open--
+	l.share.Release(l.use.cost)
+}
+
+// setWaiting says whether the connection waits for a request to arrive. The bounds' mutex is held.
+func (c *Conn) setWaiting(waits bool) {
+	switch {
+	case waits && c.element == nil && !c.left:
+		c.element = c.listener.waiting.PushBack(c)
+	case !waits && c.element != nil:
+		c.listener.waiting.Remove(c.element)
+		c.element = nil
+	}
+}
+
+// wait is setWaiting without the mutex held.
+func (c *Conn) wait(waits bool) {
+	c.listener.bounds.mu.Lock()
+	defer c.listener.bounds.mu.Unlock()
+	c.setWaiting(waits)
+}
+
+// Close implements net.Conn. It is called once the connection's server has ended with it.
+func (c *Conn) Close() error {
+	err := c.TCPConn.Close()
+	c.listener.bounds.mu.Lock()
+	c.leave()
+	c.listener.bounds.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held.Release()
+	return err
+}
--- a/base/run/grpc.go
+++ b/base/run/grpc.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kratos/kratos/v2/transport"
@@ -12,6 +13,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 
+	"dandelionsill.org/base/inbound"
 	"dandelionsill.org/base/trace"
 )
 
@@ -21,9 +23,10 @@
 	keepaliveTime    = 10 * time.Second
 	keepaliveTimeout = 5 * time.Second
 	minClientPing    = 5 * time.Second
-	maxMessageBytes  = 64 << 20 // exported KV caches are the largest messages
-	maxStreams       = 4096     // concurrent streams per connection
-	connectTimeout   = 5 * time.Second
+
+	maxMessageBytes = 64 << 20 // exported KV caches are the largest messages
+	maxStreams      = 4096     // concurrent streams per connection
+	connectTimeout  = 5 * time.Second
 	// closeGracePeriod is the time that Stop allows for replies that are still being
 	// written. After the drain only endless streams (Watch) remain.
 	closeGracePeriod = time.Second
@@ -37,16 +40,20 @@
 // GRPCServer is a grpc-go server that implements kratos's transport.Server.
 type GRPCServer struct {
 	*grpc.Server
+	// Bounds must be set before the server listens; nil: the default bounds.
+	Bounds *inbound.Bounds
 
 	addr       string
 	listenOnce sync.Once
-	listener   net.Listener
+	listener   atomic.Pointer[inbound.Listener]
 	listenErr  error
 }
 
 // NewGRPC returns a server that will listen on addr (IP:port; port 0 picks a free
-// port) and traces each call. opts override the defaults.
+// port) and traces each call. opts override the defaults. It serves within the default
+// bounds unless Bounds is set.
 func NewGRPC(addr string, opts ...grpc.ServerOption) *GRPCServer {
+	s := &GRPCServer{addr: addr}
 	defaults := []grpc.ServerOption{
 		grpc.ChainUnaryInterceptor(trace.UnaryServer),
 		grpc.ChainStreamInterceptor(trace.StreamServer),
@@ -56,19 +63,22 @@
 		grpc.MaxConcurrentStreams(maxStreams),
 		grpc.ConnectionTimeout(connectTimeout),
 	}
-	return &GRPCServer{Server: grpc.NewServer(append(defaults, opts...)...), addr: addr}
+	s.Server = grpc.NewServer(append(defaults, opts...)...)
+	return s
 }
 
 // Listen binds the address and returns it. Further calls return the same result.
 // Start calls Listen, so that calling it before is optional.
 func (s *GRPCServer) Listen() (net.Addr, error) {
 	s.listenOnce.Do(func() {
-		s.listener, s.listenErr = net.Listen("tcp", s.addr)
+		var listener *inbound.Listener
+		listener, s.listenErr = boundsOrDefault(s.Bounds).Listen(s.addr, inbound.Streams)
+		s.listener.Store(listener)
 	})
 	if s.listenErr != nil {
 		return nil, errors.Annotatef(s.listenErr, "gRPC listener %s", s.addr)
 	}
-	return s.listener.Addr(), nil
+	return s.listener.Load().Addr(), nil
 }
 
 // Endpoint binds the address and returns it as a URL. kratos calls it before it
@@ -86,7 +96,7 @@
 	if _, err := s.Listen(); err != nil {
 		return err
 	}
-	if err := s.Serve(s.listener); err != nil && !errors.Is(err, grpc.ErrServerStopped) {
+	if err := s.Serve(s.listener.Load()); err != nil && !errors.Is(err, grpc.ErrServerStopped) {
 		return errors.Trace(err)
 	}
 	return nil
--- a/base/run/http.go
+++ b/base/run/http.go
@@ -1,16 +1,22 @@
 package run
 
 import (
+	"context"
 	"expvar"
 	"fmt"
 	"log"
 	"net/http"
+	"net/url"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-kratos/kratos/v2/transport"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"dandelionsill.org/base/inbound"
 	"dandelionsill.org/base/logs"
 )
 
@@ -19,9 +25,12 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
+	errorLogInterval  = time.Second
+)
 
-	errorLogInterval = time.Second
+var (
+	_ transport.Server     = (*HTTPServer)(nil)
+	_ transport.Endpointer = (*HTTPServer)(nil)
 )
 
 // Readiness of this process. stopping is never reset, except by tests.
@@ -34,9 +43,20 @@
 // IsReady reports whether /readyz answers 200.
 func IsReady() bool { return ready.Load() && !stopping.Load() }
 
-// NewHTTP returns a kratos HTTP server for addr (IP:port) with /livez, /readyz and
-// /debug/vars. options override the defaults.
-func NewHTTP(addr string, options ...khttp.ServerOption) *khttp.Server {
+// HTTPServer is a kratos HTTP server that listens within the bounds of its process.
+type HTTPServer struct {
+	*khttp.Server
+	// These must be set before the server listens. Bounds is nil for the default bounds.
+	Heads  inbound.HTTPConfig
+	Bounds *inbound.Bounds
+	Use    inbound.Use
+	addr   string
+	listen func() error
+}
+
+// NewHTTP returns a server for addr (IP:port) with /livez, /readyz and /debug/vars. options
+// override the defaults. It serves callers within the default bounds unless its fields are set.
+func NewHTTP(addr string, options ...khttp.ServerOption) *HTTPServer {
 	srv := khttp.NewServer(append([]khttp.ServerOption{
 		khttp.Address(addr),
 		// By default kratos cancels each request after one second.
@@ -49,12 +69,47 @@
 	}, options...)...)
 	srv.ReadHeaderTimeout = readHeaderTimeout
 	srv.IdleTimeout = idleTimeout
-	srv.MaxHeaderBytes = maxHeaderBytes
 	srv.ErrorLog = errorLog()
 	srv.HandleFunc("/livez", livez)
 	srv.HandleFunc("/readyz", readyz)
 	srv.HandleFunc("/debug/vars", writeMetrics)
-	return srv
+	s := &HTTPServer{Server: srv, Use: inbound.Callers, addr: addr}
+	s.listen = sync.OnceValue(s.bind)
+	return s
+}
+
+// bind binds the address.
+func (s *HTTPServer) bind() error {
+	listener, err := boundsOrDefault(s.Bounds).Listen(s.addr, s.Use)
+	if err != nil {
+		return errors.Annotatef(err, "HTTP listener %s", s.addr)
+	}
+	khttp.Listener(listener)(s.Server)
+	return nil
+}
+
+func boundsOrDefault(b *inbound.Bounds) *inbound.Bounds {
+	if b == nil {
+		return inbound.Default()
+	}
+	return b
+}
+
+// Endpoint binds the address and returns it as a URL. kratos calls it before it starts any server.
+func (s *HTTPServer) Endpoint() (*url.URL, error) {
+	if err := s.listen(); err != nil {
+		return nil, err
+	}
+	return s.Server.Endpoint()
+}
+
+// Start serves requests until Stop is called.
+func (s *HTTPServer) Start(ctx context.Context) error {
+	if err := s.listen(); err != nil {
+		return err
+	}
+	inbound.Guard(s.Server.Server, s.Heads)
+	return s.Server.Start(ctx)
 }
 
 // errorLog returns a logger for the messages of net/http itself (a panic in a
--- a/base/run/run_test.go
+++ b/base/run/run_test.go
@@ -164,7 +164,7 @@
 	taken := NewGRPC("127.0.0.1:0")
 	addr, err := taken.Listen()
 	require.NoError(t, err)
-	defer taken.listener.Close()
+	defer taken.listener.Load().Close()
 	require.Equal(t, exitFailed, Main("test", func(context.Context) (*Process, error) {
 		return &Process{Servers: []transport.Server{NewGRPC(addr.String())}, Logger: zap.NewNop()}, nil
 	}))
--- a/base/settings/common.go
+++ b/base/settings/common.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"dandelionsill.org/base/inbound"
 	"dandelionsill.org/base/trace"
 )
 
@@ -16,6 +17,7 @@
 	Trace    trace.Config
 	Platform Platform
 	Keys     Keys
+	VM       inbound.Settings
 }
 
 // Process identifies this process and configures its listeners, logging and stop.
--- a/crowd/gateway_test.go
+++ b/crowd/gateway_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"dandelionsill.org/platform/hosted"
 	"dandelionsill.org/platform/hosted/hostedtest"
 )
 
@@ -76,7 +77,7 @@
 		r.Header.Set(hostedtest.HeaderAttempt, fmt.Sprintf("ordinary-%d", nextID.Add(1)))
 		r.Header.Set(hostedtest.HeaderDeadline, "2000")
 	})
-	waitAnswered(t, g.process, "http://"+g.ready+"/-/ready", nil)
+	waitAnswered(t, g.process, "http://"+g.ready+hosted.PathReady, nil)
 }
 
 // waitAnswered sends requests, each over a connection of its own, until one is answered with 200.
@@ -163,7 +164,7 @@
 		addr func(*gateway) string
 	}{
 		"Peers":   {"/relay/x", func(g *gateway) string { return g.peers }},
-		"Ready":   {"/-/ready", func(g *gateway) string { return g.ready }},
+		"Ready":   {hosted.PathReady, func(g *gateway) string { return g.ready }},
 		"Metrics": {"/debug/vars", func(g *gateway) string { return g.metrics }},
 	} {
 		for _, f := range shortForms() {
--- a/crowd/own_test.go
+++ b/crowd/own_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -68,7 +69,11 @@
 	if p.GRPC != "" {
 		listeners = append(listeners, p.GRPC)
 	}
-	c.processes[name] = start(t, listeners, p.Binary, p.Args...)
+	args := p.Args
+	if p.Role == site.RoleAgent || p.Role == site.RoleEntry {
+		args = append(slices.Clone(args), fmt.Sprintf("--vm.memory_mb=%d", memoryMB))
+	}
+	c.processes[name] = start(t, listeners, p.Binary, args...)
 	return c.processes[name]
 }
 
@@ -180,7 +185,7 @@
 	t.Helper()
 	store := newPlatform(t)
 	metrics = freeAddr(t)
-	text := fmt.Sprintf("[process]\nname = a0\nfailure_domain = zone-a\nmetrics = %s\n[store]\naddress = %s\n[engine]\naddress = %s\n", metrics, store.Addr(), freeAddr(t))
+	text := fmt.Sprintf("[process]\nname = a0\nfailure_domain = zone-a\nmetrics = %s\n[store]\naddress = %s\n[engine]\naddress = %s\n[vm]\nmemory_mb = %d\n", metrics, store.Addr(), freeAddr(t), memoryMB)
 	p = start(t, []string{metrics}, filepath.Join(binDir, "dandelion-orders"), "--config", writeSettings(t, text))
 	waitAnswered(t, p, "http://"+metrics+"/debug/vars", nil)
 	return p, metrics
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -18,7 +18,9 @@
 	"dandelionsill.org/adapters/httplog"
 	"dandelionsill.org/adapters/httpstore"
 	"dandelionsill.org/adapters/httpvms"
+	"dandelionsill.org/base/budget"
 	"dandelionsill.org/base/explain"
+	"dandelionsill.org/base/inbound"
 	"dandelionsill.org/base/logs"
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/base/run"
@@ -62,6 +64,8 @@
 	front       *front.Front
 	steps       *steps.Steps
 	startedAt   time.Time
+	bounds      *inbound.Bounds
+	bodies      *budget.Share // nil: this process is not told its memory
 }
 
 // Build returns the entry process for its settings, with its background tasks
@@ -102,6 +106,7 @@
 	name := set.Process.Name
 	e := &entry{settings: set, logger: logs.New(component, set.Process.LogLevel), startedAt: time.Now()}
 	e.ring = explain.New(name, set.Entry.ExplainRecords)
+	e.newBounds()
 	e.platformLog = httplog.New(set.Platform.Log, name)
 	if set.Platform.Weights != "" {
 		e.store = httpstore.New(set.Platform.Weights, name)
@@ -136,6 +141,20 @@
 	return e, nil
 }
 
+// bodiesPart is the part of what the process may hold for others that is guaranteed to bodies.
+const bodiesPart = 0.5
+
+// newBounds creates the bounds of what clients can make this process hold.
+func (e *entry) newBounds() {
+	held := budget.ForVM(e.settings.VM.MemoryMB)
+	if held != nil {
+		e.bodies = held.Share("bodies", int64(bodiesPart*float64(held.Total())))
+	}
+	e.bounds = inbound.New(e.settings.VM, held, logs.Part(e.logger, "inbound"))
+	held.Publish()
+	e.bounds.Publish()
+}
+
 // newAgents creates the watcher of the agents. It calls OwnedModels only once it
 // runs, when e.steps is set.
 func (e *entry) newAgents() *fleet.Agents {
@@ -192,13 +211,15 @@
 
 func (e *entry) grpc() transport.Server {
 	server := run.NewGRPC(e.settings.Process.Listen)
+	server.Bounds = e.bounds
 	pb.RegisterPeerServer(server.Server, &peerServer{e.keeper, e.quarantine})
 	return server
 }
 
-func (e *entry) http() *khttp.Server {
+func (e *entry) http() *run.HTTPServer {
 	server := run.NewHTTP(e.settings.Process.HTTP, khttp.NotFoundHandler(http.HandlerFunc(notFound)),
 		khttp.MethodNotAllowedHandler(http.HandlerFunc(methodNotAllowed)))
+	server.Bounds = e.bounds
 	callHandler := calls.New(calls.Config{
 		Agents:      e.agents,
 		Region:      e.settings.Process.Region,
@@ -222,7 +243,7 @@
 	server.Handle(completions.Path, e.front.Handle("entry "+completions.Path, completionHandler.Serve))
 	server.HandleFunc("/v1/status", e.serveStatus)
 	server.HandleFunc("/v1/versions", e.serveVersions)
-	e.steps.Register(server)
+	e.steps.Register(server.Server)
 	server.Handler = withServices(services, withExplain(explainHandler(e), server.Handler))
 	return server
 }
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -70,6 +70,14 @@
 	inFlight atomic.Int64
 }
 
+// HeadBytes returns the size of the largest head that the configuration allows; 0: it is not known.
+func (f *Front) HeadBytes() int {
+	if snap := f.View.Current(); snap.Table != nil {
+		return snap.Table.Limits.HeaderBytes
+	}
+	return 0
+}
+
 // InFlight returns the number of requests that are being served.
 func (f *Front) InFlight() int64 { return f.inFlight.Load() }
 
--- a/gateway/server/agent.go
+++ b/gateway/server/agent.go
@@ -7,6 +7,9 @@
 	"github.com/go-kratos/kratos/v2/transport"
 	"go.uber.org/zap"
 
+	"dandelionsill.org/base/budget"
+	"dandelionsill.org/base/inbound"
+	"dandelionsill.org/base/logs"
 	"dandelionsill.org/base/run"
 	decide "dandelionsill.org/decide/fanout"
 	"dandelionsill.org/gateway/orders"
@@ -34,9 +37,11 @@
 	loops.Go(func() { regions.run(ctx) })
 	loops.Go(func() { agent.Run(ctx) })
 	log.Info("Starting.", zap.String("name", cfg.Process.Name), zap.String("engine", cfg.Engine.Address), zap.String("store", cfg.Store.Address))
+	bounds := inbound.New(cfg.VM, budget.ForVM(cfg.VM.MemoryMB), logs.Part(log, "inbound"))
+	bounds.Publish()
 	var servers []transport.Server
 	if cfg.Process.Metrics != "" {
-		servers = append(servers, metricsServer(cfg.Process.Metrics))
+		servers = append(servers, metricsServer(cfg.Process.Metrics, bounds))
 	}
 	return &run.Process{
 		Servers: servers,
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -10,10 +10,10 @@
 	"time"
 
 	"github.com/go-kratos/kratos/v2/transport"
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"dandelionsill.org/base/inbound"
 	"dandelionsill.org/base/logs"
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/base/run"
@@ -116,7 +116,9 @@
 	runner.SetNeighbours(neighbours)
 	index.Texts.SetNeighbours(neighbours)
 	held := newHeldMemory(cfg.VM.MemoryMB)
+	bounds := inbound.New(cfg.VM.Settings, held.budget, logs.Part(log, "inbound"))
 	held.budget.Publish()
+	bounds.Publish()
 	handler.Bodies, forwarder.Answers, handler.ReadTime = held.bodies, held.answers, pace.MinTime
 	index.Texts.SetRoom(held.texts)
 	forwarder.Bodies = forward.NewServerBodies(int64(cfg.VM.ServerBodyMB * 1e6))
@@ -145,7 +147,7 @@
 	loops.Go(func() { runner.Run(ctx) })
 	log.Info("Starting.", zap.String("name", writer.VM), zap.String("life", writer.Incarnation), zap.String("callers", cfg.Listen.Callers), zap.String("store", cfg.Store.Address))
 	return &run.Process{
-		Servers: append(gatewayServers(cfg, handler, newPeerHandler(index, handler.View, forwarder.Quarantine, followed), ready), permits.servers()...),
+		Servers: append(gatewayServers(cfg, bounds, handler, newPeerHandler(index, handler.View, forwarder.Quarantine, followed), ready), permits.servers(bounds)...),
 		Ready: func(isReady bool) {
 			ready.serving.Store(isReady)
 			releaseWork(isReady, stop, runner, usage, scaling, permits)
@@ -217,23 +219,28 @@
 
 // gatewayServers returns the servers for callers and readiness checks and, if they are configured,
 // for peers and metrics.
-func gatewayServers(cfg Gateway, callerHandler, peerHandler http.Handler, ready *readiness) []transport.Server {
+func gatewayServers(cfg Gateway, bounds *inbound.Bounds, callerHandler *front.Front, peerHandler http.Handler, ready *readiness) []transport.Server {
 	callerServer := run.NewHTTP(cfg.Listen.Callers)
+	callerServer.Bounds = bounds
+	callerServer.Heads = inbound.HTTPConfig{HeadBytes: callerHandler.HeadBytes, NotRun: http.Header{}}
+	hosted.SetNotExecuted(callerServer.Heads.NotRun)
 	callerServer.Handler = callerHandler // without a router, which would change paths
 	callerServer.IdleTimeout = idleTimeout
 	if cfg.VM.MemoryMB > 0 {
 		callerServer.ConnContext = pace.BoundSendBuffer
 	}
 	readyServer := run.NewHTTP(cfg.Listen.Ready)
+	readyServer.Bounds, readyServer.Use = bounds, inbound.Checks
 	readyServer.HandleFunc(hosted.PathReady, ready.serve)
 	servers := []transport.Server{callerServer, readyServer}
 	if cfg.Listen.Peers != "" {
 		peerServer := run.NewHTTP(cfg.Listen.Peers)
+		peerServer.Bounds, peerServer.Use = bounds, inbound.Peers
 		peerServer.Handler = peerHandler
 		servers = append(servers, peerServer)
 	}
 	if cfg.Process.Metrics != "" && cfg.Process.Metrics != cfg.Listen.Ready {
-		servers = append(servers, metricsServer(cfg.Process.Metrics))
+		servers = append(servers, metricsServer(cfg.Process.Metrics, bounds))
 	}
 	return servers
 }
@@ -254,7 +261,11 @@
 }
 
 // metricsServer returns the server for metrics.
-func metricsServer(addr string) *khttp.Server { return run.NewHTTP(addr) }
+func metricsServer(addr string, bounds *inbound.Bounds) *run.HTTPServer {
+	server := run.NewHTTP(addr)
+	server.Bounds, server.Use = bounds, inbound.Metrics
+	return server
+}
 
 // readiness answers the platform's checks whether this process may receive callers.
 type readiness struct {
--- a/gateway/server/permits.go
+++ b/gateway/server/permits.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"dandelionsill.org/base/boottime"
+	"dandelionsill.org/base/inbound"
 	"dandelionsill.org/base/logs"
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/decide/evidence"
@@ -126,11 +127,13 @@
 }
 
 // servers returns the listener for other gateways.
-func (s *sharing) servers() []transport.Server {
+func (s *sharing) servers(bounds *inbound.Bounds) []transport.Server {
 	if s == nil {
 		return nil
 	}
-	return []transport.Server{permits.NewGRPC(s.addr, s.server)}
+	server := permits.NewGRPC(s.addr, s.server)
+	server.Bounds = bounds
+	return []transport.Server{server}
 }
 
 // leave ends this process's brokers.
--- a/gateway/server/settings.go
+++ b/gateway/server/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"dandelionsill.org/base/inbound"
 	"dandelionsill.org/base/settings"
 	"dandelionsill.org/base/trace"
 	"dandelionsill.org/decide/topology"
@@ -108,8 +109,8 @@
 
 // VM holds the resources of the VM that the process may use.
 type VM struct {
+	inbound.Settings
 	CPUShare float64 `ini:"vm.cpu_share" default:"1" min:"0.01" max:"1024" help:"cores that this process may use"`
-	MemoryMB float64 `ini:"vm.memory_mb" default:"0" min:"0" max:"100000000" help:"memory that this process may use, MB; what it holds for others is bounded to a part of it; 0: not told, nothing is bounded"`
 	LinkMbps float64 `ini:"vm.link_mbps" default:"1000" min:"1" max:"1000000" help:"bandwidth of the VM's link, Mbit/s"`
 
 	ServerBodyMB float64 `ini:"vm.server_body_mb" default:"0" min:"0" max:"1000000" help:"bodies of this process's requests that one server holds at a time, MB; 0: not bounded"`
@@ -146,6 +147,7 @@
 // Agent holds the settings of the agent of an engine.
 type Agent struct {
 	Common
+	VM     inbound.Settings
 	Engine Engine
 }
 
--- a/gateway/server/stopping_test.go
+++ b/gateway/server/stopping_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/go-kratos/kratos/v2/transport"
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/stretchr/testify/require"
 
 	"dandelionsill.org/gateway/gatewaytest"
@@ -25,7 +24,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p, err := BuildGateway(ctx, cfg)
 	require.NoError(t, err)
-	callers := p.Servers[0].(*khttp.Server)
+	callers := p.Servers[0].(transport.Endpointer)
 	endpoint, err := callers.Endpoint()
 	require.NoError(t, err)
 	for _, server := range p.Servers {
