base/inbound: streams of gRPC and their header fields are bounded by their sum

What peers saw: 150 connections with header fields by HTTP/2's compression, endless fields, unfinished messages or streams that are opened and reset took a gateway to 1,820 MB, an entry or agent to 3,107 MB.

Cause: grpc-go takes 16 MB of header fields a stream by default, on 4,096 streams a connection, windows that grow with the bandwidth, and counts none of it together.

A stream is admitted before its handler starts, if there is room for it, its fields and the first window of its messages, and gives it back when its handler has returned, also if its client resets it before. Fields are limited to 16 KB, windows are fixed. Refused: Unavailable, nothing has run. Connections without an open stream make room for new ones.

--- a/base/run/grpc.go
+++ b/base/run/grpc.go
@@ -63,10 +63,22 @@
 		grpc.MaxConcurrentStreams(maxStreams),
 		grpc.ConnectionTimeout(connectTimeout),
 	}
+	defaults = append(defaults, inbound.StreamOptions(s.listener.Load, s.methods)...)
 	s.Server = grpc.NewServer(append(defaults, opts...)...)
 	return s
 }
 
+// methods returns the full names of the server's methods.
+func (s *GRPCServer) methods() map[string]bool {
+	methods := map[string]bool{}
+	for service, info := range s.GetServiceInfo() {
+		for _, method := range info.Methods {
+			methods["/"+service+"/"+method.Name] = true
+		}
+	}
+	return methods
+}
+
 // Listen binds the address and returns it. Further calls return the same result.
 // Start calls Listen, so that calling it before is optional.
 func (s *GRPCServer) Listen() (net.Addr, error) {
