base/inbound: frames that a peer provokes and does not read are bounded

A peer that sends pings and reads nothing took an agent to 239 MB with 150 connections. Cause: grpc-go queues up to 10,000 answers a connection before it stops reading, and, without bound, one more frame for each ping that comes too early.

The limit is 500, set where grpc-go takes it from, its environment, before its packages are initialized (checked with GODEBUG=inittrace=1). No ping counts as too early any more: answers to pings are bounded.

--- a/base/inbound/streams.go
+++ b/base/inbound/streams.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc/tap"
 
 	"dandelionsill.org/base/budget"
+	_ "dandelionsill.org/base/inbound/grpcenv" // before grpc is initialized
 )
 
 // Limits of gRPC streams.
--- a/base/run/grpc.go
+++ b/base/run/grpc.go
@@ -22,7 +22,9 @@
 const (
 	keepaliveTime    = 10 * time.Second
 	keepaliveTimeout = 5 * time.Second
-	minClientPing    = 5 * time.Second
+	// minClientPing is so short that no ping counts as too early. grpc-go queues a frame for each ping that does, which
+	// nothing bounds; its answers to pings are bounded.
+	minClientPing = time.Nanosecond
 
 	maxMessageBytes = 64 << 20 // exported KV caches are the largest messages
 	maxStreams      = 4096     // concurrent streams per connection
