entry: bodies of calls and steps are bounded by their sum

An entry held the bodies of all requests together, whatever their number: 150 callers that send 900 KB of a body and stop took it to 383 MB. With [vm] memory_mb set, bodies share a budget as at the gateway: no room is 503, not run, come back. Without it, nothing changes.

--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/codes"
 	oteltrace "go.opentelemetry.io/otel/trace"
 
+	"dandelionsill.org/base/budget"
 	"dandelionsill.org/base/explain"
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/base/trace"
@@ -51,7 +52,9 @@
 	Entries func() int
 	// MaxBody is the maximum body size in bytes; the manifest's maximum applies too. 0
 	// means that only the manifest's applies.
-	MaxBody    int64
+	MaxBody int64
+	// Bodies bounds the bodies of all requests together; nil: it does not.
+	Bodies     *budget.Share
 	MaxTimeout time.Duration
 	Ring       *explain.Ring
 	Now        func() time.Time
@@ -156,7 +159,9 @@
 	}
 	defer limiter.Release()
 	r.TakeRetry = limiter.TakeRetry
-	if refusal := f.readBody(w, r); refusal != nil {
+	room := f.cfg.Bodies.Reserve()
+	defer room.Release()
+	if refusal := f.readBody(w, r, &room); refusal != nil {
 		return refusal
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
--- a/entry/front/request.go
+++ b/entry/front/request.go
@@ -2,13 +2,15 @@
 
 import (
 	"errors"
-	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/google/uuid"
 
+	"dandelionsill.org/base/budget"
+	"dandelionsill.org/base/inbound"
 	"dandelionsill.org/entry/answer"
 	"dandelionsill.org/kinds"
 )
@@ -16,7 +18,12 @@
 // HeaderTimeout is the header with the caller's timeout for a request, in ms.
 const HeaderTimeout = "Dandelion-Timeout-Ms"
 
-const maxIDLength = 128
+const (
+	maxIDLength = 128
+	// bodyRetryAfter is the retry delay of a request whose body had no room. Most requests that hold a body are
+	// answered in this time.
+	bodyRetryAfter = 250 * time.Millisecond
+)
 
 // RequestID returns the request id that the caller sent, or a new one if there is none.
 // For an invalid id it returns a new one and an error.
@@ -69,41 +76,36 @@
 }
 
 // maxBody returns the maximum body size in bytes: the lower one of this entry's and the
-// manifest's; 0 means none.
+// manifest's, each of which is 0 if it does not bound it.
 func (f *Front) maxBody(r *Request) int64 {
-	bound, fleet := f.cfg.MaxBody, r.View.Manifest.Fleet.MaxBodyBytes
-	if bound <= 0 || fleet > 0 && fleet < bound {
-		return fleet
+	bound := int64(math.MaxInt64 - 1)
+	for _, other := range []int64{f.cfg.MaxBody, r.View.Manifest.Fleet.MaxBodyBytes} {
+		if other > 0 {
+			bound = min(bound, other)
+		}
 	}
 	return bound
 }
 
 // readBody reads the complete body, so that a retry can send it again and a slow caller
-// does not occupy a backend server.
-func (f *Front) readBody(w http.ResponseWriter, r *Request) *kinds.Error {
+// does not occupy a backend server. Its bytes are taken from room.
+func (f *Front) readBody(w http.ResponseWriter, r *Request, room *budget.Reservation) *kinds.Error {
 	bound := f.maxBody(r)
-	body := r.HTTP.Body
-	if bound > 0 {
-		if r.HTTP.ContentLength > bound {
-			return tooLargeError(r, bound)
-		}
-		body = http.MaxBytesReader(w, body, bound)
-	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(r.Deadline)
-	data, err := io.ReadAll(body)
+	data, err := room.ReadAll(r.HTTP.Body, r.HTTP.ContentLength, bound)
 	_ = control.SetReadDeadline(time.Time{})
-	var maxBytesErr *http.MaxBytesError
-	if errors.As(err, &maxBytesErr) {
-		return tooLargeError(r, bound)
-	}
 	if err != nil {
+		w.Header().Set("Connection", "close") // otherwise net/http would read the rest of the body first
+	}
+	switch {
+	case errors.Is(err, budget.ErrTooLarge):
+		return r.Held.Refuse(kinds.TooLarge, "the body has more than %d bytes", bound)
+	case errors.Is(err, budget.ErrNoRoom), errors.Is(err, inbound.ErrNoRoom):
+		return r.Held.Refuse(kinds.Overloaded, "no room for the request's body").WithRetryAfter(bodyRetryAfter)
+	case err != nil:
 		return r.Held.Refuse(kinds.BadRequest, "the body did not come whole").WithCause(err)
 	}
 	r.Body = data
 	return nil
 }
-
-func tooLargeError(r *Request, bound int64) *kinds.Error {
-	return r.Held.Refuse(kinds.TooLarge, "the body has more than %d bytes", bound)
-}
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -134,6 +134,7 @@
 		Viewer:     keeper,
 		Entries:    e.limitSharers(),
 		MaxBody:    int64(set.Entry.MaxBody),
+		Bodies:     e.bodies,
 		MaxTimeout: set.Entry.MaxTimeout,
 		Ring:       e.ring,
 	})
@@ -183,6 +184,7 @@
 		Logger:  logs.Part(e.logger, "steps"),
 		Policy:  e.settings.Steps,
 		MaxBody: int64(e.settings.Entry.MaxStepBody),
+		Bodies:  e.bodies,
 	})
 }
 
--- a/entry/steps/http.go
+++ b/entry/steps/http.go
@@ -5,13 +5,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/google/uuid"
 
+	"dandelionsill.org/base/budget"
+	"dandelionsill.org/base/inbound"
 	"dandelionsill.org/base/trace"
 	"dandelionsill.org/entry/answer"
 	"dandelionsill.org/entry/auth"
@@ -129,11 +130,18 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBody))
-	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
-		return nil, kinds.Hold().Refuse(kinds.TooLarge, "a step may have %d bytes", s.cfg.MaxBody)
-	}
+	room := s.cfg.Bodies.Reserve()
+	defer room.Release()
+	body, err := room.ReadAll(r.Body, r.ContentLength, s.cfg.MaxBody)
 	if err != nil {
+		w.Header().Set("Connection", "close") // otherwise net/http would read the rest of the body first
+	}
+	switch {
+	case errors.Is(err, budget.ErrTooLarge):
+		return nil, kinds.Hold().Refuse(kinds.TooLarge, "a step may have %d bytes", s.cfg.MaxBody)
+	case errors.Is(err, budget.ErrNoRoom), errors.Is(err, inbound.ErrNoRoom):
+		return nil, kinds.Hold().Refuse(kinds.Overloaded, "no room for the step's body")
+	case err != nil:
 		return nil, badRequest("body: %v", err)
 	}
 	var req PostRequest
--- a/entry/steps/steps.go
+++ b/entry/steps/steps.go
@@ -19,6 +19,7 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"go.uber.org/zap"
 
+	"dandelionsill.org/base/budget"
 	"dandelionsill.org/base/explain"
 	"dandelionsill.org/base/metrics"
 	"dandelionsill.org/confsync"
@@ -63,6 +64,8 @@
 	MaxHeldWait time.Duration
 	// MaxBody is the maximum size of a posted step in bytes.
 	MaxBody int64
+	// Bodies bounds posted steps until they are decoded; nil: it does not.
+	Bodies *budget.Share
 	// Plan overrides limits of the straggler decisions; zero: defaults.
 	Plan straggle.Config
 }
