base/run: the collector keeps a process within the memory that it is told

The budgets reckon with a heap that grows by a quarter between collections. Entries and agents ran with the runtime's default, by which it doubles, and a burst of short-lived objects could exceed the memory of any process.

--- a/agent/server/build.go
+++ b/agent/server/build.go
@@ -64,6 +64,7 @@
 	server := b.newServer()
 	b.addLoop(server.Run)
 
+	run.LimitMemory(set.VM.MemoryMB)
 	bounds := inbound.New(set.VM, budget.ForVM(set.VM.MemoryMB), logs.Part(b.logger, "inbound"))
 	bounds.Publish()
 	grpcServer := run.NewGRPC(set.Process.Listen)
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -106,6 +106,7 @@
 	name := set.Process.Name
 	e := &entry{settings: set, logger: logs.New(component, set.Process.LogLevel), startedAt: time.Now()}
 	e.ring = explain.New(name, set.Entry.ExplainRecords)
+	run.LimitMemory(set.VM.MemoryMB)
 	e.newBounds()
 	e.platformLog = httplog.New(set.Platform.Log, name)
 	if set.Platform.Weights != "" {
--- a/gateway/server/agent.go
+++ b/gateway/server/agent.go
@@ -20,6 +20,7 @@
 // weights. The process's loops run until ctx ends.
 func BuildAgent(ctx context.Context, cfg Agent) (*run.Process, error) {
 	saveMemory()
+	run.LimitMemory(cfg.VM.MemoryMB)
 	log, out := newLogger("orders", cfg.Process.LogLevel)
 	store := hosted.NewStore(cfg.Store.Address)
 	self := decide.Member{VM: cfg.Process.Name, FailureDomain: cfg.Process.FailureDomain}
