base/inbound: a request whose connection was closed for another one does not run

Between the end of a request and its handler, its connection may be chosen to make room. It was then still passed on, and its caller got no answer. Found by reading. A refusal is also the only answer on its connection now: net/http added a 400, which could be sent where the connection was not shut down yet.

--- a/base/inbound/head_test.go
+++ b/base/inbound/head_test.go
@@ -148,6 +148,12 @@
 		require.NotEmpty(t, resp.Header.Get("Retry-After"))
 		require.True(t, resp.Close)
 	}
+	conn := dial(t, s.addr)
+	_, err := io.WriteString(conn, heavy)
+	require.NoError(t, err)
+	all, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	require.Equal(t, 1, strings.Count(string(all), "HTTP/1.1"), "one answer")
 	require.False(t, ran)
 	require.Equal(t, http.StatusOK, ask(t, s.addr, start+"\r\n").StatusCode, "an ordinary head needs no room")
 	release()
--- a/base/inbound/http.go
+++ b/base/inbound/http.go
@@ -146,8 +146,12 @@
 	l.bounds.log.Info("Refused a request for its head.", zap.String("listener", l.use.name), zap.Stringer("client", c.RemoteAddr()), zap.Int("status", status))
 }
 
+// errRefused is the error of a read after which net/http closes a connection without an answer of its own, as it does for those
+// of the network.
+var errRefused = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the request was refused")}
+
 // refuse answers the request whose head is being read, of which nothing has run, and reads on for a moment. It returns the
-// error for net/http, which then closes the connection without an answer of its own.
+// error for net/http.
 func (c *Conn) refuse(status int) error {
 	var text strings.Builder
 	text.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\n")
@@ -158,20 +162,20 @@
 	if _, err := io.WriteString(c.TCPConn, text.String()); err == nil && c.CloseWrite() == nil {
 		_, _ = io.CopyN(io.Discard, c.TCPConn, discardBytes) // ends with the deadline or the client's end
 	}
-	return io.EOF
+	return errRefused
 }
 
-// endHead is called when net/http has read a head, before the handler. It returns false if there is no room for the head.
+// endHead is called when net/http has read a head, before the handler. It returns false if there is no room for the head, or if
+// the connection has made room for another one.
 func (c *Conn) endHead(r *http.Request) bool {
 	c.mu.Lock()
 	c.head.finish(r)
 	fits := c.reserve()
 	c.mu.Unlock()
 	if r.Body == nil || r.Body == http.NoBody {
-		c.wait(false)
-	} else {
-		r.Body = &body{r.Body, c}
+		return c.arrive() && fits
 	}
+	r.Body = &body{r.Body, c}
 	return fits
 }
 
@@ -181,7 +185,18 @@
 	c.held.Release()
 	c.head.next()
 	c.mu.Unlock()
-	c.wait(true)
+	c.listener.bounds.mu.Lock()
+	defer c.listener.bounds.mu.Unlock()
+	c.setWaiting(true)
+}
+
+// arrive is called when a request has arrived completely. It returns false if its connection has made room for another one
+// before; then the request must not run.
+func (c *Conn) arrive() bool {
+	c.listener.bounds.mu.Lock()
+	defer c.listener.bounds.mu.Unlock()
+	c.setWaiting(false)
+	return !c.left
 }
 
 // body tells when a request has arrived completely.
@@ -193,8 +208,8 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		b.conn.wait(false)
+	if err == io.EOF && !b.conn.arrive() {
+		return 0, net.ErrClosed // not even what has arrived, so that nobody takes the body for whole
 	}
 	if err != nil && b.conn.bodyRefused.Load() {
 		err = ErrNoRoom // net/http has replaced it where it looks for a trailer
--- a/base/inbound/listener.go
+++ b/base/inbound/listener.go
@@ -180,13 +180,6 @@
 	}
 }
 
-// wait is setWaiting without the mutex held.
-func (c *Conn) wait(waits bool) {
-	c.listener.bounds.mu.Lock()
-	defer c.listener.bounds.mu.Unlock()
-	c.setWaiting(waits)
-}
-
 // Close implements net.Conn. It is called once the connection's server has ended with it.
 func (c *Conn) Close() error {
 	err := c.TCPConn.Close()
