base/run: one place says how the collector saves memory

gateway/server and base/run each had the heap growth of 25% and set it. The gateway still sets it whether or not it is told its memory; behaviour is unchanged.

--- a/gateway/server/agent.go
+++ b/gateway/server/agent.go
@@ -19,7 +19,7 @@
 // BuildAgent builds the agent's process, which runs on the VM of an engine and orders it to load
 // weights. The process's loops run until ctx ends.
 func BuildAgent(ctx context.Context, cfg Agent) (*run.Process, error) {
-	saveMemory()
+	run.SaveMemory()
 	run.LimitMemory(cfg.VM.MemoryMB)
 	log, out := newLogger("orders", cfg.Process.LogLevel)
 	store := hosted.NewStore(cfg.Store.Address)
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -69,7 +69,7 @@
 
 // BuildGateway builds the gateway's process. The process's loops run until ctx ends.
 func BuildGateway(ctx context.Context, cfg Gateway) (*run.Process, error) {
-	saveMemory()
+	run.SaveMemory()
 	run.LimitMemory(cfg.VM.MemoryMB)
 	log, out := newLogger("gateway", cfg.Process.LogLevel)
 	flush, err := trace.Start(ctx, "dandelion-gateway", cfg.Trace)
