--- a/base/inbound/streams_test.go
+++ b/base/inbound/streams_test.go
@@ -143,7 +143,9 @@
 // Guards against a peer whose connection is closed for a new one although it has an open stream.
 func TestConnectionWithStreamStays(t *testing.T) {
 	s, conn := serveStreams(t, nil)
+	s.bounds.mu.Lock()
 	s.bounds.places = 4
+	s.bounds.mu.Unlock()
 	stream := open(t, t.Context(), conn)
 	<-s.running
 	for range 20 {
