base/inbound: names of trailers and parameters of queries are counted

One line of a head can announce thousands of trailers or hold thousands of parameters; each becomes an entry of a map. The count went by lines. And a request that was refused for want of room was held by net/http, with its maps, while it waited for the client to close the connection.

Both counts are made when net/http has read the head, before the handler; a refused request lets go of its maps. TestListsInLinesAreCounted fails without either count (answers 200).

--- a/base/inbound/head.go
+++ b/base/inbound/head.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"strings"
 )
 
 // Costs of a head, in bytes of a budget, beyond what connCost includes.
@@ -50,7 +51,8 @@
 	}
 }
 
-// finish ends the head of a request. A head that was read ahead as a whole is counted only now.
+// finish ends the head of a request. A head that was read ahead as a whole is counted only now. So are what one line can hold
+// very many of: the names of announced trailers and the parameters of the query, each of which becomes an entry in a map.
 func (h *head) finish(r *http.Request) {
 	lines, size := 0, len(r.RequestURI)
 	for name, values := range r.Header {
@@ -59,7 +61,7 @@
 			size += len(name) + len(value)
 		}
 	}
-	h.lines, h.bytes = max(h.lines, lines), max(h.bytes, size)
+	h.lines, h.bytes = max(h.lines, lines)+len(r.Trailer)+strings.Count(r.RequestURI, "&"), max(h.bytes, size)
 	h.reading, h.trailer = false, r.ContentLength < 0
 }
 
--- a/base/inbound/head_test.go
+++ b/base/inbound/head_test.go
@@ -204,6 +204,26 @@
 	requireNothingHeld(t, s)
 }
 
+// Guards against single lines that nobody counts although very much is made of them, and against refused requests that hold it
+// until their clients close the connection.
+func TestListsInLinesAreCounted(t *testing.T) {
+	b, crowdOut := scarceBudget(t)
+	s := serve(t, Settings{}, b, HTTPConfig{}, echo)
+	names := strings.ReplaceAll(shortLines(2600), ":\r\n", ",")
+	trailers := start + "Transfer-Encoding: chunked\r\nTrailer: " + names + "\r\n\r\n0\r\n\r\n"
+	query := strings.Replace(start, "/ ", "/?"+strings.ReplaceAll(names, ",", "&")+" ", 1) + "\r\n"
+	for _, text := range []string{trailers, query} {
+		require.Equal(t, http.StatusOK, ask(t, s.addr, text).StatusCode)
+	}
+	release := crowdOut()
+	for _, text := range []string{trailers, query} {
+		require.Equal(t, http.StatusServiceUnavailable, ask(t, s.addr, text).StatusCode)
+	}
+	requireNothingHeld(t, s)
+	release()
+	require.Equal(t, http.StatusOK, ask(t, s.addr, trailers).StatusCode)
+}
+
 // Guards against a kept-open connection whose count of lines grows with each ordinary request.
 func TestOrdinaryRequestsHoldNothing(t *testing.T) {
 	var s *server
--- a/base/inbound/http.go
+++ b/base/inbound/http.go
@@ -67,6 +67,7 @@
 		if conn, ok := r.Context().Value(connKey{}).(*Conn); ok && !conn.endHead(r) {
 			conn.listener.refusedHead(conn, http.StatusServiceUnavailable)
 			cfg.writeRefusal(w)
+			r.Header, r.Trailer = nil, nil // net/http keeps the request while it waits for the client to close the connection
 			return
 		}
 		handler.ServeHTTP(w, r)
--- a/gateway/forward/headers.go
+++ b/gateway/forward/headers.go
@@ -16,7 +16,7 @@
 func EndToEnd(h http.Header) http.Header {
 	out := h.Clone()
 	for _, listed := range h.Values("Connection") {
-		for _, name := range strings.Split(listed, ",") {
+		for name := range strings.SplitSeq(listed, ",") {
 			out.Del(strings.TrimSpace(name))
 		}
 	}
