base/inbound: bodies that handlers do not count are counted by their connection

What a connection delivers of a body is counted until the request is answered, on every listener whose handlers don't count bodies themselves: peers, readiness and metrics have few or small ones, so that none meets the bound. A handler without room sees budget.ErrNoRoom, which is now the only error of that kind.

--- a/base/inbound/head_test.go
+++ b/base/inbound/head_test.go
@@ -200,7 +200,7 @@
 	require.NoError(t, send())
 	requireNothingHeld(t, s)
 	crowdOut()
-	require.ErrorIs(t, send(), ErrNoRoom)
+	require.ErrorIs(t, send(), budget.ErrNoRoom)
 	requireNothingHeld(t, s)
 }
 
@@ -224,6 +224,37 @@
 	require.Equal(t, http.StatusOK, ask(t, s.addr, trailers).StatusCode)
 }
 
+// Guards against bodies that neither a handler nor the connection counts. What one holds is given back once it is answered.
+func TestBodiesOfOtherHandlersAreCounted(t *testing.T) {
+	for _, ownBodies := range []bool{false, true} {
+		b, crowdOut := scarceBudget(t)
+		ended := make(chan error, 1)
+		s := serve(t, Settings{}, b, HTTPConfig{OwnBodies: ownBodies}, func(_ http.ResponseWriter, r *http.Request) {
+			_, err := io.ReadAll(r.Body)
+			ended <- err
+		})
+		crowdOut()
+		conn := dial(t, s.addr)
+		from := bufio.NewReader(conn)
+		send := func(size int) {
+			_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", start, size, strings.Repeat("x", size)) // fails once the server closes
+		}
+		for range 20 {
+			send(10 << 10)
+			require.NoError(t, <-ended)
+			require.Equal(t, http.StatusOK, readAnswer(t, from).StatusCode)
+		}
+		send(100 << 10)
+		if ownBodies {
+			require.NoError(t, <-ended)
+		} else {
+			require.ErrorIs(t, <-ended, budget.ErrNoRoom)
+		}
+		_ = conn.Close()
+		require.Eventually(t, func() bool { return s.bounds.callers.InUse() == 0 }, maxWait, time.Millisecond)
+	}
+}
+
 // Guards against a kept-open connection whose count of lines grows with each ordinary request.
 func TestOrdinaryRequestsHoldNothing(t *testing.T) {
 	var s *server
--- a/base/inbound/http.go
+++ b/base/inbound/http.go
@@ -12,6 +12,8 @@
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
+
+	"dandelionsill.org/base/budget"
 )
 
 const (
@@ -29,15 +31,15 @@
 	retryAfter = time.Second
 )
 
-// ErrNoRoom is the error of a body that can't be read further because there is no room for its trailer.
-var ErrNoRoom = errors.New("no room for the lines that a request's body may end with")
-
 // HTTPConfig configures how an HTTP server bounds heads.
 type HTTPConfig struct {
 	// HeadBytes returns the size of the largest head that is allowed now; 0 or nil: defaultHeadBytes.
 	HeadBytes func() int
 	// NotRun has the headers that mark an answer as that of a request that has not run.
 	NotRun http.Header
+	// OwnBodies says that the handlers count the bodies that they hold. Otherwise the connection counts what it delivers of a
+	// body until the request is answered.
+	OwnBodies bool
 }
 
 // Guard makes an HTTP server, which must be served by a Listener, bound its heads. Its handler, ConnContext and ConnState must
@@ -98,7 +100,7 @@
 		return 0, c.refuse(http.StatusServiceUnavailable)
 	case !fits:
 		c.bodyRefused.Store(true)
-		return 0, ErrNoRoom
+		return 0, budget.ErrNoRoom
 	}
 	return n, err
 }
@@ -184,6 +186,7 @@
 func (c *Conn) beginHead() {
 	c.mu.Lock()
 	c.held.Release()
+	c.body.Release()
 	c.head.next()
 	c.mu.Unlock()
 	c.listener.bounds.mu.Lock()
@@ -200,7 +203,8 @@
 	return !c.left
 }
 
-// body tells when a request has arrived completely.
+// body tells when a request has arrived completely, and counts its bytes unless the handlers do. Its readers get
+// budget.ErrNoRoom where there is no room for more.
 type body struct {
 	io.ReadCloser
 	conn *Conn
@@ -213,11 +217,21 @@
 		return 0, net.ErrClosed // not even what has arrived, so that nobody takes the body for whole
 	}
 	if err != nil && b.conn.bodyRefused.Load() {
-		err = ErrNoRoom // net/http has replaced it where it looks for a trailer
+		err = budget.ErrNoRoom // net/http has replaced it where it looks for a trailer
+	}
+	if !b.conn.http.OwnBodies && !b.conn.holdBody(n) {
+		return 0, budget.ErrNoRoom
 	}
 	return n, err
 }
 
+// holdBody reports whether there is room for n more bytes of a body.
+func (c *Conn) holdBody(n int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.body.Grow(int64(n))
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	if c.http != nil && !c.ownDeadline.Load() {
--- a/base/inbound/listener.go
+++ b/base/inbound/listener.go
@@ -82,7 +82,7 @@
 		}
 		evicted = c
 	}
-	c := &Conn{TCPConn: raw, listener: l, held: l.bounds.heads.Reserve()}
+	c := &Conn{TCPConn: raw, listener: l, held: l.bounds.heads.Reserve(), body: l.share.Reserve()}
 	c.head.reading = true
 	l.byAddr[raw.RemoteAddr().String()] = c
 	c.setWaiting(true)
@@ -152,6 +152,7 @@
 	mu   sync.Mutex // guards these
 	head head
 	held budget.Reservation // for the head and the trailer of the current request
+	body budget.Reservation // for its body
 }
 
 // leave gives the connection's place back. The bounds' mutex is held.
@@ -189,5 +190,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.held.Release()
+	c.body.Release()
 	return err
 }
--- a/entry/front/request.go
+++ b/entry/front/request.go
@@ -10,7 +10,6 @@
 	"github.com/google/uuid"
 
 	"dandelionsill.org/base/budget"
-	"dandelionsill.org/base/inbound"
 	"dandelionsill.org/entry/answer"
 	"dandelionsill.org/kinds"
 )
@@ -101,7 +100,7 @@
 	switch {
 	case errors.Is(err, budget.ErrTooLarge):
 		return r.Held.Refuse(kinds.TooLarge, "the body has more than %d bytes", bound)
-	case errors.Is(err, budget.ErrNoRoom), errors.Is(err, inbound.ErrNoRoom):
+	case errors.Is(err, budget.ErrNoRoom):
 		return r.Held.Refuse(kinds.Overloaded, "no room for the request's body").WithRetryAfter(bodyRetryAfter)
 	case err != nil:
 		return r.Held.Refuse(kinds.BadRequest, "the body did not come whole").WithCause(err)
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -223,6 +223,7 @@
 	server := run.NewHTTP(e.settings.Process.HTTP, khttp.NotFoundHandler(http.HandlerFunc(notFound)),
 		khttp.MethodNotAllowedHandler(http.HandlerFunc(methodNotAllowed)))
 	server.Bounds = e.bounds
+	server.Heads.OwnBodies = true
 	callHandler := calls.New(calls.Config{
 		Agents:      e.agents,
 		Region:      e.settings.Process.Region,
--- a/entry/steps/http.go
+++ b/entry/steps/http.go
@@ -12,7 +12,6 @@
 	"github.com/google/uuid"
 
 	"dandelionsill.org/base/budget"
-	"dandelionsill.org/base/inbound"
 	"dandelionsill.org/base/trace"
 	"dandelionsill.org/entry/answer"
 	"dandelionsill.org/entry/auth"
@@ -139,7 +138,7 @@
 	switch {
 	case errors.Is(err, budget.ErrTooLarge):
 		return nil, kinds.Hold().Refuse(kinds.TooLarge, "a step may have %d bytes", s.cfg.MaxBody)
-	case errors.Is(err, budget.ErrNoRoom), errors.Is(err, inbound.ErrNoRoom):
+	case errors.Is(err, budget.ErrNoRoom):
 		return nil, kinds.Hold().Refuse(kinds.Overloaded, "no room for the step's body")
 	case err != nil:
 		return nil, badRequest("body: %v", err)
--- a/gateway/front/body.go
+++ b/gateway/front/body.go
@@ -9,7 +9,6 @@
 	"github.com/juju/errors"
 
 	"dandelionsill.org/base/budget"
-	"dandelionsill.org/base/inbound"
 	"dandelionsill.org/kinds"
 )
 
@@ -92,7 +91,7 @@
 		return body, nil
 	case errors.Is(err, budget.ErrTooLarge):
 		return nil, tooLarge(limit)
-	case errors.Is(err, budget.ErrNoRoom), errors.Is(err, inbound.ErrNoRoom):
+	case errors.Is(err, budget.ErrNoRoom):
 		return nil, noRoom()
 	default:
 		return nil, bodyError(err)
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -223,7 +223,7 @@
 func gatewayServers(cfg Gateway, bounds *inbound.Bounds, callerHandler *front.Front, peerHandler http.Handler, ready *readiness) []transport.Server {
 	callerServer := run.NewHTTP(cfg.Listen.Callers)
 	callerServer.Bounds = bounds
-	callerServer.Heads = inbound.HTTPConfig{HeadBytes: callerHandler.HeadBytes, NotRun: http.Header{}}
+	callerServer.Heads = inbound.HTTPConfig{HeadBytes: callerHandler.HeadBytes, NotRun: http.Header{}, OwnBodies: true}
 	hosted.SetNotExecuted(callerServer.Heads.NotRun)
 	callerServer.Handler = callerHandler // without a router, which would change paths
 	callerServer.IdleTimeout = idleTimeout
