base/inbound: answers that clients leave in the kernel are bounded

The kernel holds up to 4 MB of answers for a connection whose client does not read.

A listener of a process that is told its memory asks for 32 KB in each direction, or for more where its places leave room for that, up to 1 MB: VMs with much memory and few descriptors keep fast connections over long ways.

A gRPC connection reads through 16 KB in place of 32 KB, and may have 100 frames queued that its peer provoked, not 500.

--- a/base/inbound/grpcenv/grpcenv.go
+++ b/base/inbound/grpcenv/grpcenv.go
@@ -10,7 +10,7 @@
 
 const (
 	variable  = "GRPC_GO_EXPERIMENTAL_CONTROL_BUFFER_THROTTLE_LIMIT"
-	maxFrames = "500"
+	maxFrames = "100"
 )
 
 func init() {
--- a/base/inbound/inbound.go
+++ b/base/inbound/inbound.go
@@ -36,6 +36,8 @@
 	callersPart = 0.02
 	peersPart   = 0.025
 	headsPart   = 0.025
+	// kernelPart is the part of the budget that the kernel's buffers of all connections may use in each direction.
+	kernelPart = 0.05
 	// defaultBudget is the budget of a process that is not told its memory, in bytes.
 	defaultBudget = 128 << 20
 )
@@ -47,13 +49,14 @@
 // twice for a moment and the garbage collector lets the heap grow by a quarter. Connections and heads are held once.
 const (
 	// connCost is the cost of an HTTP connection: two buffers, a goroutine, what is held of an ordinary head, and
-	// receiveBuffer bytes in the kernel.
+	// kernelBuffer bytes in the kernel.
 	connCost = 20 << 10
-	// streamConnCost is the cost of a gRPC connection: two buffers, three goroutines and receiveBuffer bytes.
+	// streamConnCost is the cost of a gRPC connection: two buffers, three goroutines and kernelBuffer bytes.
 	streamConnCost = 32 << 10
-	// receiveBuffer is the number of bytes that the kernel holds for a connection until they are read. The kernel doubles
-	// it, to have room for its own structures.
-	receiveBuffer = 32 << 10
+	// kernelBuffer and maxKernelBuffer are the least and the most bytes that the kernel is asked to hold for a connection in
+	// each direction, unread or not yet taken by the client. It holds up to twice as many.
+	kernelBuffer    = 32 << 10
+	maxKernelBuffer = 1 << 20
 )
 
 // Bounds are the bounds of one process, which all its listeners share.
@@ -65,22 +68,34 @@
 	mu        sync.Mutex
 	places    int // connections that all listeners may have open
 	listeners []*Listener
+
+	// Bytes that the kernel is asked to hold for a connection; 0: as many as it likes.
+	receiveBuffer, sendBuffer int
 }
 
 // New returns the bounds of a process. b is the budget of what the process holds, to which it adds shares; nil: the process
 // is not told its memory.
 func New(set Settings, b *budget.Budget, log *zap.Logger) *Bounds {
-	if b == nil {
+	told := b != nil
+	if !told {
 		b = budget.New(defaultBudget)
 	}
 	total := float64(b.Total())
-	return &Bounds{
+	bounds := &Bounds{
 		callers: b.Share("connections", int64(callersPart*total)),
 		peers:   b.Share("peers", int64(peersPart*total)),
 		heads:   b.Share("heads", int64(headsPart*total)),
 		log:     logs.Limited(log, logInterval),
 		places:  min(int(connectionsPart*total/connCost), int(descriptorsPart*float64(descriptors(set.Descriptors)))),
+
+		receiveBuffer: kernelBuffer,
+	}
+	if told {
+		size := int(kernelPart * total / float64(max(1, bounds.places)))
+		bounds.receiveBuffer = min(max(kernelBuffer, size), maxKernelBuffer)
+		bounds.sendBuffer = bounds.receiveBuffer
 	}
+	return bounds
 }
 
 // Publish publishes metrics of the listeners, each by the name of its use.
--- a/base/run/grpc.go
+++ b/base/run/grpc.go
@@ -29,6 +29,8 @@
 	maxMessageBytes = 64 << 20 // exported KV caches are the largest messages
 	maxStreams      = 4096     // concurrent streams per connection
 	connectTimeout  = 5 * time.Second
+	// readBufferBytes is the size of the buffer through which a connection is read: a frame of the usual largest size.
+	readBufferBytes = 16 << 10
 	// closeGracePeriod is the time that Stop allows for replies that are still being
 	// written. After the drain only endless streams (Watch) remain.
 	closeGracePeriod = time.Second
@@ -64,6 +66,7 @@
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxConcurrentStreams(maxStreams),
 		grpc.ConnectionTimeout(connectTimeout),
+		grpc.ReadBufferSize(readBufferBytes),
 	}
 	defaults = append(defaults, inbound.StreamOptions(s.listener.Load, s.methods)...)
 	s.Server = grpc.NewServer(append(defaults, opts...)...)
