base/inbound: a test for answers that are not read

That a connection whose client does not read is closed was only read in the code, as the test would have had to wait for 30 s. The time is a field now. The test that had this name checks the deadline that a handler sets itself, and says so.

--- a/base/inbound/head_test.go
+++ b/base/inbound/head_test.go
@@ -377,7 +377,27 @@
 	return ok && timeout.Timeout()
 }
 
-// Guards against a client that reads nothing and holds a connection for good.
+// Guards against a client that reads nothing and holds a connection, and its handler, for good.
+func TestAnswerThatIsNotReadEnds(t *testing.T) {
+	failed := make(chan error, 1)
+	s := serve(t, Settings{}, nil, HTTPConfig{}, func(w http.ResponseWriter, _ *http.Request) {
+		for {
+			if _, err := w.Write(make([]byte, 1<<20)); err != nil {
+				failed <- err
+				return
+			}
+		}
+	})
+	s.bounds.mu.Lock()
+	s.bounds.stallTimeout = 50 * time.Millisecond
+	s.bounds.mu.Unlock()
+	conn := dial(t, s.addr)
+	_, err := io.WriteString(conn, start+"\r\n")
+	require.NoError(t, err)
+	require.True(t, errorIsTimeout(<-failed))
+}
+
+// The deadline that a handler sets for its writes replaces that of every write.
 func TestHandlersOwnWriteDeadlineStays(t *testing.T) {
 	failed := make(chan error, 1)
 	s := serve(t, Settings{}, nil, HTTPConfig{}, func(w http.ResponseWriter, _ *http.Request) {
--- a/base/inbound/http.go
+++ b/base/inbound/http.go
@@ -235,7 +235,7 @@
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	if c.http != nil && !c.ownDeadline.Load() {
-		_ = c.TCPConn.SetWriteDeadline(time.Now().Add(stallTimeout)) // the write fails as well
+		_ = c.TCPConn.SetWriteDeadline(time.Now().Add(c.stallTimeout)) // the write fails as well
 	}
 	return c.TCPConn.Write(p)
 }
--- a/base/inbound/inbound.go
+++ b/base/inbound/inbound.go
@@ -65,9 +65,10 @@
 	log                   *zap.Logger
 	headsRefused          atomic.Int64
 
-	mu        sync.Mutex
-	places    int // connections that all listeners may have open
-	listeners []*Listener
+	mu           sync.Mutex
+	places       int // connections that all listeners may have open
+	listeners    []*Listener
+	stallTimeout time.Duration // of connections that are accepted from now on
 
 	// Bytes that the kernel is asked to hold for a connection; 0: as many as it likes.
 	receiveBuffer, sendBuffer int
@@ -88,7 +89,7 @@
 		log:     logs.Limited(log, logInterval),
 		places:  min(int(connectionsPart*total/connCost), int(descriptorsPart*float64(descriptors(set.Descriptors)))),
 
-		receiveBuffer: kernelBuffer,
+		stallTimeout: stallTimeout, receiveBuffer: kernelBuffer,
 	}
 	if told {
 		size := int(kernelPart * total / float64(max(1, bounds.places)))
--- a/base/inbound/listener.go
+++ b/base/inbound/listener.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
@@ -85,7 +86,7 @@
 		}
 		evicted = c
 	}
-	c := &Conn{TCPConn: raw, listener: l, held: l.bounds.heads.Reserve(), body: l.share.Reserve()}
+	c := &Conn{TCPConn: raw, listener: l, held: l.bounds.heads.Reserve(), body: l.share.Reserve(), stallTimeout: l.bounds.stallTimeout}
 	c.head.reading = true
 	l.byAddr[raw.RemoteAddr().String()] = c
 	c.setWaiting(true)
@@ -148,9 +149,10 @@
 	left    bool          // the place is free again
 	streams int           // open gRPC streams
 
-	http        *HTTPConfig // nil: the connection is not for HTTP/1
-	ownDeadline atomic.Bool // the handler has set a deadline for its writes
-	bodyRefused atomic.Bool // there was no room for a trailer; the connection can't be read further
+	http         *HTTPConfig // nil: the connection is not for HTTP/1
+	ownDeadline  atomic.Bool // the handler has set a deadline for its writes
+	bodyRefused  atomic.Bool // there was no room for a trailer; the connection can't be read further
+	stallTimeout time.Duration
 
 	mu   sync.Mutex // guards these
 	head head
