base/budget: a full budget leaves a small VM the memory of an idle process

The budget was 0.3 of the memory, of which each byte can take 2.5, so that a quarter is left. An idle process of ours takes 27 to 29 MB (resident, idle connections in crowd), which is more than a quarter of VMs below 112 MB: with 64 MB a full budget is 48 MB beside them. Seen as 65 to 72 MB of 64 at an agent whose answers nobody takes. VMs from 112 MB on have the budget that they had.

--- a/base/budget/budget.go
+++ b/base/budget/budget.go
@@ -36,17 +36,27 @@
 	inUse, peak, refused int64
 }
 
-// vmPart is the part of a VM's memory that may be filled with what a process holds for others. Most of it may be there twice
-// for a moment, as a decoded job beside its body or in the kernel's buffers, and the collector lets the heap grow by a quarter:
-// together three quarters of the memory. The last quarter is for the runtime, the tables and the batch jobs.
-const vmPart = 0.3
+// Parts of a VM's memory.
+const (
+	// vmPart is the part that may be filled with what a process holds for others. Most of it may be there twice for a moment,
+	// as a decoded job beside its body or in the kernel's buffers, and the collector lets the heap grow by a quarter: together
+	// three quarters of the memory. The last quarter is for the runtime, the tables and the batch jobs.
+	vmPart = 0.3
+	// memoryPerByte is how many bytes of memory a byte that is held can take, as above.
+	memoryPerByte = 2.5
+	// idleBytes is the memory of a process that holds nothing. On a small VM it is more than a quarter.
+	idleBytes = 28e6
+	// leastPart is the part that may be filled on the smallest VMs.
+	leastPart = 0.1
+)
 
 // ForVM returns the budget of a process on a VM with memoryMB of memory; nil if that is 0, not known.
 func ForVM(memoryMB float64) *Budget {
 	if memoryMB <= 0 {
 		return nil
 	}
-	return New(int64(vmPart * memoryMB * 1e6))
+	memory := memoryMB * 1e6
+	return New(int64(min(vmPart*memory, max(leastPart*memory, (memory-idleBytes)/memoryPerByte))))
 }
 
 // Total returns the number of bytes of the budget.
--- a/base/budget/budget_test.go
+++ b/base/budget/budget_test.go
@@ -116,6 +116,20 @@
 	})
 }
 
+// A full budget leaves a process room for what it needs itself, on VMs of any size, and no part of a large VM unused.
+func TestBudgetOfVM(t *testing.T) {
+	require.Nil(t, ForVM(0))
+	for _, memoryMB := range []float64{40, 64, 100, 144, 184, 314, 4000} {
+		memory := memoryMB * 1e6
+		total := float64(ForVM(memoryMB).Total())
+		require.LessOrEqual(t, total*memoryPerByte+idleBytes, memory)
+		require.GreaterOrEqual(t, total, leastPart*memory)
+		if memoryMB >= 144 {
+			require.InDelta(t, vmPart*memory, total, 1)
+		}
+	}
+}
+
 // A process without a budget holds whatever it is sent.
 func TestNilBudgetBoundsNothing(t *testing.T) {
 	var b *Budget
