base/inbound: messages and answers of gRPC are bounded by their sum

A stream's first 64 KB were counted, and all of it forgotten when its handler returned. But a server opens the window for the whole of a message that it has begun to read, up to 64 MB, and grpc-go keeps an answer until the client takes it.

Connections now follow the headers of the frames that pass, and count DATA frames for their streams: what has arrived and was not read, what is to be sent and has not been. Payloads are not looked at, and grpc-go alone judges the frames. No read goes beyond a header block, since the hook that admits a stream does not tell its number. A stream is given back once its handler has returned and it has ended on the connection. At the bound the connection that needs more is closed; a call is still refused before its first 64 KB. A process that is not told its memory bounds neither, so that a KV cache of 64 MB passes as before.

A stream costs 8 KB, not 4: goroutine, structures and span took 12 KB each where 10 were reckoned with.

TestAnswersNotTakenAreCounted fails if a stream is given back with its handler, TestArrivingMessagesAreCounted if what arrives is not counted.

--- /dev/null
+++ b/base/inbound/frames_test.go
@@ -0,0 +1,134 @@
+package inbound
+
+import (
+	"bytes"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/emptypb"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+	"pgregory.net/rapid"
+
+	"dandelionsill.org/base/budget"
+)
+
+// passed records what passes.
+type passed struct {
+	data map[uint32]int
+	ends []uint32
+}
+
+func (p *passed) passData(stream uint32, n int) bool { p.data[stream] += n; return true }
+func (p *passed) passEnd(stream uint32)              { p.ends = append(p.ends, stream) }
+
+// Guards against a count that loses track of the frames: in whatever pieces they pass, each byte of DATA frames is counted for its
+// stream, and each header block ends a scan.
+func TestFramesInAnyPieces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f, want := frames{left: len(http2.ClientPreface), outgoing: rapid.Bool().Draw(t, "outgoing")}, &passed{data: map[uint32]int{}}
+		var wire bytes.Buffer
+		wire.WriteString(http2.ClientPreface)
+		framer := http2.NewFramer(&wire, nil)
+		var blocks []uint32
+		for range rapid.IntRange(0, 20).Draw(t, "frames") {
+			stream := rapid.Uint32Range(1, 5).Draw(t, "stream")
+			size := rapid.IntRange(0, 300).Draw(t, "size")
+			switch rapid.IntRange(0, 4).Draw(t, "kind") {
+			case 0:
+				require.NoError(t, framer.WriteData(stream, size%2 == 0, make([]byte, size)))
+				want.data[stream] += size
+			case 1:
+				split, endStream := size%2 == 0, size%3 == 0
+				require.NoError(t, framer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: make([]byte, size), EndHeaders: !split, EndStream: endStream}))
+				if split {
+					require.NoError(t, framer.WriteContinuation(stream, true, make([]byte, size)))
+				}
+				if endStream && f.outgoing {
+					want.ends = append(want.ends, stream)
+				}
+				blocks = append(blocks, stream)
+			case 2:
+				require.NoError(t, framer.WriteRSTStream(stream, http2.ErrCodeCancel))
+				want.ends = append(want.ends, stream)
+			case 3:
+				require.NoError(t, framer.WritePing(false, [8]byte{}))
+			case 4:
+				require.NoError(t, framer.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: uint32(size)}))
+			}
+		}
+		have, seen := &passed{data: map[uint32]int{}}, []uint32(nil)
+		for rest := wire.Bytes(); len(rest) > 0; {
+			piece := rest[:rapid.IntRange(1, len(rest)).Draw(t, "piece")]
+			f.newest = 0
+			n, ok := f.scan(piece, have)
+			require.True(t, ok)
+			require.True(t, n == len(piece) || f.newest != 0, "only a header block ends a scan")
+			if f.newest != 0 {
+				seen = append(seen, f.newest)
+			}
+			rest = rest[n:]
+		}
+		for stream, n := range want.data {
+			if n == 0 {
+				delete(want.data, stream)
+			}
+		}
+		require.Equal(t, want, have)
+		require.Equal(t, blocks, seen)
+	})
+}
+
+// Guards against messages that nobody counts while they arrive: one that fits is served, also over a kept connection, and one
+// that does not closes its connection alone.
+func TestArrivingMessagesAreCounted(t *testing.T) {
+	s, conn := serveStreams(t, budget.New(4<<20))
+	close(s.release)
+	call := func(size int) error {
+		return conn.Invoke(t.Context(), unaryMethod, wrapperspb.String(strings.Repeat("a", size)), &emptypb.Empty{})
+	}
+	for range 20 {
+		require.NoError(t, call(1<<20))
+	}
+	s.requireOnlyConns(t)
+	require.Equal(t, codes.Unavailable, status.Code(call(4<<20-100)))
+	require.Eventually(t, func() bool { return call(1) == nil }, maxWait, time.Millisecond)
+	s.requireOnlyConns(t)
+}
+
+// Guards against answers that nobody counts after their handlers have returned, because their client does not take them.
+func TestAnswersNotTakenAreCounted(t *testing.T) {
+	const calls = 50
+	s, _ := serveStreams(t, budget.New(4<<20))
+	close(s.release)
+	conn, err := net.Dial("tcp", s.listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write([]byte(http2.ClientPreface))
+	require.NoError(t, err)
+	framer := http2.NewFramer(conn, conn)
+	require.NoError(t, framer.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0}))
+	var block bytes.Buffer
+	encoder := hpack.NewEncoder(&block)
+	for i := range uint32(calls) {
+		block.Reset()
+		for _, field := range [][2]string{{":method", "POST"}, {":scheme", "http"}, {":path", unaryMethod}, {":authority", "a"}, {"content-type", "application/grpc"}, {"te", "trailers"}} {
+			require.NoError(t, encoder.WriteField(hpack.HeaderField{Name: field[0], Value: field[1]}))
+		}
+		require.NoError(t, framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 2*i + 1, BlockFragment: block.Bytes(), EndHeaders: true}))
+		require.NoError(t, framer.WriteData(2*i+1, true, make([]byte, 5)))
+	}
+	for range calls {
+		<-s.running
+	}
+	require.Eventually(t, func() bool { return s.listener.share.InUse() < streamConnCost+calls*(streamCost+firstMessageCost) }, maxWait, time.Millisecond)
+	require.Never(t, func() bool { return s.listener.share.InUse() < streamConnCost+calls*streamCost }, 50*time.Millisecond, time.Millisecond)
+	require.NoError(t, conn.Close())
+	s.requireOnlyConns(t)
+}
--- a/base/inbound/http.go
+++ b/base/inbound/http.go
@@ -80,6 +80,9 @@
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.listener.use == Streams {
+		return c.readFrames(p)
+	}
 	n, err := c.TCPConn.Read(p)
 	if n == 0 || c.http == nil {
 		return n, err
@@ -234,6 +237,9 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
+	if c.listener.use == Streams {
+		return c.writeFrames(p)
+	}
 	if c.http != nil && !c.ownDeadline.Load() {
 		_ = c.TCPConn.SetWriteDeadline(time.Now().Add(c.stallTimeout)) // the write fails as well
 	}
--- a/base/inbound/inbound.go
+++ b/base/inbound/inbound.go
@@ -62,6 +62,7 @@
 // Bounds are the bounds of one process, which all its listeners share.
 type Bounds struct {
 	callers, peers, heads *budget.Share
+	streamBytes           *budget.Share // nil: not bounded
 	log                   *zap.Logger
 	headsRefused          atomic.Int64
 
@@ -95,6 +96,7 @@
 		size := int(kernelPart * total / float64(max(1, bounds.places)))
 		bounds.receiveBuffer = min(max(kernelBuffer, size), maxKernelBuffer)
 		bounds.sendBuffer = bounds.receiveBuffer
+		bounds.streamBytes = bounds.peers
 	}
 	return bounds
 }
--- a/base/inbound/listener.go
+++ b/base/inbound/listener.go
@@ -11,6 +11,7 @@
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
+	"golang.org/x/net/http2"
 	"golang.org/x/sys/unix"
 
 	"dandelionsill.org/base/budget"
@@ -23,6 +24,7 @@
 	bounds *Bounds
 	use    Use
 	share  *budget.Share
+	bytes  *budget.Share // for messages and answers of gRPC; nil: they are not bounded
 
 	// The mutex of bounds guards these.
 	open, peak       int
@@ -46,7 +48,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	l := &Listener{Listener: inner, bounds: b, use: use, share: b.share(use), byAddr: map[string]*Conn{}}
+	l := &Listener{Listener: inner, bounds: b, use: use, share: b.share(use), bytes: b.streamBytes, byAddr: map[string]*Conn{}}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.listeners = append(b.listeners, l)
@@ -86,7 +88,8 @@
 		}
 		evicted = c
 	}
-	c := &Conn{TCPConn: raw, listener: l, held: l.bounds.heads.Reserve(), body: l.share.Reserve(), stallTimeout: l.bounds.stallTimeout}
+	c := &Conn{TCPConn: raw, listener: l, held: l.bounds.heads.Reserve(), body: l.share.Reserve(), calls: map[uint32]*call{}, stallTimeout: l.bounds.stallTimeout}
+	c.arriving.left, c.leaving.outgoing = len(http2.ClientPreface), true
 	c.head.reading = true
 	l.byAddr[raw.RemoteAddr().String()] = c
 	c.setWaiting(true)
@@ -154,10 +157,16 @@
 	bodyRefused  atomic.Bool // there was no room for a trailer; the connection can't be read further
 	stallTimeout time.Duration
 
-	mu   sync.Mutex // guards these
-	head head
-	held budget.Reservation // for the head and the trailer of the current request
-	body budget.Reservation // for its body
+	// Of a gRPC connection. Only its reader uses the first two, and only its writer the last.
+	arriving frames
+	ahead    []byte // has been read, but not yet by grpc-go
+	leaving  frames
+
+	mu    sync.Mutex // guards these
+	calls map[uint32]*call
+	head  head
+	held  budget.Reservation // for the head and the trailer of the current request
+	body  budget.Reservation // for its body
 }
 
 // leave gives the connection's place back. The bounds' mutex is held.
@@ -192,6 +201,7 @@
 	c.listener.bounds.mu.Lock()
 	c.leave()
 	c.listener.bounds.mu.Unlock()
+	c.endCalls()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.held.Release()
--- a/base/inbound/streams.go
+++ b/base/inbound/streams.go
@@ -29,9 +29,10 @@
 
 // Costs of a stream, in bytes of a budget.
 const (
-	streamCost = 4 << 10 // a goroutine and the stream's structures
+	streamCost = 8 << 10 // a goroutine, the stream's structures and its span
 	fieldCost  = 80      // an entry in a map, a slice and two strings
-	// firstMessageCost is the cost of streamWindow bytes, until the first message has been read.
+	// firstMessageCost is reserved for the first message before it arrives, so that a call is refused rather than its
+	// connection closed. It is enough for a stream's window.
 	firstMessageCost = streamWindow
 )
 
@@ -51,17 +52,25 @@
 	}
 }
 
-// call is one stream and what is reserved for it. It is released when its handler has returned, not when the client resets it:
-// the handler may still run then.
+// call is one stream and what is reserved for it. It is released when its handler has returned and the stream has ended on its
+// connection: a client may reset it while the handler runs, or leave its answer where it is after the handler has returned.
 type call struct {
-	conn *Conn
-	room *budget.Share
-
-	mu       sync.Mutex
-	held     int64 // reserved for the stream
-	first    int64 // reserved for its first message
-	started  bool
-	released bool
+	conn   *Conn
+	stream uint32
+	room   *budget.Share
+	bytes  *budget.Share // for messages and answers; nil: they are not bounded
+
+	mu           sync.Mutex
+	held         int64 // of room, for the stream
+	first        int64 // of room, for its first message
+	messages     int64 // of bytes, for messages that arrive
+	answers      int64 // of bytes, for answers that the client has not taken
+	unread       int64 // bytes of messages that have arrived and that the handler has not read
+	unsent       int64 // bytes of answers; negative: sent before they were counted
+	started      bool
+	handlerEnded bool
+	streamEnded  bool
+	released     bool
 }
 
 type callKey struct{}
@@ -78,11 +87,12 @@
 	if conn == nil {
 		return ctx, nil // not from a Listener
 	}
-	c := &call{conn: conn, room: conn.listener.share, held: streamCost + fieldsCost(info.Header), first: firstMessageCost}
+	c := &call{conn: conn, stream: conn.arriving.newest, room: conn.listener.share, bytes: conn.listener.bytes, held: streamCost + fieldsCost(info.Header), first: firstMessageCost}
 	if !c.room.Acquire(c.held + c.first) {
 		return ctx, status.Error(codes.Unavailable, "no room for the call")
 	}
 	conn.addStream(1)
+	conn.setCall(c.stream, c)
 	context.AfterFunc(ctx, c.clientEnded)
 	return context.WithValue(ctx, callKey{}, c), nil
 }
@@ -113,6 +123,7 @@
 	started := c.started
 	c.mu.Unlock()
 	if !started {
+		c.conn.addStream(-1)
 		c.release()
 	}
 }
@@ -123,13 +134,60 @@
 	c.started = true
 }
 
-// readMessage is called when a message has been read.
-func (c *call) readMessage() {
+// receive is called when n bytes of messages have arrived. It returns false if there is no room for them.
+func (c *call) receive(n int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unread += n
+	return c.resize(&c.messages, c.unread-c.first)
+}
+
+// readMessage is called when the handler has read a message of n bytes.
+func (c *call) readMessage(n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.released {
+		return
+	}
+	c.unread -= n
+	c.room.Release(c.first)
+	c.first = 0
+	c.resize(&c.messages, c.unread)
+}
+
+// answer is called when n bytes of answers are to be sent, or, if n is negative, have been. It returns false if there is no room
+// for them.
+func (c *call) answer(n int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.released && c.first > 0 {
-		c.room.Release(c.first)
-		c.first = 0
+	c.unsent += n
+	return c.resize(&c.answers, c.unsent)
+}
+
+// resize changes what is reserved for messages or answers, and returns false if there is no room. The mutex is held.
+func (c *call) resize(reserved *int64, size int64) bool {
+	if c.released {
+		return true
+	}
+	more := max(0, size) - *reserved
+	switch {
+	case more < 0:
+		c.bytes.Release(-more)
+	case !c.bytes.Acquire(more):
+		return false
+	}
+	*reserved += more
+	return true
+}
+
+// end is called when the handler has returned or the stream has ended, with the field that says so.
+func (c *call) end(ended *bool) {
+	c.mu.Lock()
+	*ended = true
+	release := c.handlerEnded && c.streamEnded
+	c.mu.Unlock()
+	if release {
+		c.release()
 	}
 }
 
@@ -141,7 +199,8 @@
 	}
 	c.released = true
 	c.room.Release(c.held + c.first)
-	c.conn.addStream(-1)
+	c.bytes.Release(c.messages + c.answers)
+	c.conn.setCall(c.stream, nil)
 }
 
 // addStream counts the open streams of a connection. One without any may be closed to make room.
@@ -179,10 +238,15 @@
 	if !ok {
 		return
 	}
-	switch event.(type) {
+	switch event := event.(type) {
 	case *stats.InPayload:
-		c.readMessage()
+		c.readMessage(int64(event.WireLength))
+	case *stats.OutPayload:
+		if !c.answer(int64(event.WireLength)) {
+			c.conn.closeWithoutRoom("an answer that it does not take")
+		}
 	case *stats.End:
-		c.release()
+		c.conn.addStream(-1)
+		c.end(&c.handlerEnded)
 	}
 }
