--- a/agent/server/build.go
+++ b/agent/server/build.go
@@ -65,7 +65,9 @@
 	b.addLoop(server.Run)
 
 	run.LimitMemory(set.VM.MemoryMB)
-	bounds := inbound.New(set.VM, budget.ForVM(set.VM.MemoryMB), logs.Part(b.logger, "inbound"))
+	held := budget.ForVM(set.VM.MemoryMB)
+	bounds := inbound.New(set.VM, held, logs.Part(b.logger, "inbound"))
+	held.Publish()
 	bounds.Publish()
 	grpcServer := run.NewGRPC(set.Process.Listen)
 	grpcServer.Bounds = bounds
--- a/gateway/server/agent.go
+++ b/gateway/server/agent.go
@@ -38,7 +38,9 @@
 	loops.Go(func() { regions.run(ctx) })
 	loops.Go(func() { agent.Run(ctx) })
 	log.Info("Starting.", zap.String("name", cfg.Process.Name), zap.String("engine", cfg.Engine.Address), zap.String("store", cfg.Store.Address))
-	bounds := inbound.New(cfg.VM, budget.ForVM(cfg.VM.MemoryMB), logs.Part(log, "inbound"))
+	held := budget.ForVM(cfg.VM.MemoryMB)
+	bounds := inbound.New(cfg.VM, held, logs.Part(log, "inbound"))
+	held.Publish()
 	bounds.Publish()
 	var servers []transport.Server
 	if cfg.Process.Metrics != "" {
