crowd: more forms, trainers, calls between gateways, and bytes that are not sent

Lists in one line (query, Connection, Trailer), bodies that are announced and never come, large chunks and bodies, the preface of HTTP/2, large messages and unread answers of gRPC.

--- a/crowd/clients_test.go
+++ b/crowd/clients_test.go
@@ -64,6 +64,7 @@
 
 func distinctLine(i int) string { return strconv.FormatInt(int64(i), 36) + ":\r\n" }
 func sameLine(int) string       { return "a:\r\n" }
+func listItem(i int) string     { return strconv.FormatInt(int64(i), 36) + "," }
 
 // repeat writes piece until limit bytes are written or the connection fails.
 func repeat(conn io.Writer, piece string, limit int) {
@@ -125,6 +126,29 @@
 			_, _ = io.WriteString(conn, head+"Content-Length: 1000000\r\n\r\n")
 			repeat(conn, "x", 900_000)
 		}},
+		{name: "LongQuery", send: send(func(head string) string {
+			query := fill(head, func(i int) string { return strconv.FormatInt(int64(i), 36) + "&" })[len(head):]
+			return strings.Replace(head, " HTTP/1.1", "?"+query+" HTTP/1.1", 1) + "\r\n"
+		})},
+		{name: "ListInField", send: send(func(head string) string { return fill(head+"Connection: ", listItem) + "\r\n\r\n" })},
+		{name: "TrailerNames", send: send(func(head string) string {
+			return fill(head+"Transfer-Encoding: chunked\r\nTrailer: ", listItem) + "\r\n\r\n1\r\nx\r\n"
+		})},
+		{name: "NoBodyAfterExpect", send: send(func(head string) string {
+			return head + "Expect: 100-continue\r\nContent-Length: 1000000\r\n\r\n"
+		})},
+		{name: "ChunkWithoutEnd", send: func(conn io.Writer, head, _ string) {
+			_, _ = io.WriteString(conn, head+"Transfer-Encoding: chunked\r\n\r\nf4240\r\n")
+			repeat(conn, "x", 900_000)
+		}},
+		{name: "LargeBodies", send: func(conn io.Writer, head, _ string) {
+			_, _ = io.WriteString(conn, head+"Content-Length: 917504\r\n\r\n")
+			repeat(conn, "x", 917_504)
+		}},
+		{name: "HTTP2Preface", send: func(conn io.Writer, _, _ string) {
+			_, _ = io.WriteString(conn, "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
+			repeat(conn, "\x00\x00\x01\x01\x00\x00\x00\x00\x01a", endless)
+		}},
 		{name: "BodyTooLarge", send: func(conn io.Writer, head, _ string) {
 			_, _ = io.WriteString(conn, head+"Content-Length: 1000000000\r\n\r\n")
 			repeat(conn, "x", endless)
@@ -134,9 +158,16 @@
 
 // shortForms returns those forms that need no request that a listener serves.
 func shortForms() []form {
-	return slices.DeleteFunc(forms(), func(f form) bool {
-		return f.name != "ShortLinesUnfinished" && f.name != "SameLines" && f.name != "EndlessLines"
-	})
+	return named("ShortLinesUnfinished", "SameLines", "EndlessLines", "LongQuery", "Pipelined")
+}
+
+// bodyForms returns those forms that matter to handlers that read a body or a query.
+func bodyForms() []form {
+	return named("LongQuery", "TrailerNames", "BodyWithoutEnd", "ChunkWithoutEnd", "LargeBodies", "BodyTooLarge")
+}
+
+func named(names ...string) []form {
+	return slices.DeleteFunc(forms(), func(f form) bool { return !slices.Contains(names, f.name) })
 }
 
 // trailerLines returns a trailer as large as net/http reads one.
--- a/crowd/frames_test.go
+++ b/crowd/frames_test.go
@@ -63,20 +63,34 @@
 
 // streamForm is one way in which clients misuse an HTTP/2 connection.
 type streamForm struct {
-	name string
-	send func(f *frames, conn net.Conn, method string)
+	name   string
+	unread bool // clients read nothing
+	send   func(f *frames, conn net.Conn, method string)
 }
 
+// unreadAnswers calls a method without taking its answers.
+var unreadAnswers = streamForm{"UnreadAnswers", true, func(f *frames, _ net.Conn, method string) {
+	for range 40 * streamsPerClient {
+		id, err := f.open(method)
+		if err == nil {
+			err = f.WriteData(id, true, make([]byte, 5)) // an empty message
+		}
+		if err != nil {
+			return
+		}
+	}
+}}
+
 func streamForms() []streamForm {
 	return []streamForm{
-		{"ShortFields", func(f *frames, _ net.Conn, method string) {
+		{"ShortFields", false, func(f *frames, _ net.Conn, method string) {
 			var fields []hpack.HeaderField
 			for i := range 400 {
 				fields = append(fields, hpack.HeaderField{Name: strings.TrimSuffix(distinctLine(i), ":\r\n") + "x"})
 			}
 			openStreams(f, method, fields...)
 		}},
-		{"RepeatedLargeField", func(f *frames, _ net.Conn, method string) {
+		{"RepeatedLargeField", false, func(f *frames, _ net.Conn, method string) {
 			// The field is sent once; each repetition takes one byte.
 			var fields []hpack.HeaderField
 			for range 1000 {
@@ -84,14 +98,14 @@
 			}
 			openStreams(f, method, fields...)
 		}},
-		{"EndlessFields", func(f *frames, _ net.Conn, _ string) {
+		{"EndlessFields", false, func(f *frames, _ net.Conn, _ string) {
 			block := bytes.Repeat([]byte{0x00, 0x01, 'a', 0x00}, 4<<10) // a field without a value, not indexed
 			err := f.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: block})
 			for sent := len(block); sent < endless && err == nil; sent += len(block) {
 				err = f.WriteContinuation(1, false, block)
 			}
 		}},
-		{"UnfinishedMessages", func(f *frames, _ net.Conn, method string) {
+		{"UnfinishedMessages", false, func(f *frames, _ net.Conn, method string) {
 			prefix := binary.BigEndian.AppendUint32([]byte{0}, 8<<20)
 			data := append(prefix, make([]byte, 16<<10-len(prefix))...)
 			for range streamsPerClient {
@@ -106,7 +120,17 @@
 				data = append(prefix, make([]byte, 16<<10-len(prefix))...)
 			}
 		}},
-		{"OpenAndReset", func(f *frames, _ net.Conn, method string) {
+		{"LargeMessages", false, func(f *frames, _ net.Conn, method string) {
+			const size = 2 << 20
+			data := append(binary.BigEndian.AppendUint32([]byte{0}, size), make([]byte, 16<<10-5)...)
+			for id, err := f.open(method); err == nil; id, err = f.open(method) {
+				for sent := 0; sent < size-len(data) && err == nil; sent += len(data) {
+					err = f.WriteData(id, false, data)
+					clear(data)
+				}
+			}
+		}},
+		{"OpenAndReset", false, func(f *frames, _ net.Conn, method string) {
 			for range 100 * streamsPerClient {
 				id, err := f.open(method)
 				if err == nil {
@@ -117,7 +141,7 @@
 				}
 			}
 		}},
-		{"UnreadPings", func(f *frames, conn net.Conn, _ string) {
+		{"UnreadPings", true, func(f *frames, conn net.Conn, _ string) {
 			var ping bytes.Buffer
 			_ = http2.NewFramer(&ping, nil).WritePing(false, [8]byte{}) // a buffer does not fail
 			repeat(conn, ping.String(), endless)
@@ -145,7 +169,7 @@
 					continue // a refusal, as any that is seen later
 				}
 				_ = conn.SetDeadline(time.Now().Add(holdTime))
-				if f.name != "UnreadPings" {
+				if !f.unread {
 					go func() { _, _ = io.Copy(io.Discard, conn) }()
 				}
 				f.send(newFrames(conn), conn, method)
@@ -179,3 +203,13 @@
 		})
 	}
 }
+
+// Guards against gateways that take no answers and so make another one hold more than its VM has.
+func TestPermitsUnreadAnswers(t *testing.T) {
+	gw := startGateway(t)
+	stop := gw.watch()
+	streamCrowd(t, unreadAnswers, gw.permits, "/dandelion.v1.PermitBroker/Load")
+	most := stop()
+	gw.check(t, most)
+	gw.serves(t)
+}
--- a/crowd/gateway_test.go
+++ b/crowd/gateway_test.go
@@ -12,8 +12,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"dandelionsill.org/gateway/jobs"
 	"dandelionsill.org/platform/hosted"
 	"dandelionsill.org/platform/hosted/hostedtest"
+	"dandelionsill.org/quarantine"
 )
 
 // memoryMB is the memory of a VM under test.
@@ -174,3 +176,14 @@
 		}
 	}
 }
+
+// Guards against calls of other processes whose bodies make a gateway hold more than its VM has.
+func TestGatewayPeerCalls(t *testing.T) {
+	for name, path := range map[string]string{"Relay": hostedtest.PathRelayedAppend, "Texts": jobs.PathTexts, "Quarantine": quarantine.PathPeers} {
+		for _, f := range bodyForms() {
+			t.Run(name+f.name, func(t *testing.T) {
+				misuseGateway(t, f, target{method: http.MethodPost, path: path, host: "a"}, func(g *gateway) string { return g.peers })
+			})
+		}
+	}
+}
--- a/crowd/own_test.go
+++ b/crowd/own_test.go
@@ -117,6 +117,20 @@
 	}
 }
 
+// Guards against a trainer whose requests make an entry hold more than its VM has.
+func TestEntryTrainers(t *testing.T) {
+	c := startCluster(t)
+	request := target{
+		method: http.MethodPost, path: "/v1/steps", host: "a",
+		headers: "X-Request-Id: crowd-{id}\r\nAuthorization: Bearer " + site.Token(site.TrainerName(1)) + "\r\n",
+	}
+	for _, f := range bodyForms() {
+		t.Run(f.name, func(t *testing.T) {
+			c.misuse(t, entryName, func(t *testing.T, p site.Process) { crowd(t, f, strings.TrimPrefix(p.URL, "http://"), request) })
+		})
+	}
+}
+
 // Guards against requests without a key that make an entry or an agent hold more than its VM has.
 func TestUnauthenticatedRequests(t *testing.T) {
 	c := startCluster(t)
@@ -158,6 +172,16 @@
 	}
 }
 
+// Guards against peers that take no answers and so make an entry or an agent hold more than its VM has.
+func TestOwnUnreadAnswers(t *testing.T) {
+	c := startCluster(t)
+	for name, method := range map[string]string{entryName: "/dandelion.v1.Peer/Exchange", agentName: "/dandelion.v1.Agent/Explain"} {
+		t.Run(name, func(t *testing.T) {
+			c.misuse(t, name, func(t *testing.T, p site.Process) { streamCrowd(t, unreadAnswers, p.GRPC, method) })
+		})
+	}
+}
+
 // Guards against clients of the metrics of an engine's agent that make it hold more than its VM has.
 func TestOrdersMetrics(t *testing.T) {
 	for _, f := range shortForms() {
--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -87,11 +87,11 @@
 
 // usage is what a process held at most while it was watched.
 type usage struct {
-	residentBytes, unreadBytes, totalBytes, files int64
+	residentBytes, kernelBytes, totalBytes, files int64
 }
 
 func (u usage) String() string {
-	return fmt.Sprintf("%d MB resident, %d MB unread, %d MB together, %d descriptors", u.residentBytes/1e6, u.unreadBytes/1e6, u.totalBytes/1e6, u.files)
+	return fmt.Sprintf("%d MB resident, %d MB in the kernel, %d MB together, %d descriptors", u.residentBytes/1e6, u.kernelBytes/1e6, u.totalBytes/1e6, u.files)
 }
 
 // watch reads what the process holds until the returned function is called, which returns the maxima.
@@ -101,9 +101,9 @@
 	var reader sync.WaitGroup
 	reader.Go(func() {
 		for !stopped.Load() && p.runs() {
-			resident, unread := p.residentBytes("VmRSS:"), p.unreadBytes()
-			most.unreadBytes = max(most.unreadBytes, unread)
-			most.totalBytes = max(most.totalBytes, resident+unread)
+			resident, kernel := p.residentBytes("VmRSS:"), p.kernelBytes()
+			most.kernelBytes = max(most.kernelBytes, kernel)
+			most.totalBytes = max(most.totalBytes, resident+kernel)
 			files, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.pid)) // empty once the process has ended
 			most.files = max(most.files, int64(len(files)))
 			time.Sleep(sampleInterval)
@@ -130,9 +130,10 @@
 	return kB * 1024
 }
 
-// unreadBytes returns how many bytes the kernel holds that clients have sent to the process's listeners and that it has
-// not read yet. A platform counts them as memory of the process.
-func (p *process) unreadBytes() int64 {
+// kernelBytes returns how many bytes the kernel holds for connections to the process's listeners: those that clients have sent
+// and that the process has not read yet, which a platform counts as memory of the process, and those of answers that clients
+// have not taken.
+func (p *process) kernelBytes() int64 {
 	table, err := os.Open("/proc/net/tcp")
 	if err != nil {
 		return 0
@@ -149,9 +150,11 @@
 		if len(fields) < 5 || !local[fields[1]] || fields[3] != established {
 			continue
 		}
-		_, unread, _ := strings.Cut(fields[4], ":")
-		n, _ := strconv.ParseInt(unread, 16, 64)
-		sum += n
+		unsent, unread, _ := strings.Cut(fields[4], ":")
+		for _, queue := range []string{unsent, unread} {
+			n, _ := strconv.ParseInt(queue, 16, 64)
+			sum += n
+		}
 	}
 	return sum
 }
