base/inbound: processes that are not told their memory have little room for heads

The entry and the agents run without [vm] memory_mb unless it is configured. An ordinary head needs no room, and in calm each legal head is served. Their connections also had no bound on answers that wait in the kernel; they have 128 KB, which the kernel doubles.

TestHeadsAreBoundedWithoutMemory hangs on the code of before, as all 100 clients are served at once.

--- a/base/inbound/head_test.go
+++ b/base/inbound/head_test.go
@@ -161,6 +161,33 @@
 	requireNothingHeld(t, s)
 }
 
+// Guards against heads that fill a process that is not told its memory, while their requests wait.
+func TestHeadsAreBoundedWithoutMemory(t *testing.T) {
+	const clients = 100
+	release := make(chan struct{})
+	s := serve(t, Settings{}, nil, HTTPConfig{}, func(http.ResponseWriter, *http.Request) { <-release })
+	statuses := make(chan int, clients)
+	var all sync.WaitGroup
+	for range clients {
+		all.Go(func() {
+			conn, err := net.Dial("tcp", s.addr)
+			if err != nil {
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			_, _ = io.WriteString(conn, start+shortLines(2600)+"\r\n") // fails if the server refuses early
+			if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+				statuses <- resp.StatusCode
+			}
+		})
+	}
+	require.Equal(t, http.StatusServiceUnavailable, <-statuses, "while all others wait")
+	require.LessOrEqual(t, s.bounds.heads.InUse(), int64(defaultHeads))
+	close(release)
+	all.Wait()
+	require.Equal(t, http.StatusOK, ask(t, s.addr, start+shortLines(2600)+"\r\n").StatusCode)
+}
+
 // Guards against heads that nobody counts because they were read together with the request before.
 func TestPipelinedHeadsAreCounted(t *testing.T) {
 	b, crowdOut := scarceBudget(t)
--- a/base/inbound/inbound.go
+++ b/base/inbound/inbound.go
@@ -38,8 +38,13 @@
 	headsPart   = 0.025
 	// kernelPart is the part of the budget that the kernel's buffers of all connections may use in each direction.
 	kernelPart = 0.05
-	// defaultBudget is the budget of a process that is not told its memory, in bytes.
-	defaultBudget = 128 << 20
+)
+
+// Bounds of a process that is not told its memory, in bytes.
+const (
+	defaultBudget     = 128 << 20 // for connections and streams
+	defaultHeads      = 12 << 20  // for heads
+	defaultSendBuffer = 128 << 10 // of a connection in the kernel
 )
 
 // logInterval is the least time between two log lines of a kind.
@@ -71,34 +76,39 @@
 	listeners    []*Listener
 	stallTimeout time.Duration // of connections that are accepted from now on
 
-	// Bytes that the kernel is asked to hold for a connection; 0: as many as it likes.
+	// Bytes that the kernel is asked to hold for a connection.
 	receiveBuffer, sendBuffer int
 }
 
 // New returns the bounds of a process. b is the budget of what the process holds, to which it adds shares; nil: the process
 // is not told its memory.
 func New(set Settings, b *budget.Budget, log *zap.Logger) *Bounds {
-	told := b != nil
-	if !told {
-		b = budget.New(defaultBudget)
+	if b == nil {
+		bounds := newBounds(set, budget.New(defaultBudget), log)
+		bounds.heads = budget.New(defaultHeads).Share("heads", 0)
+		bounds.receiveBuffer, bounds.sendBuffer = kernelBuffer, defaultSendBuffer
+		return bounds
 	}
+	bounds := newBounds(set, b, log)
+	size := int(kernelPart * float64(b.Total()) / float64(max(1, bounds.places)))
+	bounds.receiveBuffer = min(max(kernelBuffer, size), maxKernelBuffer)
+	bounds.sendBuffer = bounds.receiveBuffer
+	bounds.streamBytes = bounds.peers
+	return bounds
+}
+
+// newBounds returns bounds by the parts of a budget.
+func newBounds(set Settings, b *budget.Budget, log *zap.Logger) *Bounds {
 	total := float64(b.Total())
-	bounds := &Bounds{
+	return &Bounds{
 		callers: b.Share("connections", int64(callersPart*total)),
 		peers:   b.Share("peers", int64(peersPart*total)),
 		heads:   b.Share("heads", int64(headsPart*total)),
 		log:     logs.Limited(log, logInterval),
 		places:  min(int(connectionsPart*total/connCost), int(descriptorsPart*float64(descriptors(set.Descriptors)))),
 
-		stallTimeout: stallTimeout, receiveBuffer: kernelBuffer,
+		stallTimeout: stallTimeout,
 	}
-	if told {
-		size := int(kernelPart * total / float64(max(1, bounds.places)))
-		bounds.receiveBuffer = min(max(kernelBuffer, size), maxKernelBuffer)
-		bounds.sendBuffer = bounds.receiveBuffer
-		bounds.streamBytes = bounds.peers
-	}
-	return bounds
 }
 
 // Publish publishes metrics of the listeners, each by the name of its use.
--- a/base/inbound/listener.go
+++ b/base/inbound/listener.go
@@ -39,9 +39,7 @@
 		return raw.Control(func(fd uintptr) {
 			// Connections inherit it. A platform that does not know the option has buffers of its own.
 			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, b.receiveBuffer)
-			if b.sendBuffer > 0 {
-				_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, b.sendBuffer)
-			}
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, b.sendBuffer)
 		})
 	}}
 	inner, err := config.Listen(context.Background(), "tcp", addr)
