base/inbound: a new connection for checks or metrics replaces the oldest one

These listeners have 16 and 8 places. Clients that asked for much and read nothing kept them for the 30 s that a write may take: none of the connections waited for a request, so that a readiness check was closed, and the platform would have taken the process for not ready. Their answers are short and their clients few, so the oldest connection makes room where none waits. TestCheckIsAnsweredBesideClientsThatDoNotRead hangs on the code of before.

--- a/base/inbound/head_test.go
+++ b/base/inbound/head_test.go
@@ -30,12 +30,17 @@
 	addr     string
 }
 
-// serve starts a server until the test ends.
+// serve starts a server for callers until the test ends.
 func serve(t testing.TB, set Settings, b *budget.Budget, cfg HTTPConfig, handler http.HandlerFunc) *server {
+	return serveUse(t, Callers, set, b, cfg, handler)
+}
+
+// serveUse starts a server until the test ends.
+func serveUse(t testing.TB, use Use, set Settings, b *budget.Budget, cfg HTTPConfig, handler http.HandlerFunc) *server {
 	s := &server{Server: &http.Server{Handler: handler}, bounds: New(set, b, zap.NewNop())}
 	Guard(s.Server, cfg)
 	var err error
-	s.listener, err = s.bounds.Listen("127.0.0.1:0", Callers)
+	s.listener, err = s.bounds.Listen("127.0.0.1:0", use)
 	require.NoError(t, err)
 	s.addr = s.listener.Addr().String()
 	done := make(chan struct{})
--- a/base/inbound/listener.go
+++ b/base/inbound/listener.go
@@ -18,7 +18,8 @@
 )
 
 // Listener accepts connections within the bounds of its process. At the bound, a new connection replaces the one that has
-// waited longest for a request to arrive; if none waits, the new one is closed.
+// waited longest for a request to arrive; if none waits, the new one is closed, but for listeners with few clients, where the
+// oldest one is.
 type Listener struct {
 	net.Listener
 	bounds *Bounds
@@ -30,6 +31,7 @@
 	open, peak       int
 	evicted, refused int64
 	waiting          list.List        // of *Conn, the longest waiting first
+	all              list.List        // of *Conn, the oldest first
 	byAddr           map[string]*Conn // by remote address
 }
 
@@ -62,7 +64,7 @@
 		}
 		c, evicted := l.admit(raw.(*net.TCPConn))
 		if evicted != nil {
-			l.bounds.log.Info("Closed a connection on which no request has arrived, to make room for a new one.",
+			l.bounds.log.Info("Closed a connection to make room for a new one.",
 				zap.String("listener", l.use.name), zap.Stringer("client", evicted.RemoteAddr()))
 		}
 		if c != nil {
@@ -90,6 +92,7 @@
 	c.arriving.left, c.leaving.outgoing = len(http2.ClientPreface), true
 	c.head.reading = true
 	l.byAddr[raw.RemoteAddr().String()] = c
+	c.inAll = l.all.PushBack(c)
 	c.setWaiting(true)
 	return c, evicted
 }
@@ -119,10 +122,13 @@
 	return max(most, l.use.reserved(b.places))
 }
 
-// evict closes the connection that has waited longest for a request to arrive, and returns it; nil: none waits. The bounds'
-// mutex is held.
+// evict closes the connection that has waited longest for a request to arrive, and returns it; nil: none waits. If the clients
+// are few and answers short, it closes the oldest connection then. The bounds' mutex is held.
 func (l *Listener) evict() *Conn {
 	first := l.waiting.Front()
+	if first == nil && l.use.most > 0 {
+		first = l.all.Front()
+	}
 	if first == nil {
 		return nil
 	}
@@ -146,6 +152,7 @@
 	listener *Listener
 
 	// The mutex of the listener's bounds guards these.
+	inAll   *list.Element // in the listener's list of all connections
 	element *list.Element // in the listener's list of waiting connections; nil: not in it
 	left    bool          // the place is free again
 	streams int           // open gRPC streams
@@ -175,6 +182,7 @@
 	c.left = true
 	l := c.listener
 	c.setWaiting(false)
+	l.all.Remove(c.inAll)
 	if addr := c.RemoteAddr().String(); l.byAddr[addr] == c {
 		delete(l.byAddr, addr)
 	}
