base/inbound: a refused head gets the answer of its listener

An entry answered 503 or 431 without a body, in which its callers look for not_run: they took the outcome for unknown and could not repeat a write. A listener now gives the headers and the body of such an answer; the gateway's are as before. TestHeadWithoutRoomIsToldToComeBack checks the body, TestHeadRefusal the entry's form.

--- a/base/inbound/head_test.go
+++ b/base/inbound/head_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -143,13 +144,18 @@
 func TestHeadWithoutRoomIsToldToComeBack(t *testing.T) {
 	b, crowdOut := scarceBudget(t)
 	ran := false
-	s := serve(t, Settings{}, b, HTTPConfig{NotRun: http.Header{"X-Not-Run": {"1"}}}, func(http.ResponseWriter, *http.Request) { ran = true })
+	s := serve(t, Settings{}, b, HTTPConfig{Refusal: func(status int) (http.Header, []byte) {
+		return http.Header{"X-Not-Run": {"1"}}, []byte(strconv.Itoa(status))
+	}}, func(http.ResponseWriter, *http.Request) { ran = true })
 	release := crowdOut()
 	heavy := start + shortLines(2600)
 	for _, text := range []string{heavy, heavy + "\r\n"} {
 		resp := ask(t, s.addr, text)
 		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 		require.Equal(t, "1", resp.Header.Get("X-Not-Run"))
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.Equal(t, "503", string(body))
 		require.NotEmpty(t, resp.Header.Get("Retry-After"))
 		require.True(t, resp.Close)
 	}
--- a/base/inbound/http.go
+++ b/base/inbound/http.go
@@ -35,8 +35,8 @@
 type HTTPConfig struct {
 	// HeadBytes returns the size of the largest head that is allowed now; 0 or nil: defaultHeadBytes.
 	HeadBytes func() int
-	// NotRun has the headers that mark an answer as that of a request that has not run.
-	NotRun http.Header
+	// Refusal returns the headers and the body of an answer of a status that tells that the request has not run; nil: none.
+	Refusal func(status int) (http.Header, []byte)
 	// OwnBodies says that the handlers count the bodies that they hold. Otherwise the connection counts what it delivers of a
 	// body until the request is answered.
 	OwnBodies bool
@@ -126,24 +126,26 @@
 	return min(limit, largestHead-readAhead)
 }
 
-// refusal returns the headers of an answer to a request of which nothing has run.
-func (cfg *HTTPConfig) refusal(status int) http.Header {
-	header := cfg.NotRun.Clone()
-	if header == nil {
-		header = http.Header{}
+// refusal returns the headers and the body of an answer to a request of which nothing has run.
+func (cfg *HTTPConfig) refusal(status int) (header http.Header, body []byte) {
+	header = http.Header{}
+	if cfg.Refusal != nil {
+		header, body = cfg.Refusal(status)
 	}
 	header.Set("Connection", "close")
-	header.Set("Content-Length", "0")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
 	if status == http.StatusServiceUnavailable {
 		header.Set("Retry-After", strconv.Itoa(int(retryAfter.Seconds())))
 	}
-	return header
+	return header, body
 }
 
 // writeRefusal answers a request for whose head there is no room.
 func (cfg *HTTPConfig) writeRefusal(w http.ResponseWriter) {
-	maps.Copy(w.Header(), cfg.refusal(http.StatusServiceUnavailable))
+	header, body := cfg.refusal(http.StatusServiceUnavailable)
+	maps.Copy(w.Header(), header)
 	w.WriteHeader(http.StatusServiceUnavailable)
+	_, _ = w.Write(body)
 }
 
 // refusedHead reports a refused head.
@@ -162,8 +164,10 @@
 	var text strings.Builder
 	text.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\n")
 	c.listener.refusedHead(c, status)
-	_ = c.http.refusal(status).Write(&text) // a builder does not fail
+	header, body := c.http.refusal(status)
+	_ = header.Write(&text) // a builder does not fail
 	text.WriteString("\r\n")
+	text.Write(body)
 	_ = c.SetDeadline(time.Now().Add(discardTimeout))
 	if _, err := io.WriteString(c.TCPConn, text.String()); err == nil && c.CloseWrite() == nil {
 		_, _ = io.CopyN(io.Discard, c.TCPConn, discardBytes) // ends with the deadline or the client's end
--- a/entry/answer/answer.go
+++ b/entry/answer/answer.go
@@ -84,6 +84,21 @@
 	_, _ = w.Write(append(data, '\n'))
 }
 
+// HeadRefusal returns the headers and the body of the answer to a request that was refused for its head, before its id was known:
+// with StatusRequestHeaderFieldsTooLarge, or for want of room.
+func HeadRefusal(status int) (http.Header, []byte) {
+	refusal := kinds.Hold().Refuse(kinds.Overloaded, "no room for the lines of the request's head")
+	if status == http.StatusRequestHeaderFieldsTooLarge {
+		refusal = kinds.Hold().Refuse(kinds.TooLarge, "the request's head is too large")
+	}
+	body, _ := Body("", refusal)
+	data, err := json.Marshal(body)
+	if err != nil { // can't happen: the body has texts and numbers only
+		panic(err)
+	}
+	return http.Header{"Content-Type": {"application/json"}}, append(data, '\n')
+}
+
 // addJitter extends a wait by a random part of up to a quarter; it never shortens it.
 func addJitter(wait time.Duration) time.Duration {
 	return wait + time.Duration(rand.Float64()*retryJitter*float64(wait))
--- a/entry/answer/answer_test.go
+++ b/entry/answer/answer_test.go
@@ -64,3 +64,16 @@
 	}
 	require.Greater(t, len(seen), 10)
 }
+
+// Guards against a refused head that callers take for a request with an unknown outcome.
+func TestHeadRefusal(t *testing.T) {
+	for status, kind := range map[int]string{503: "overloaded", 431: "too_large"} {
+		header, data := HeadRefusal(status)
+		require.Equal(t, "application/json", header.Get("Content-Type"))
+		var body ErrorBody
+		require.NoError(t, json.Unmarshal(data, &body))
+		require.Equal(t, kind, body.Error.Kind)
+		require.True(t, body.Error.NotRun)
+		require.Equal(t, status == 503, body.Error.RetryAfterMS > 0)
+	}
+}
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -27,6 +27,7 @@
 	"dandelionsill.org/base/sleep"
 	"dandelionsill.org/base/trace"
 	"dandelionsill.org/confsync"
+	"dandelionsill.org/entry/answer"
 	"dandelionsill.org/entry/calls"
 	"dandelionsill.org/entry/completions"
 	"dandelionsill.org/entry/fleet"
@@ -223,7 +224,7 @@
 	server := run.NewHTTP(e.settings.Process.HTTP, khttp.NotFoundHandler(http.HandlerFunc(notFound)),
 		khttp.MethodNotAllowedHandler(http.HandlerFunc(methodNotAllowed)))
 	server.Bounds = e.bounds
-	server.Heads.OwnBodies = true
+	server.Heads = inbound.HTTPConfig{Refusal: answer.HeadRefusal, OwnBodies: true}
 	callHandler := calls.New(calls.Config{
 		Agents:      e.agents,
 		Region:      e.settings.Process.Region,
--- a/gateway/server/gateway.go
+++ b/gateway/server/gateway.go
@@ -218,13 +218,19 @@
 	return mux
 }
 
+// refuseHead returns the headers of an answer to a caller whose request was refused for its head.
+func refuseHead(int) (http.Header, []byte) {
+	header := http.Header{}
+	hosted.SetNotExecuted(header)
+	return header, nil
+}
+
 // gatewayServers returns the servers for callers and readiness checks and, if they are configured,
 // for peers and metrics.
 func gatewayServers(cfg Gateway, bounds *inbound.Bounds, callerHandler *front.Front, peerHandler http.Handler, ready *readiness) []transport.Server {
 	callerServer := run.NewHTTP(cfg.Listen.Callers)
 	callerServer.Bounds = bounds
-	callerServer.Heads = inbound.HTTPConfig{HeadBytes: callerHandler.HeadBytes, NotRun: http.Header{}, OwnBodies: true}
-	hosted.SetNotExecuted(callerServer.Heads.NotRun)
+	callerServer.Heads = inbound.HTTPConfig{HeadBytes: callerHandler.HeadBytes, Refusal: refuseHead, OwnBodies: true}
 	callerServer.Handler = callerHandler // without a router, which would change paths
 	callerServer.IdleTimeout = idleTimeout
 	if cfg.VM.MemoryMB > 0 {
