--- a/base/inbound/head_test.go
+++ b/base/inbound/head_test.go
@@ -253,6 +253,7 @@
 	for _, text := range []string{trailers, query} {
 		require.Equal(t, http.StatusOK, ask(t, s.addr, text).StatusCode)
 	}
+	requireNothingHeld(t, s)
 	release := crowdOut()
 	for _, text := range []string{trailers, query} {
 		require.Equal(t, http.StatusServiceUnavailable, ask(t, s.addr, text).StatusCode)
