base/inbound: answers that a handler holds are counted while they are written

A gateway holds what it answers to its peers (pages of streams, texts, answers of calls that it relays) until they take it, for up to 30 s, and nobody counted that. On listeners whose handlers don't count themselves each write takes its bytes from the listener's share. Without room the connection is closed, not the answer cut, since a chunked answer would end as if it was whole; peers ask elsewhere then. TestAnswersOfOtherHandlersAreCounted fails without it.

--- a/base/inbound/frames.go
+++ b/base/inbound/frames.go
@@ -121,7 +121,7 @@
 	return n, nil
 }
 
-// closeWithoutRoom closes a gRPC connection because there is no room for something.
+// closeWithoutRoom closes a connection because there is no room for something.
 func (c *Conn) closeWithoutRoom(what string) {
 	c.listener.bounds.log.Warn("Closing a connection that there is no room for.",
 		zap.String("listener", c.listener.use.name), zap.Stringer("client", c.RemoteAddr()), zap.String("what", what))
--- a/base/inbound/http.go
+++ b/base/inbound/http.go
@@ -37,8 +37,8 @@
 	HeadBytes func() int
 	// Refusal returns the headers and the body of an answer of a status that tells that the request has not run; nil: none.
 	Refusal func(status int) (http.Header, []byte)
-	// OwnBodies says that the handlers count the bodies that they hold. Otherwise the connection counts what it delivers of a
-	// body until the request is answered.
+	// OwnBodies says that the handlers count the bodies and answers that they hold. Otherwise the connection counts what it
+	// delivers of a body until the request is answered, and an answer while it is written.
 	OwnBodies bool
 }
 
@@ -66,12 +66,16 @@
 		}
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if conn, ok := r.Context().Value(connKey{}).(*Conn); ok && !conn.endHead(r) {
+		conn, ok := r.Context().Value(connKey{}).(*Conn)
+		if ok && !conn.endHead(r) {
 			conn.listener.refusedHead(conn, http.StatusServiceUnavailable)
 			cfg.writeRefusal(w)
 			r.Header, r.Trailer = nil, nil // net/http keeps the request while it waits for the client to close the connection
 			return
 		}
+		if ok && !cfg.OwnBodies {
+			w = &answerWriter{w, conn}
+		}
 		handler.ServeHTTP(w, r)
 	})
 }
@@ -239,6 +243,26 @@
 	return c.body.Grow(int64(n))
 }
 
+// answerWriter counts what a handler holds of its answer while the client does not take it.
+type answerWriter struct {
+	http.ResponseWriter
+	conn *Conn
+}
+
+// Unwrap serves http.ResponseController.
+func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// Write implements io.Writer. Without room it closes the connection, so that nobody takes the answer for whole.
+func (w *answerWriter) Write(p []byte) (int, error) {
+	room := w.conn.listener.share
+	if !room.Acquire(int64(len(p))) {
+		w.conn.closeWithoutRoom("an answer that it does not take")
+		return 0, budget.ErrNoRoom
+	}
+	defer room.Release(int64(len(p)))
+	return w.ResponseWriter.Write(p)
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	if c.listener.use == Streams {
