--- a/base/inbound/inbound.go
+++ b/base/inbound/inbound.go
@@ -1,6 +1,6 @@
 // Package inbound bounds what clients can make a process hold before and beside its handlers: connections with their
-// descriptors and buffers, unread bytes in the kernel, heads and trailers of HTTP requests with what parsing makes of
-// them, and gRPC streams with their header fields. The sum over all connections is bounded, not each connection alone.
+// descriptors and buffers, bytes in the kernel, heads and trailers of HTTP requests with what parsing makes of them, bodies
+// and answers that handlers don't count, and gRPC streams with their header fields, messages and answers. The sum over all connections is bounded, not each connection alone.
 //
 // A connection whose request has not arrived completely holds its place only until another one needs it. So clients
 // that are slow or idle make room for those that send a request.
@@ -21,7 +21,7 @@
 
 // Settings are what a process is told about its VM.
 type Settings struct {
-	MemoryMB    float64 `ini:"vm.memory_mb" default:"0" min:"0" max:"100000000" help:"memory that this process may use, MB; what it holds for others is bounded to a part of it; 0: not told, only connections and heads are bounded"`
+	MemoryMB    float64 `ini:"vm.memory_mb" default:"0" min:"0" max:"100000000" help:"memory that this process may use, MB; what it holds for others is bounded to a part of it; 0: not told, only connections, streams and heads are bounded"`
 	Descriptors int     `ini:"vm.descriptors" default:"0" min:"0" max:"100000000" help:"descriptors that this process may open; 0: as many as the system's limit"`
 }
 
