base/inbound: a connection that made room opens no streams

Cause: the listener forgot a connection's address when the connection made room for another one. If that was before grpc-go knew the connection (TagConn), its streams had no connection to be counted for and were admitted without bound: up to 16 KB that had been read ahead, several hundred streams a connection.

Why this holds: the address is kept until the server has ended with the connection, a connection that has made room opens no stream, under the mutex under which it makes room, and a stream without a known connection is refused.

Evidence: TestClosedConnectionOpensNoStreams failed before (admitted, nothing held).

--- a/base/inbound/listener.go
+++ b/base/inbound/listener.go
@@ -32,7 +32,7 @@
 	evicted, refused int64
 	waiting          list.List        // of *Conn, the longest waiting first
 	all              list.List        // of *Conn, the oldest first
-	byAddr           map[string]*Conn // by remote address
+	byAddr           map[string]*Conn // by remote address, until their server has ended with them
 }
 
 // Listen listens on addr (IP:port) for a use.
@@ -139,13 +139,20 @@
 	return c
 }
 
-// find returns the open connection from a remote address; nil: none.
+// find returns the connection from a remote address, also if it has made room for another one; nil: none.
 func (l *Listener) find(addr net.Addr) *Conn {
 	l.bounds.mu.Lock()
 	defer l.bounds.mu.Unlock()
 	return l.byAddr[addr.String()]
 }
 
+// forget is called when a connection's server has ended with it. The bounds' mutex is held.
+func (l *Listener) forget(c *Conn) {
+	if addr := c.RemoteAddr().String(); l.byAddr[addr] == c { // else a newer connection from the same address
+		delete(l.byAddr, addr)
+	}
+}
+
 // Conn is a connection that has a place.
 type Conn struct {
 	*net.TCPConn
@@ -183,9 +190,6 @@
 	l := c.listener
 	c.setWaiting(false)
 	l.all.Remove(c.inAll)
-	if addr := c.RemoteAddr().String(); l.byAddr[addr] == c {
-		delete(l.byAddr, addr)
-	}
 	l.open--
 	l.share.Release(l.use.cost)
 }
@@ -206,6 +210,7 @@
 	err := c.TCPConn.Close()
 	c.listener.bounds.mu.Lock()
 	c.leave()
+	c.listener.forget(c)
 	c.listener.bounds.mu.Unlock()
 	c.endCalls()
 	c.mu.Lock()
--- a/base/inbound/streams.go
+++ b/base/inbound/streams.go
@@ -38,7 +38,7 @@
 
 // streams bounds the streams of a gRPC server. It is the server's stats.Handler.
 type streams struct {
-	listener func() *Listener // nil before the server listens
+	listener func() *Listener
 	methods  func() map[string]bool
 }
 
@@ -85,13 +85,16 @@
 	}
 	conn, _ := ctx.Value(connKey{}).(*Conn)
 	if conn == nil {
-		return ctx, nil // not from a Listener
+		return ctx, status.Error(codes.Unavailable, "the connection is closed")
 	}
 	c := &call{conn: conn, stream: conn.arriving.newest, room: conn.listener.share, bytes: conn.listener.bytes, held: streamCost + fieldsCost(info.Header), first: firstMessageCost}
 	if !c.room.Acquire(c.held + c.first) {
 		return ctx, status.Error(codes.Unavailable, "no room for the call")
 	}
-	conn.addStream(1)
+	if !conn.openStream() {
+		c.room.Release(c.held + c.first)
+		return ctx, status.Error(codes.Unavailable, "the connection is closed")
+	}
 	conn.setCall(c.stream, c)
 	context.AfterFunc(ctx, c.clientEnded)
 	return context.WithValue(ctx, callKey{}, c), nil
@@ -123,7 +126,7 @@
 	started := c.started
 	c.mu.Unlock()
 	if !started {
-		c.conn.addStream(-1)
+		c.conn.closeStream()
 		c.release()
 	}
 }
@@ -203,20 +206,31 @@
 	c.conn.setCall(c.stream, nil)
 }
 
-// addStream counts the open streams of a connection. One without any may be closed to make room.
-func (c *Conn) addStream(n int) {
+// openStream counts a stream, so that its connection is not closed to make room. It returns false if the connection has made
+// room for another one before.
+func (c *Conn) openStream() bool {
 	c.listener.bounds.mu.Lock()
 	defer c.listener.bounds.mu.Unlock()
-	c.streams += n
+	if c.left {
+		return false
+	}
+	c.streams++
+	c.setWaiting(false)
+	return true
+}
+
+// closeStream is called when a stream that openStream has counted ends.
+func (c *Conn) closeStream() {
+	c.listener.bounds.mu.Lock()
+	defer c.listener.bounds.mu.Unlock()
+	c.streams--
 	c.setWaiting(c.streams == 0)
 }
 
 // TagConn implements stats.Handler.
 func (s *streams) TagConn(ctx context.Context, info *stats.ConnTagInfo) context.Context {
-	if l := s.listener(); l != nil {
-		if conn := l.find(info.RemoteAddr); conn != nil {
-			return context.WithValue(ctx, connKey{}, conn)
-		}
+	if conn := s.listener().find(info.RemoteAddr); conn != nil {
+		return context.WithValue(ctx, connKey{}, conn)
 	}
 	return ctx
 }
@@ -246,7 +260,7 @@
 			c.conn.closeWithoutRoom("an answer that it does not take")
 		}
 	case *stats.End:
-		c.conn.addStream(-1)
+		c.conn.closeStream()
 		c.end(&c.handlerEnded)
 	}
 }
--- a/base/inbound/streams_test.go
+++ b/base/inbound/streams_test.go
@@ -13,7 +13,9 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/stats"
 	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/tap"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/emptypb"
 
@@ -168,3 +170,32 @@
 	require.NoError(t, stream.SendMsg(&emptypb.Empty{}))
 	require.ErrorContains(t, stream.RecvMsg(&emptypb.Empty{}), "EOF") // the handler has returned without an error
 }
+
+// Guards against streams that nobody counts: one of a connection that made room for another before its server knew it.
+func TestClosedConnectionOpensNoStreams(t *testing.T) {
+	bounds := New(Settings{}, nil, zap.NewNop())
+	bounds.places = 1
+	l, err := bounds.Listen("127.0.0.1:0", Streams)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	accept := func() net.Conn {
+		dial(t, l.Addr().String())
+		conn, err := l.Accept()
+		require.NoError(t, err)
+		return conn
+	}
+	first := accept()
+	second := accept()
+	s := &streams{func() *Listener { return l }, func() map[string]bool { return map[string]bool{unaryMethod: true} }}
+	admit := func(conn net.Conn) error {
+		ctx := s.TagConn(t.Context(), &stats.ConnTagInfo{RemoteAddr: conn.RemoteAddr()})
+		_, err := s.admit(ctx, &tap.Info{FullMethodName: unaryMethod})
+		return err
+	}
+	require.NoError(t, admit(second))
+	require.Equal(t, codes.Unavailable, status.Code(admit(first)))
+	_ = first.Close() // it was closed for the second one
+	require.Equal(t, codes.Unavailable, status.Code(admit(first)))
+	require.EqualValues(t, streamConnCost+streamCost+firstMessageCost, l.share.InUse(), "only what the second one holds")
+	require.NoError(t, second.Close())
+}
