base/inbound: a gRPC connection that was closed for lack of room is read no further

What callers saw: nothing by itself; work for clients whose connection is gone already took processor time and room from others.

Cause: reads of a gRPC connection end with a header block, and what has arrived beyond it is handed out later. That went on after the connection had been closed to make room, or because its messages or answers found none: up to 16 KB, which are several hundred streams.

Why this holds: closing marks the connection, and a read of a marked connection fails before anything else.

Evidence: TestClosedConnectionIsNotReadFurther failed before (the second read returned bytes).

--- a/base/inbound/frames.go
+++ b/base/inbound/frames.go
@@ -97,6 +97,9 @@
 // readFrames reads from a gRPC connection. No read goes beyond the end of a header block, so that a new stream is admitted while
 // arriving.newest is its number.
 func (c *Conn) readFrames(p []byte) (int, error) {
+	if c.aborted.Load() {
+		return 0, net.ErrClosed // also what is ahead is not served any more
+	}
 	arrived, fromAhead := p, len(c.ahead) > 0
 	if fromAhead {
 		arrived = c.ahead[:min(len(p), len(c.ahead))]
@@ -125,7 +128,7 @@
 func (c *Conn) closeWithoutRoom(what string) {
 	c.listener.bounds.log.Warn("Closing a connection that there is no room for.",
 		zap.String("listener", c.listener.use.name), zap.Stringer("client", c.RemoteAddr()), zap.String("what", what))
-	_ = c.TCPConn.Close() // its reader sees the end
+	c.abort()
 }
 
 // writeFrames writes to a gRPC connection.
--- a/base/inbound/frames_test.go
+++ b/base/inbound/frames_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
 	"google.golang.org/grpc/codes"
@@ -152,3 +153,29 @@
 	require.NoError(t, other.Invoke(t.Context(), unaryMethod, &emptypb.Empty{}, &emptypb.Empty{}))
 	s.requireOnlyConns(t)
 }
+
+// Guards against work for a connection that was closed for lack of room: what has arrived on it is read no further.
+func TestClosedConnectionIsNotReadFurther(t *testing.T) {
+	bounds := New(Settings{}, nil, zap.NewNop())
+	l, err := bounds.Listen("127.0.0.1:0", Streams)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	client := dial(t, l.Addr().String())
+	var wire bytes.Buffer
+	wire.WriteString(http2.ClientPreface)
+	framer := http2.NewFramer(&wire, nil)
+	for stream := uint32(1); stream < 9; stream += 2 {
+		require.NoError(t, framer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, EndHeaders: true}))
+	}
+	_, err = client.Write(wire.Bytes())
+	require.NoError(t, err)
+	conn, err := l.Accept()
+	require.NoError(t, err)
+	n, err := conn.Read(make([]byte, wire.Len()))
+	require.NoError(t, err)
+	require.Less(t, n, wire.Len(), "a read ends with a header block")
+	conn.(*Conn).closeWithoutRoom("a test")
+	_, err = conn.Read(make([]byte, wire.Len()))
+	require.ErrorIs(t, err, net.ErrClosed)
+	_ = conn.Close() // it is closed already
+}
--- a/base/inbound/listener.go
+++ b/base/inbound/listener.go
@@ -135,7 +135,7 @@
 	c := first.Value.(*Conn)
 	l.evicted++
 	c.leave()
-	_ = c.TCPConn.Close() // its reader sees the end
+	c.abort()
 	return c
 }
 
@@ -167,6 +167,7 @@
 	http         *HTTPConfig // nil: the connection is not for HTTP/1
 	ownDeadline  atomic.Bool // the handler has set a deadline for its writes
 	bodyRefused  atomic.Bool // there was no room for a trailer; the connection can't be read further
+	aborted      atomic.Bool // the connection was closed before its server ended with it
 	stallTimeout time.Duration
 
 	// Of a gRPC connection. Only its reader uses the first two, and only its writer the last.
@@ -205,6 +206,12 @@
 	}
 }
 
+// abort closes the connection. Its reader sees the end, and its server closes it then.
+func (c *Conn) abort() {
+	c.aborted.Store(true)
+	_ = c.TCPConn.Close() // its server's Close tells of an error
+}
+
 // Close implements net.Conn. It is called once the connection's server has ended with it.
 func (c *Conn) Close() error {
 	err := c.TCPConn.Close()
