--- a/base/inbound/frames.go
+++ b/base/inbound/frames.go
@@ -188,12 +188,15 @@
 }
 
 // setCall sets the call of a stream; nil: none.
-func (c *Conn) setCall(stream uint32, call *call) {
+func (c *Conn) setCall(stream uint32, opened *call) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if call == nil {
+	if opened == nil {
 		delete(c.calls, stream)
 		return
 	}
-	c.calls[stream] = call
+	if c.calls == nil {
+		c.calls = map[uint32]*call{}
+	}
+	c.calls[stream] = opened
 }
--- a/base/inbound/listener.go
+++ b/base/inbound/listener.go
@@ -88,7 +88,7 @@
 		}
 		evicted = c
 	}
-	c := &Conn{TCPConn: raw, listener: l, held: l.bounds.heads.Reserve(), body: l.share.Reserve(), calls: map[uint32]*call{}, stallTimeout: l.bounds.stallTimeout}
+	c := &Conn{TCPConn: raw, listener: l, held: l.bounds.heads.Reserve(), body: l.share.Reserve(), stallTimeout: l.bounds.stallTimeout}
 	c.arriving.left, c.leaving.outgoing = len(http2.ClientPreface), true
 	c.head.reading = true
 	l.byAddr[raw.RemoteAddr().String()] = c
@@ -175,8 +175,8 @@
 	ahead    []byte // has been read, but not yet by grpc-go
 	leaving  frames
 
-	mu    sync.Mutex // guards these
-	calls map[uint32]*call
+	mu    sync.Mutex       // guards these
+	calls map[uint32]*call // by stream; nil before the first one
 	head  head
 	held  budget.Reservation // for the head and the trailer of the current request
 	body  budget.Reservation // for its body
