--- a/base/inbound/frames_test.go
+++ b/base/inbound/frames_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"compress/gzip"
+	"encoding/binary"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +17,7 @@
 	"golang.org/x/net/http2/hpack"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/emptypb"
 	"google.golang.org/protobuf/types/known/wrapperspb"
 	"pgregory.net/rapid"
@@ -104,21 +108,35 @@
 	s.requireOnlyConns(t)
 }
 
-// callWithoutTaking makes unary calls on a new connection whose windows are closed, so that no answer can be sent.
-func (s *streamServer) callWithoutTaking(t *testing.T, calls int) net.Conn {
+// unaryBlock returns the header block of a unary call with further fields.
+func unaryBlock(t *testing.T, encoder *hpack.Encoder, block *bytes.Buffer, fields ...hpack.HeaderField) []byte {
+	block.Reset()
+	for _, field := range append([]hpack.HeaderField{
+		{Name: ":method", Value: "POST"}, {Name: ":scheme", Value: "http"}, {Name: ":path", Value: unaryMethod},
+		{Name: ":authority", Value: "a"}, {Name: "content-type", Value: "application/grpc"}, {Name: "te", Value: "trailers"},
+	}, fields...) {
+		require.NoError(t, encoder.WriteField(field))
+	}
+	return block.Bytes()
+}
+
+// dialFrames opens a connection for frames, with the window of its streams.
+func (s *streamServer) dialFrames(t *testing.T, window uint32) (net.Conn, *http2.Framer) {
 	conn := dial(t, s.listener.Addr().String())
 	_, err := conn.Write([]byte(http2.ClientPreface))
 	require.NoError(t, err)
 	framer := http2.NewFramer(conn, conn)
-	require.NoError(t, framer.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0}))
+	require.NoError(t, framer.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: window}))
+	return conn, framer
+}
+
+// callWithoutTaking makes unary calls on a new connection whose windows are closed, so that no answer can be sent.
+func (s *streamServer) callWithoutTaking(t *testing.T, calls int) net.Conn {
+	conn, framer := s.dialFrames(t, 0)
 	var block bytes.Buffer
 	encoder := hpack.NewEncoder(&block)
 	for i := range uint32(calls) {
-		block.Reset()
-		for _, field := range [][2]string{{":method", "POST"}, {":scheme", "http"}, {":path", unaryMethod}, {":authority", "a"}, {"content-type", "application/grpc"}, {"te", "trailers"}} {
-			require.NoError(t, encoder.WriteField(hpack.HeaderField{Name: field[0], Value: field[1]}))
-		}
-		err := framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 2*i + 1, BlockFragment: block.Bytes(), EndHeaders: true})
+		err := framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 2*i + 1, BlockFragment: unaryBlock(t, encoder, &block), EndHeaders: true})
 		if err == nil {
 			err = framer.WriteData(2*i+1, true, make([]byte, 5)) // an empty message
 		}
@@ -179,3 +197,50 @@
 	require.ErrorIs(t, err, net.ErrClosed)
 	_ = conn.Close() // it is closed already
 }
+
+// Guards against small messages that unpack to large ones, and against buffers for compressed answers.
+func TestCompressionIsRefused(t *testing.T) {
+	for name, message := range map[string][]byte{"Message": compressedMessage(t), "Answer": make([]byte, 5)} {
+		t.Run(name, func(t *testing.T) {
+			s, _ := serveAnswers(t, budget.New(4<<20), wrapperspb.String("an answer that can be compressed"))
+			close(s.release)
+			_, framer := s.dialFrames(t, 1<<20)
+			framer.ReadMetaHeaders = hpack.NewDecoder(4<<10, nil)
+			var block bytes.Buffer
+			fields := unaryBlock(t, hpack.NewEncoder(&block), &block, hpack.HeaderField{Name: "grpc-encoding", Value: "gzip"})
+			require.NoError(t, framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: fields, EndHeaders: true}))
+			require.NoError(t, framer.WriteData(1, true, message))
+			require.Equal(t, strconv.Itoa(int(codes.Internal)), readStatus(t, framer))
+		})
+	}
+}
+
+// compressedMessage returns a gRPC message that is compressed.
+func compressedMessage(t *testing.T) []byte {
+	unpacked, err := proto.Marshal(wrapperspb.String(strings.Repeat("a", 1<<20)))
+	require.NoError(t, err)
+	var message bytes.Buffer
+	w := gzip.NewWriter(&message)
+	_, err = w.Write(unpacked)
+	require.NoError(t, err)
+	require.NoError(t, w.Close())
+	prefix := binary.BigEndian.AppendUint32([]byte{1}, uint32(message.Len()))
+	return append(prefix, message.Bytes()...)
+}
+
+// readStatus reads frames up to the status of a call.
+func readStatus(t *testing.T, framer *http2.Framer) string {
+	for {
+		frame, err := framer.ReadFrame()
+		require.NoError(t, err)
+		headers, ok := frame.(*http2.MetaHeadersFrame)
+		if !ok || !headers.StreamEnded() {
+			continue
+		}
+		for _, field := range headers.RegularFields() {
+			if field.Name == "grpc-status" {
+				return field.Value
+			}
+		}
+	}
+}
--- a/crowd/frames_test.go
+++ b/crowd/frames_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"encoding/binary"
 	"io"
 	"net"
@@ -68,6 +69,32 @@
 	send   func(f *frames, conn net.Conn, method string)
 }
 
+// compressed says that messages of a stream may be compressed, and asks for answers that are.
+var compressed = hpack.HeaderField{Name: "grpc-encoding", Value: "gzip"}
+
+// compressedAnswers calls a method and asks for compressed answers.
+var compressedAnswers = streamForm{"CompressedAnswers", false, func(f *frames, _ net.Conn, method string) {
+	for range 10 * streamsPerClient {
+		id, err := f.open(method, compressed)
+		if err == nil {
+			err = f.WriteData(id, true, make([]byte, 5)) // an empty message that is not compressed
+		}
+		if err != nil {
+			return
+		}
+	}
+}}
+
+// compressedMessage returns a message of zeros, compressed.
+func compressedMessage(size int) []byte {
+	var message bytes.Buffer
+	w := gzip.NewWriter(&message)
+	_, _ = w.Write(make([]byte, size)) // a buffer does not fail
+	_ = w.Close()
+	prefix := binary.BigEndian.AppendUint32([]byte{1}, uint32(message.Len()))
+	return append(prefix, message.Bytes()...)
+}
+
 // unreadAnswers calls a method without taking its answers.
 var unreadAnswers = streamForm{"UnreadAnswers", true, func(f *frames, _ net.Conn, method string) {
 	for range 40 * streamsPerClient {
@@ -130,6 +157,18 @@
 				}
 			}
 		}},
+		{"CompressedMessages", false, func(f *frames, _ net.Conn, method string) {
+			message := compressedMessage(8 << 20)
+			for range streamsPerClient {
+				id, err := f.open(method, compressed)
+				if err == nil {
+					err = f.WriteData(id, true, message)
+				}
+				if err != nil {
+					return
+				}
+			}
+		}},
 		{"OpenAndReset", false, func(f *frames, _ net.Conn, method string) {
 			for range 100 * streamsPerClient {
 				id, err := f.open(method)
@@ -213,3 +252,13 @@
 	gw.check(t, most)
 	gw.serves(t)
 }
+
+// Guards against gateways that ask for compressed answers and so make another one hold more than its VM has.
+func TestPermitsCompressedAnswers(t *testing.T) {
+	gw := startGateway(t)
+	stop := gw.watch()
+	streamCrowd(t, compressedAnswers, gw.permits, "/dandelion.v1.PermitBroker/Load")
+	most := stop()
+	gw.check(t, most)
+	gw.serves(t)
+}
--- a/crowd/own_test.go
+++ b/crowd/own_test.go
@@ -182,6 +182,16 @@
 	}
 }
 
+// Guards against peers that ask for compressed answers and so make an entry or an agent hold more than its VM has.
+func TestOwnCompressedAnswers(t *testing.T) {
+	c := startCluster(t)
+	for name, method := range map[string]string{entryName: "/dandelion.v1.Peer/Exchange", agentName: "/dandelion.v1.Agent/Explain"} {
+		t.Run(name, func(t *testing.T) {
+			c.misuse(t, name, func(t *testing.T, p site.Process) { streamCrowd(t, compressedAnswers, p.GRPC, method) })
+		})
+	}
+}
+
 // Guards against clients of the metrics of an engine's agent that make it hold more than its VM has.
 func TestOrdersMetrics(t *testing.T) {
 	for _, f := range shortForms() {
