base/inbound: buffers of messages in small DATA frames are counted

What callers saw: agents beyond the 64 MB of their VM, 83 and 87 MB, gateway 58 and entry 62, with 150 clients that send a message of 8 MiB, never complete, in DATA frames of one byte.

Cause: grpc-go holds the payload of each DATA frame in a buffer of its own until the message is complete: a slice, an entry in a list, and for payloads above 1 KB the rest of a buffer of 4 or 16 KB. The budget counted the payloads alone, so one byte of it stood for about 70 bytes of memory.

Why this holds: each DATA frame is counted with the cost of its buffer when its header passes, and given back with the message in proportion to its bytes, all of it once everything is read. Usual frames of 16 KB cost less than a hundredth more.

Evidence: TestBuffersOfFramesAreCounted fails with a cost of 0, which is the code before (the server does not close the connection).

--- a/base/inbound/frames.go
+++ b/base/inbound/frames.go
@@ -31,18 +31,24 @@
 
 // frameEvents is told of the frames that pass.
 type frameEvents interface {
+	// passFrame is told of the header of a stream's DATA frame with a payload of size bytes. It returns false if there is no
+	// room for the frame.
+	passFrame(stream uint32, size int) bool
 	// passData is told of bytes of a stream's DATA frames. It returns false if there is no room for them.
 	passData(stream uint32, n int) bool
 	// passEnd is told of a stream's end.
 	passEnd(stream uint32)
 }
 
-// scan follows p up to the end of the first header block in it, and returns how many bytes that are. It returns false if
-// passData does.
+// scan follows p up to the end of the first header block in it, and returns how many bytes that are. It returns false if an event
+// does.
 func (f *frames) scan(p []byte, events frameEvents) (n int, ok bool) {
 	for n < len(p) {
 		if f.left == 0 {
 			n += f.fill(p[n:])
+			if f.data && f.left > 0 && !events.passFrame(f.stream, f.left) {
+				return n, false
+			}
 		}
 		piece := min(f.left, len(p)-n)
 		if f.data && piece > 0 && !events.passData(f.stream, piece) {
@@ -141,9 +147,37 @@
 	return written, err
 }
 
+// Sizes of the buffers in which grpc-go holds the payloads of DATA frames that have arrived, in bytes.
+const (
+	// exactBuffer is the size up to which a buffer is as large as its payload.
+	exactBuffer = 1 << 10
+	smallBuffer = 4 << 10
+	largeBuffer = 16 << 10 // of the largest frame
+	// listedBufferCost is the cost of a buffer beside its bytes: a slice, and an entry in a list that grows by doubling.
+	listedBufferCost = 128
+)
+
+// bufferCost returns the cost of a buffer for a payload, beside the payload.
+func bufferCost(payload int) int64 {
+	size := payload
+	switch {
+	case payload <= exactBuffer:
+	case payload <= smallBuffer:
+		size = smallBuffer
+	case payload <= largeBuffer:
+		size = largeBuffer
+	}
+	return int64(listedBufferCost + size - payload)
+}
+
 // arrivals counts the bytes of messages that arrive.
 type arrivals struct{ conn *Conn }
 
+func (a arrivals) passFrame(stream uint32, size int) bool {
+	call := a.conn.call(stream)
+	return call == nil || call.receiveFrame(bufferCost(size))
+}
+
 func (a arrivals) passData(stream uint32, n int) bool {
 	call := a.conn.call(stream)
 	return call == nil || call.receive(int64(n)) // grpc-go drops what arrives for a stream that has ended
@@ -154,6 +188,8 @@
 // departures counts the bytes of answers that have been sent.
 type departures struct{ conn *Conn }
 
+func (d departures) passFrame(uint32, int) bool { return true }
+
 func (d departures) passData(stream uint32, n int) bool {
 	if call := d.conn.call(stream); call != nil {
 		call.answer(-int64(n)) // less is never without room
--- a/base/inbound/frames_test.go
+++ b/base/inbound/frames_test.go
@@ -27,15 +27,17 @@
 
 // passed records what passes.
 type passed struct {
-	data map[uint32]int
-	ends []uint32
+	frames []int // sizes of their payloads
+	data   map[uint32]int
+	ends   []uint32
 }
 
+func (p *passed) passFrame(_ uint32, size int) bool  { p.frames = append(p.frames, size); return true }
 func (p *passed) passData(stream uint32, n int) bool { p.data[stream] += n; return true }
 func (p *passed) passEnd(stream uint32)              { p.ends = append(p.ends, stream) }
 
-// Guards against a count that loses track of the frames: in whatever pieces they pass, each byte of DATA frames is counted for its
-// stream, and each header block ends a scan.
+// Guards against a count that loses track of the frames: in whatever pieces they pass, each DATA frame and each of its bytes is
+// counted for its stream, and each header block ends a scan.
 func TestFramesInAnyPieces(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f, want := frames{left: len(http2.ClientPreface), outgoing: rapid.Bool().Draw(t, "outgoing")}, &passed{data: map[uint32]int{}}
@@ -50,6 +52,9 @@
 			case 0:
 				require.NoError(t, framer.WriteData(stream, size%2 == 0, make([]byte, size)))
 				want.data[stream] += size
+				if size > 0 {
+					want.frames = append(want.frames, size)
+				}
 			case 1:
 				split, endStream := size%2 == 0, size%3 == 0
 				require.NoError(t, framer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: make([]byte, size), EndHeaders: !split, EndStream: endStream}))
@@ -244,3 +249,52 @@
 		}
 	}
 }
+
+// Guards against messages in very small frames, each of which takes a buffer: they are counted until their handler has read them.
+func TestBuffersOfFramesAreCounted(t *testing.T) {
+	const frames = 40_000
+	s, other := serveStreams(t, budget.New(4<<20))
+	close(s.release)
+	conn, framer := s.dialFrames(t, 1<<20)
+	var block bytes.Buffer
+	require.NoError(t, framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: unaryBlock(t, hpack.NewEncoder(&block), &block), EndHeaders: true}))
+	require.NoError(t, framer.WriteData(1, false, []byte{0, 0, 0x10, 0, 0})) // of a message of 1 MB
+	var frame bytes.Buffer
+	require.NoError(t, http2.NewFramer(&frame, nil).WriteData(1, false, []byte{0}))
+	_, err := conn.Write(bytes.Repeat(frame.Bytes(), frames))
+	if err == nil {
+		_, err = io.Copy(io.Discard, conn)
+	}
+	require.False(t, errorIsTimeout(err), "the server closes the connection")
+	require.Eventually(t, func() bool {
+		return other.Invoke(t.Context(), unaryMethod, &emptypb.Empty{}, &emptypb.Empty{}) == nil
+	}, maxWait, time.Millisecond)
+	s.requireOnlyConns(t)
+}
+
+// Guards against buffers that stay counted after their messages were read.
+func TestBuffersOfReadMessagesAreReleased(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		room := budget.New(1<<30).Share("test", 0)
+		c := &call{room: room, bytes: room}
+		var unread []int64
+		for range rapid.IntRange(1, 50).Draw(t, "messages") {
+			size := rapid.Int64Range(5, 100_000).Draw(t, "size")
+			for left := size; left > 0; {
+				piece := min(left, rapid.Int64Range(1, 16<<10).Draw(t, "frame"))
+				require.True(t, c.receiveFrame(bufferCost(int(piece))))
+				require.True(t, c.receive(piece))
+				left -= piece
+			}
+			unread = append(unread, size)
+			for len(unread) > 0 && rapid.Bool().Draw(t, "read") {
+				c.readMessage(unread[0])
+				unread = unread[1:]
+			}
+		}
+		for _, size := range unread {
+			c.readMessage(size)
+		}
+		require.Zero(t, room.InUse())
+	})
+}
--- a/base/inbound/streams.go
+++ b/base/inbound/streams.go
@@ -66,6 +66,7 @@
 	messages     int64 // of bytes, for messages that arrive
 	answers      int64 // of bytes, for answers that the client has not taken
 	unread       int64 // bytes of messages that have arrived and that the handler has not read
+	buffers      int64 // cost of the buffers that hold them, beside them
 	unsent       int64 // bytes of answers; negative: sent before they were counted
 	started      bool
 	handlerEnded bool
@@ -142,7 +143,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unread += n
-	return c.resize(&c.messages, c.unread-c.first)
+	return c.resize(&c.messages, c.unread+c.buffers-c.first)
+}
+
+// receiveFrame is called when a frame of messages begins to arrive, with the cost of its buffer. It returns false if there is no
+// room for it.
+func (c *call) receiveFrame(cost int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.buffers += cost
+	return c.resize(&c.messages, c.unread+c.buffers-c.first)
 }
 
 // readMessage is called when the handler has read a message of n bytes.
@@ -152,10 +162,15 @@
 	if c.released {
 		return
 	}
+	if n < c.unread {
+		c.buffers -= int64(float64(c.buffers) * float64(n) / float64(c.unread)) // which of them held the message is not known
+	} else {
+		c.buffers = 0
+	}
 	c.unread -= n
 	c.room.Release(c.first)
 	c.first = 0
-	c.resize(&c.messages, c.unread)
+	c.resize(&c.messages, c.unread+c.buffers)
 }
 
 // answer is called when n bytes of answers are to be sent, or, if n is negative, have been. It returns false if there is no room
--- a/crowd/frames_test.go
+++ b/crowd/frames_test.go
@@ -169,6 +169,21 @@
 				}
 			}
 		}},
+		{"SmallDataFrames", false, func(f *frames, conn net.Conn, method string) {
+			const size = 8 << 20 // of a message that never becomes complete
+			for range streamsPerClient {
+				id, err := f.open(method)
+				if err == nil {
+					err = f.WriteData(id, false, binary.BigEndian.AppendUint32([]byte{0}, size))
+				}
+				if err != nil {
+					return
+				}
+				var frame bytes.Buffer
+				_ = http2.NewFramer(&frame, nil).WriteData(id, false, []byte{0}) // a buffer does not fail
+				repeat(conn, frame.String(), 20_000*frame.Len())
+			}
+		}},
 		{"OpenAndReset", false, func(f *frames, _ net.Conn, method string) {
 			for range 100 * streamsPerClient {
 				id, err := f.open(method)
