crowd: the processes of a cluster run until its test ends

A process that a sub-test had started was killed at the end of that sub-test, though later ones need it. An entry that was started next then waited 10 s for the first report of an agent that was gone, as it does for any agent that is down: this is what was noted as "a restarted entry took 10 s to answer again after its agent had been misused". Crowd, bounds and checks are as before; all processes of the site now run beside the one that is misused.

--- a/crowd/own_test.go
+++ b/crowd/own_test.go
@@ -20,6 +20,7 @@
 // cluster is a running site of the project's own stand-ins. A test misuses one of its processes, which is started anew for
 // each form.
 type cluster struct {
+	t         *testing.T // its processes run until this test ends
 	site      *site.Site
 	processes map[string]*process
 }
@@ -33,9 +34,9 @@
 	})
 	require.NoError(t, err)
 	require.NoError(t, s.CheckAddressesFree())
-	c := &cluster{site: s, processes: map[string]*process{}}
+	c := &cluster{t: t, site: s, processes: map[string]*process{}}
 	for _, p := range s.Processes {
-		c.start(t, p.Name)
+		c.start(p.Name)
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), maxWait)
 	defer cancel()
@@ -59,8 +60,8 @@
 }
 
 // start starts a process of the site anew.
-func (c *cluster) start(t *testing.T, name string) *process {
-	t.Helper()
+func (c *cluster) start(name string) *process {
+	c.t.Helper()
 	if old := c.processes[name]; old != nil {
 		old.kill()
 	}
@@ -73,7 +74,7 @@
 	if p.Role == site.RoleAgent || p.Role == site.RoleEntry {
 		args = append(slices.Clone(args), fmt.Sprintf("--vm.memory_mb=%d", memoryMB))
 	}
-	c.processes[name] = start(t, listeners, p.Binary, args...)
+	c.processes[name] = start(c.t, listeners, p.Binary, args...)
 	return c.processes[name]
 }
 
@@ -92,7 +93,7 @@
 // misuse starts a process anew, runs a crowd at it, and checks what it held and that it serves.
 func (c *cluster) misuse(t *testing.T, name string, run func(t *testing.T, p site.Process)) {
 	t.Helper()
-	p := c.start(t, name)
+	p := c.start(name)
 	c.waitServing(t, name)
 	stop := p.watch()
 	run(t, c.site.ByName(name))
