base/trace: a long trace state is not passed on between processes

A caller may send a trace state of 32 entries, up to 16 KB, inside a legal head. Passed on in the header fields of a call between our processes, it could take up what a server accepts, and the call failed. W3C Trace Context asks for at least 512 bytes of it; above 1 KB it is dropped now, and the trace goes on without it. TestLongTraceStateIsDropped failed before.

--- a/base/trace/grpc.go
+++ b/base/trace/grpc.go
@@ -12,7 +12,11 @@
 	"google.golang.org/grpc/metadata"
 )
 
-const grpcTracer = "grpc"
+const (
+	grpcTracer = "grpc"
+	// maxFieldBytes bounds the value of a header field, in bytes. W3C Trace Context asks for at least 512 of a trace state.
+	maxFieldBytes = 1 << 10
+)
 
 // metadataCarrier implements propagation.TextMapCarrier on gRPC metadata.
 type metadataCarrier metadata.MD
@@ -25,8 +29,13 @@
 	return ""
 }
 
-// Set replaces the values of key.
-func (c metadataCarrier) Set(key, value string) { metadata.MD(c).Set(key, value) }
+// Set replaces the values of key. A caller's trace state is dropped if it is so long that it could take up most of the header fields
+// that a server accepts; the trace goes on without it.
+func (c metadataCarrier) Set(key, value string) {
+	if len(value) <= maxFieldBytes {
+		metadata.MD(c).Set(key, value)
+	}
+}
 
 // Keys returns all keys, in no particular order.
 func (c metadataCarrier) Keys() []string {
--- a/base/trace/trace_test.go
+++ b/base/trace/trace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -11,10 +12,12 @@
 
 	"github.com/stretchr/testify/require"
 	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	oteltrace "go.opentelemetry.io/otel/trace"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
 
 	"dandelionsill.org/wire/pb"
 )
@@ -127,3 +130,25 @@
 	_, err := Start(context.Background(), "e1", Config{Exporter: ExporterFile, File: "/nonexistent/x"})
 	require.Error(t, err)
 }
+
+// Guards against a caller's long trace state that makes calls between processes exceed what their servers accept.
+func TestLongTraceStateIsDropped(t *testing.T) {
+	for name, c := range map[string]struct {
+		members int
+		kept    bool
+	}{"Ordinary": {2, true}, "Long": {32, false}} {
+		t.Run(name, func(t *testing.T) {
+			var state oteltrace.TraceState
+			for i := range c.members {
+				var err error
+				state, err = state.Insert(fmt.Sprintf("key%d", i), strings.Repeat("v", 250))
+				require.NoError(t, err)
+			}
+			span := oteltrace.NewSpanContext(oteltrace.SpanContextConfig{TraceID: oteltrace.TraceID{1}, SpanID: oteltrace.SpanID{1}, TraceState: state})
+			md := metadata.MD{}
+			propagation.TraceContext{}.Inject(oteltrace.ContextWithSpanContext(t.Context(), span), metadataCarrier(md))
+			require.Len(t, md.Get("traceparent"), 1)
+			require.Equal(t, c.kept, len(md.Get("tracestate")) == 1)
+		})
+	}
+}
