--- a/crowd/frames_test.go
+++ b/crowd/frames_test.go
@@ -195,6 +195,10 @@
 				}
 			}
 		}},
+		unreadErrors("UnreadErrors", "grpc-timeout", 15<<10),
+		unreadErrors("UnreadSmallerErrors", "grpc-timeout", 7<<10),
+		unreadErrors("UnreadEncodings", "grpc-encoding", 15<<10),
+		unreadErrors("UnreadSmallerEncodings", "grpc-encoding", 7<<10),
 		{"UnreadPings", true, func(f *frames, conn net.Conn, _ string) {
 			var ping bytes.Buffer
 			_ = http2.NewFramer(&ping, nil).WritePing(false, [8]byte{}) // a buffer does not fail
@@ -203,6 +207,18 @@
 	}
 }
 
+// unreadErrors opens streams with a field whose value of so many bytes is an error that quotes it, and takes no answers.
+func unreadErrors(form, field string, size int) streamForm {
+	return streamForm{form, true, func(f *frames, _ net.Conn, method string) {
+		value := strings.Repeat("%", size) // quoted, each takes three bytes
+		for range 5 * streamsPerClient {
+			if _, err := f.open(method, hpack.HeaderField{Name: field, Value: value}); err != nil {
+				return
+			}
+		}
+	}}
+}
+
 func openStreams(f *frames, method string, fields ...hpack.HeaderField) {
 	for range streamsPerClient {
 		if _, err := f.open(method, fields...); err != nil {
