--- a/crowd/frames_test.go
+++ b/crowd/frames_test.go
@@ -263,32 +263,26 @@
 // Guards against peers' connections that make a gateway hold more than its VM has, in header fields, streams and messages.
 func TestGatewayPermits(t *testing.T) {
 	for _, f := range streamForms() {
-		t.Run(f.name, func(t *testing.T) {
-			gw := startGateway(t)
-			stop := gw.watch()
-			streamCrowd(t, f, gw.permits, "/dandelion.v1.PermitBroker/Exchange")
-			most := stop()
-			gw.check(t, most)
-			gw.serves(t)
-		})
+		t.Run(f.name, func(t *testing.T) { misusePermits(t, f, "/dandelion.v1.PermitBroker/Exchange") })
 	}
 }
 
 // Guards against gateways that take no answers and so make another one hold more than its VM has.
 func TestPermitsUnreadAnswers(t *testing.T) {
-	gw := startGateway(t)
-	stop := gw.watch()
-	streamCrowd(t, unreadAnswers, gw.permits, "/dandelion.v1.PermitBroker/Load")
-	most := stop()
-	gw.check(t, most)
-	gw.serves(t)
+	misusePermits(t, unreadAnswers, "/dandelion.v1.PermitBroker/Load")
 }
 
 // Guards against gateways that ask for compressed answers and so make another one hold more than its VM has.
 func TestPermitsCompressedAnswers(t *testing.T) {
+	misusePermits(t, compressedAnswers, "/dandelion.v1.PermitBroker/Load")
+}
+
+// misusePermits runs a crowd at the listener for permits of a new gateway.
+func misusePermits(t *testing.T, f streamForm, method string) {
+	t.Helper()
 	gw := startGateway(t)
 	stop := gw.watch()
-	streamCrowd(t, compressedAnswers, gw.permits, "/dandelion.v1.PermitBroker/Load")
+	streamCrowd(t, f, gw.permits, method)
 	most := stop()
 	gw.check(t, most)
 	gw.serves(t)
