base/outbound: an answer that ends with a reset connection is not whole

Callers got a part of an answer, also an empty one, as the whole, with a length of ours: a server answered a long upload at once with a 200 that had no length, sent a part and reset the connection while the upload was being written.

Cause: a socket reports a reset once. If the write of the request gets that report, the read that follows sees an end of file, as after an orderly end, and an answer without a length ends there. TCP_INFO tells the two ends apart: CLOSE after a reset, CLOSE_WAIT after an orderly end.

The rule is under all readers of HTTP/1, in outbound.Conn, which gateway/backend, the Transport of all clients and the client of duties use: a read returns io.EOF only if the connection is in CLOSE_WAIT, or if the first error of it is EPIPE. The kernel reports EPIPE first only for a reset that comes after the peer's end; then the whole answer has arrived, so that a whole early answer still counts. A write in progress is waited for, which returns at once on a dead connection. Everything else is an ErrReset error, which the readers treat like any answer that breaks off: a safe request moves on, another one's outcome is unknown, a stream resumes.

--- a/base/outbound/outbound_test.go
+++ b/base/outbound/outbound_test.go
@@ -29,7 +29,7 @@
 
 // readAnswer reads the final answer from a connection.
 func readAnswer(r io.Reader) (*http.Response, *Reader, error) {
-	answers := NewReader(r)
+	answers := newReader(r)
 	answers.ExpectAnswer()
 	resp, err := answers.ReadResponse(bufio.NewReader(answers), &http.Request{Method: http.MethodGet})
 	return resp, answers, err
@@ -74,7 +74,7 @@
 func TestBodiesAreNotChecked(t *testing.T) {
 	body := "HTTP/1.1 000 x\r\nX Y: z\r\n\r\n\n\n\x00"
 	for split, first := range pieces(outboundtest.OK(body).Sound()) {
-		answers := NewReader(io.MultiReader(first, strings.NewReader(outboundtest.OK(body).Sound())))
+		answers := newReader(io.MultiReader(first, strings.NewReader(outboundtest.OK(body).Sound())))
 		buffered := bufio.NewReader(answers)
 		for range 2 {
 			answers.ExpectAnswer()
--- a/base/outbound/reader.go
+++ b/base/outbound/reader.go
@@ -1,7 +1,8 @@
 // Package outbound guards what this process reads from servers that it calls over HTTP/1. A server in trouble may
 // send anything; net/http passes on some of that as an answer. All clients of the system read answers through this
 // package, so that one rule decides what an answer is: its version and status, the names and values of its fields,
-// and that they leave no doubt where it ends. That holds for interim answers as well.
+// and that they leave no doubt where it ends. That holds for interim answers as well. An answer that ends with its
+// connection is whole only if the server ended that in order.
 package outbound
 
 import (
@@ -29,8 +30,8 @@
 	err     error
 }
 
-// NewReader returns a reader of a connection on which no request has been sent.
-func NewReader(input io.Reader) *Reader { return &Reader{input: input, inHead: true} }
+// newReader returns a reader of a connection on which no request has been sent.
+func newReader(input io.Reader) *Reader { return &Reader{input: input, inHead: true} }
 
 // ExpectAnswer must be called before each request is written. The answer to the request before must have been read
 // to its end.
--- a/base/outbound/transport.go
+++ b/base/outbound/transport.go
@@ -25,39 +25,31 @@
 		if err != nil {
 			return nil, err // callers look for a *net.OpError
 		}
-		return &conn{Conn: c, answers: NewReader(c)}, nil
+		return NewConn(c), nil
 	}
 	return &Transport{t}
 }
 
-// conn is a connection whose answers are checked.
-type conn struct {
-	net.Conn
-	answers *Reader
-}
-
-func (c *conn) Read(p []byte) (int, error) { return c.answers.Read(p) }
-
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	if req.URL.Scheme != "http" {
 		return nil, errors.NotSupportedf("scheme %q", req.URL.Scheme)
 	}
-	var used atomic.Pointer[conn] // the latest: net/http may have to open another one
+	var used atomic.Pointer[Conn] // the latest: net/http may have to open another one
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		c := info.Conn.(*conn)
-		c.answers.ExpectAnswer()
+		c := info.Conn.(*Conn)
+		c.Answers.ExpectAnswer()
 		used.Store(c)
 	}})
 	resp, err := t.Transport.RoundTrip(req.WithContext(ctx))
 	c := used.Load()
 	if err != nil {
-		if c != nil && c.answers.Err() != nil {
-			return nil, c.answers.Err()
+		if c != nil && c.Answers.Err() != nil {
+			return nil, c.Answers.Err()
 		}
 		return nil, err
 	}
-	if err := c.answers.verify(); err != nil {
+	if err := c.Answers.verify(); err != nil {
 		_ = c.Close()
 		_ = resp.Body.Close()
 		return nil, err
--- a/gateway/backend/backend.go
+++ b/gateway/backend/backend.go
@@ -146,9 +146,9 @@
 
 // roundTrip sends the request and reads the head of the answer.
 func (p *Pool) roundTrip(c *conn, req *Request) (*http.Response, error) {
-	c.answers.ExpectAnswer()
+	c.Answers.ExpectAnswer()
 	sent := p.send(c, req)
-	resp, err := c.answers.ReadResponse(c.reader, &http.Request{Method: req.Method})
+	resp, err := c.Answers.ReadResponse(c.reader, &http.Request{Method: req.Method})
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
@@ -317,7 +317,7 @@
 func (a *Answer) Detach() bool {
 	running := a.stop()
 	a.stop = func() bool { return false }
-	if c, ok := a.conn.Conn.(interface{ SetReadBuffer(int) error }); ok {
+	if c, ok := a.conn.NetConn().(interface{ SetReadBuffer(int) error }); ok {
 		_ = c.SetReadBuffer(detachedReadBufferBytes) // fails only on a closed connection
 	}
 	return running
--- a/gateway/backend/conn.go
+++ b/gateway/backend/conn.go
@@ -16,10 +16,9 @@
 
 // conn is a connection to a backend server. It carries one request at a time.
 type conn struct {
-	net.Conn
-	answers *outbound.Reader // what reader reads from
-	reader  *bufio.Reader
-	writer  *bufio.Writer
+	*outbound.Conn
+	reader *bufio.Reader
+	writer *bufio.Writer
 	// expires is when the server may close the idle connection.
 	expires time.Time
 }
@@ -31,8 +30,8 @@
 )
 
 func newConn(c net.Conn) *conn {
-	answers := outbound.NewReader(c)
-	return &conn{Conn: c, answers: answers, reader: bufio.NewReaderSize(answers, readBufferBytes), writer: bufio.NewWriterSize(c, writeBufferBytes)}
+	checked := outbound.NewConn(c)
+	return &conn{Conn: checked, reader: bufio.NewReaderSize(checked, readBufferBytes), writer: bufio.NewWriterSize(checked, writeBufferBytes)}
 }
 
 var errBodyTooLong = errors.New("body of the answer is too long")
@@ -61,7 +60,7 @@
 	if !now.Before(c.expires) || c.reader.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
+	sc, ok := c.NetConn().(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/gateway/forward/stream_test.go
+++ b/gateway/forward/stream_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"dandelionsill.org/gateway/forward"
 	"dandelionsill.org/gateway/gatewaytest"
 	"dandelionsill.org/platform/hosted"
 	"dandelionsill.org/platform/hosted/hostedtest"
@@ -19,6 +20,11 @@
 func readStream(t *testing.T, p *gatewaytest.Process, header http.Header) (*http.Response, []hosted.Event, error) {
 	c := newCall(t, p, "s", "/chat/x")
 	c.Deadline = time.Now().Add(gatewaytest.MaxWait)
+	return readStreamOf(t, p, c, header)
+}
+
+// readStreamOf reads the stream of a call with further headers.
+func readStreamOf(t *testing.T, p *gatewaytest.Process, c forward.Call, header http.Header) (*http.Response, []hosted.Event, error) {
 	c.Header.Set(hostedtest.HeaderModel, "m")
 	for name := range header {
 		c.Header.Set(name, header.Get(name))
