base/inbound: a broken answer to an HTTP/1.0 client ends with a reset

Streams to callers of HTTP/1.0 that broke off ended in order, so that the caller took what it had got for the whole.

Cause: an answer without a length to an HTTP/1.0 client ends with its connection. Handlers that give an answer up abort the connection, which net/http closes in order; so does a server that stops or no longer waits for a slow client, and the kernel when the process is killed.

While such an answer is being written, its connection has a linger time of zero, so that any end is a reset. That is taken back at the close, and before the next request, once the handler has returned and all writes have succeeded.

--- a/base/inbound/http.go
+++ b/base/inbound/http.go
@@ -73,10 +73,14 @@
 			r.Header, r.Trailer = nil, nil // net/http keeps the request while it waits for the client to close the connection
 			return
 		}
-		if ok && !cfg.OwnBodies {
+		if !ok {
+			handler.ServeHTTP(w, r)
+			return
+		}
+		if !cfg.OwnBodies {
 			w = &answerWriter{w, conn}
 		}
-		handler.ServeHTTP(w, r)
+		conn.serveRequest(handler, w, r)
 	})
 }
 
@@ -195,6 +199,7 @@
 
 // beginHead is called between two requests.
 func (c *Conn) beginHead() {
+	c.endAnswer()
 	c.mu.Lock()
 	c.held.Release()
 	c.body.Release()
@@ -271,7 +276,12 @@
 	if c.http != nil && !c.ownDeadline.Load() {
 		_ = c.TCPConn.SetWriteDeadline(time.Now().Add(c.stallTimeout)) // the write fails as well
 	}
-	return c.TCPConn.Write(p)
+	c.answer10.unsent.Store(true)
+	n, err := c.TCPConn.Write(p)
+	if err == nil {
+		c.answer10.unsent.Store(false)
+	}
+	return n, err
 }
 
 // SetWriteDeadline implements net.Conn.
--- a/base/inbound/listener.go
+++ b/base/inbound/listener.go
@@ -168,6 +168,7 @@
 	ownDeadline  atomic.Bool // the handler has set a deadline for its writes
 	bodyRefused  atomic.Bool // there was no room for a trailer; the connection can't be read further
 	aborted      atomic.Bool // the connection was closed before its server ended with it
+	answer10     http10Answer
 	stallTimeout time.Duration
 
 	// Of a gRPC connection. Only its reader uses the first two, and only its writer the last.
@@ -217,6 +218,9 @@
 // Close implements net.Conn. It is called once the connection's server has ended with it.
 func (c *Conn) Close() error {
 	c.refusals.stop()
+	if !c.answer10.isCutShort() {
+		c.endAnswer()
+	}
 	err := c.TCPConn.Close()
 	c.listener.bounds.mu.Lock()
 	c.leave()
