Tests of how each reader knows that an answer is whole, and who writes answers

For each row of "Who reads answers" in PROOFS.md a server answers without a length and resets the connection, during a long upload where the reader sends one. The others held and stay: streams and samples, reads, orders, duties, log streams, regions of models, trainer's client, dandelionctl, the own path.

--- a/adapters/malformed_test.go
+++ b/adapters/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 	"testing"
 
@@ -80,3 +81,36 @@
 		}
 	}
 }
+
+// Failure: a service of the platform answers at once with a part and resets the connection. Guards against an adapter that believes the
+// part, whether the write or the read learns of the reset.
+func TestResetAnswersAreNotBelieved(t *testing.T) {
+	long := bytes.Repeat([]byte("x"), outboundtest.UploadBytes)
+	server := outboundtest.NewResettingServer(t, outboundtest.OK("").WithoutLength())
+	for round := range outboundtest.ResetRounds {
+		log := httplog.New(server.URL(), clientName)
+		_, err := log.Append(t.Context(), platform.StreamControl, long)
+		require.ErrorIs(t, err, platform.ErrAppendUnknown, "round %d", round)
+		engine := httpengine.New(server.URL(), clientName)
+		s, err := engine.Generate(t.Context(), platform.GenerateJob{ID: "x", Prompt: string(long), MaxTokens: 1})
+		if err == nil {
+			_, err = s.Next()
+			_ = s.Close()
+		}
+		require.Error(t, err, "round %d", round)
+		require.NotErrorIs(t, err, io.EOF)
+	}
+	engine := httpengine.New(server.URL(), clientName)
+	_, err := engine.State(t.Context())
+	require.Error(t, err)
+	_, err = engine.ExportKV(t.Context(), "x")
+	require.Error(t, err)
+	_, err = httpvms.New(server.URL(), clientName).List(t.Context())
+	require.Error(t, err)
+	weights, _, err := httpstore.New(server.URL(), clientName).Fetch(t.Context(), "m", 1)
+	if err == nil {
+		_, err = io.ReadAll(weights)
+		_ = weights.Close()
+	}
+	require.Error(t, err)
+}
--- a/agent/calls/malformed_test.go
+++ b/agent/calls/malformed_test.go
@@ -28,3 +28,19 @@
 		})
 	}
 }
+
+// Failure: the backend server answers a long request at once and resets the connection. Guards against an entry that gets a part as
+// the answer, whether the write or the read learns of the reset.
+func TestResetAnswerIsNoAnswer(t *testing.T) {
+	server := outboundtest.NewResettingServer(t, outboundtest.OK("part").WithoutLength())
+	r := newHarnessAt(t, server.Addr)
+	for range outboundtest.ResetRounds {
+		write := newOrder()
+		write.Body = make([]byte, outboundtest.UploadBytes)
+		r.call(t, write).requireRefusal(t, "outcome_unknown", false)
+	}
+	read := newOrder()
+	read.Idempotent = true
+	r.call(t, read).requireRefusal(t, "backend_failed", false)
+	r.waitIdle(t)
+}
--- a/base/outbound/end_test.go
+++ b/base/outbound/end_test.go
@@ -79,3 +79,14 @@
 		}
 	}
 }
+
+// Failure: a server ends the connection in order within its answer's head, or within a body with a length or chunks. Guards against
+// an answer with the fields, or the part of the body, that have arrived.
+func TestAnswersThatEndEarlyAreErrors(t *testing.T) {
+	for name, part := range outboundtest.EarlyEnds(answer) {
+		server := outboundtest.NewEarlyServer(t, part)
+		client := newClient()
+		got, err := post(t, client, server, 1)
+		require.Error(t, err, "%s: %q was taken for the whole", name, got)
+	}
+}
--- a/base/outbound/outboundtest/ends.go
+++ b/base/outbound/outboundtest/ends.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -20,6 +21,22 @@
 // WithoutLength returns the answer's bytes in the form that ends with its connection.
 func (a Answer) WithoutLength() string { return a.raw(a.start(), "") + a.Body }
 
+// EarlyEnds returns each part of the answer that can't be taken for the whole, by name: of its head, and of its body where the head
+// tells how long that is.
+func EarlyEnds(a Answer) map[string]string {
+	parts := map[string]string{}
+	head := a.raw(a.start(), "")
+	for n := range len(head) {
+		parts[fmt.Sprintf("head, %d bytes", n)] = head[:n]
+	}
+	for name, whole := range map[string]string{"length": a.Sound(), "chunks": a.raw(a.start(), "Transfer-Encoding: chunked\r\n") + a.chunked()} {
+		for n := range len(whole) {
+			parts[fmt.Sprintf("%s, %d bytes", name, n)] = whole[:n]
+		}
+	}
+	return parts
+}
+
 // NewResettingServer starts a server that reads the head of a request, answers with raw and resets the connection,
 // whether or not the rest of the request has arrived.
 func NewResettingServer(t testing.TB, raw string) *Server { return newEarlyServer(t, raw, false) }
--- a/base/trace/malformed_test.go
+++ b/base/trace/malformed_test.go
@@ -1,6 +1,7 @@
 package trace
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -21,3 +22,15 @@
 		server.RequireClosed(t)
 	}
 }
+
+// Failure: the collector answers a long upload at once and resets the connection. Guards against spans that count as exported,
+// whether the write or the read learns of the reset.
+func TestResetAnswerOfACollectorIsAnError(t *testing.T) {
+	server := outboundtest.NewResettingServer(t, outboundtest.OK("").WithoutLength())
+	exporter, _, err := newExporter(t.Context(), Config{Exporter: ExporterOTLP, Endpoint: server.Addr})
+	require.NoError(t, err)
+	spans := tracetest.SpanStubs{{Name: strings.Repeat("x", outboundtest.UploadBytes)}}.Snapshots()
+	for round := range outboundtest.ResetRounds {
+		require.Error(t, exporter.ExportSpans(t.Context(), spans), "round %d", round)
+	}
+}
--- a/ctl/malformed_test.go
+++ b/ctl/malformed_test.go
@@ -19,3 +19,11 @@
 		server.RequireClosed(t)
 	}
 }
+
+// Failure: a process resets the connection after an answer without a length. Guards against an operator who is shown a part of it.
+func TestResetAnswerOfAProcessIsAnError(t *testing.T) {
+	server := outboundtest.NewResettingServer(t, outboundtest.OK(`{"revision":7}`).WithoutLength())
+	var report processReport
+	require.Error(t, getJSON(t.Context(), server.Addr, "/v1/status", "", &report))
+	require.Zero(t, report.Revision)
+}
--- a/gateway/backend/end_test.go
+++ b/gateway/backend/end_test.go
@@ -75,3 +75,14 @@
 		}
 	}
 }
+
+// Failure: a server ends the connection in order within its answer's head, or within a body with a length or chunks. Guards against
+// an answer with the fields, or the part of the body, that have arrived.
+func TestAnswersThatEndEarlyAreBroken(t *testing.T) {
+	pool := newPool(t)
+	for name, part := range outboundtest.EarlyEnds(outboundtest.OK("answer")) {
+		server := outboundtest.NewEarlyServer(t, part)
+		got, err := upload(t, pool, server, 1)
+		require.ErrorIs(t, err, ErrBroken, "%s: %q was taken for the whole", name, got)
+	}
+}
--- a/gateway/server/malformed_test.go
+++ b/gateway/server/malformed_test.go
@@ -21,3 +21,10 @@
 		server.RequireClosed(t)
 	}
 }
+
+// Failure: a gateway resets the connection after an answer without a length. Guards against an agent that follows a part of it.
+func TestResetModelRegionsAreRefused(t *testing.T) {
+	server := outboundtest.NewResettingServer(t, outboundtest.OK(`{"m": "a.b"`).WithoutLength())
+	_, err := newModelRegions(nil, nil, zap.NewNop()).ask(t.Context(), server.Addr)
+	require.Error(t, err)
+}
--- a/trainer/malformed_test.go
+++ b/trainer/malformed_test.go
@@ -1,6 +1,8 @@
 package trainer_test
 
 import (
+	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -23,3 +25,23 @@
 		faulty.RequireClosed(t)
 	}
 }
+
+// Failure: an entry answers the long post of a step at once and resets the connection. Guards against a step that counts as
+// posted, whether the write or the read learns of the reset.
+func TestResetAnswerOfAnEntryIsNoAnswer(t *testing.T) {
+	faulty := outboundtest.NewResettingServer(t, outboundtest.OK(`{"epoch":{"attempt":1,"claim":1},"step":1,"groups":[]}`).WithoutLength())
+	prompt := strings.Repeat("x", outboundtest.UploadBytes)
+	c, err := trainer.New(trainer.Config{Entries: []string{faulty.URL()}, Token: "x", MinBackoff: time.Millisecond, MaxBackoff: time.Millisecond})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() {
+		for faulty.Requests() < outboundtest.ResetRounds && ctx.Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	for group, err := range c.RunStep(ctx, trainer.Step{ID: 1, Groups: []trainer.GroupSpec{{ID: "g", Prompt: prompt, Samples: 1}}}) {
+		require.ErrorIs(t, err, context.Canceled, "group %v", group)
+	}
+}
