--- a/base/inbound/http10.go
+++ b/base/inbound/http10.go
@@ -15,7 +15,7 @@
 // http10Answer is the answer to an HTTP/1.0 client, which takes the end of its connection for that of an answer without a
 // length. Until the answer is whole, the connection ends with a reset, also if the process is killed.
 type http10Answer struct {
-	begun   atomic.Bool // and the connection has not been used for another request
+	begun   atomic.Bool // and endAnswer has not been called
 	handled atomic.Bool // its handler has returned
 	unsent  atomic.Bool // a write to the connection has failed or not ended
 }
--- a/base/outbound/conn.go
+++ b/base/outbound/conn.go
@@ -29,7 +29,8 @@
 	Answers *Reader
 }
 
-// NewConn returns a connection on which no request has been sent. If c is no socket, each of its ends counts as one in order.
+// NewConn returns a connection on which no request has been sent. c is a TCP connection; of one that is no socket, each end counts
+// as one in order.
 func NewConn(c net.Conn) *Conn {
 	ends := &endChecker{Conn: c}
 	return &Conn{endChecker: ends, Answers: newReader(ends)}
@@ -45,7 +46,7 @@
 // write gets that report, a read gets an end of file, as after an orderly end.
 type endChecker struct {
 	net.Conn
-	readErr error // of the first read after which there are no others; nil: none
+	readErr error // of the read after which no more is read
 
 	writing  sync.Mutex // held during a write
 	writeErr error      // of the first write that failed
@@ -95,12 +96,12 @@
 	if cause == nil {
 		cause = pendingError(socket)
 	}
-	// The kernel reports EPIPE first only for a reset after the peer's end, when all of the answer has arrived.
+	// The first error is EPIPE only if the reset came after the peer's end, before which all of the answer has arrived.
 	if errors.Is(cause, syscall.EPIPE) {
 		return io.EOF
 	}
 	resetsHidden.Add(1)
-	return errors.Annotatef(ErrReset, "error of a write: %v", cause)
+	return errors.Annotatef(ErrReset, "%v", cause)
 }
 
 // tcpState returns the state of a connection.
