gateway/permits: a broker that has left grants nothing more

Callers saw nothing broken.

Cause: Leave promises to end all streams at once, but only closes a channel. The goroutine that receives a stream's asks doesn't look at it, and decides on asks until the stream's main goroutine was scheduled and has ended the stream. The gateway that got such a permit tells its next broker, so no place is given twice for longer than that takes; but a process that stops grants places that it can't observe any more.

The new test of gateway/permits gives the broker an ask right after Leave by hand: before, one permit in use; now none.

Why it works: after each receive the stream looks whether Leave was called, and ends with the same error as its main goroutine. An ask that is sent after Leave returned is received after it, so it is never decided on; the client goes to the next broker, or decides by itself, as when the stream breaks.

--- a/gateway/permits/permits_test.go
+++ b/gateway/permits/permits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -308,6 +309,37 @@
 	})
 }
 
+// leavingStream is the broker's end of a stream whose gateway asks right after Leave.
+type leavingStream struct {
+	brokerStream
+	server *Server
+	ask    *pb.PermitRequest
+}
+
+func (s *leavingStream) Recv() (*pb.PermitRequest, error) {
+	ask := s.ask
+	if ask == nil {
+		return nil, io.EOF
+	}
+	s.ask = nil
+	s.server.Leave()
+	return ask, nil
+}
+
+// Guards against permits of a broker that has left: its streams end a moment after Leave returns.
+func TestBrokerThatLeftGrantsNothing(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		f := newFleet(t, 1, 1, 1)
+		server := f.nodes[f.members[0].Addr].server
+		b := server.join(shardKey{service: "echo", shards: 1})
+		sub := b.open(time.Now(), &pb.PermitRequest{Gateway: "vm-a/1", Service: "echo"})
+		ask := encodeAsk(decide.Ask{ID: decide.AskID{Number: 1}, Deadline: time.Minute})
+		err := server.receive(b, sub, &leavingStream{server: server, ask: &pb.PermitRequest{Asks: []*pb.PermitAsk{ask}}})
+		settle(t, f.ranked(0), 0, 0)
+		require.Equal(t, errLeaving, err)
+	})
+}
+
 // rawStream is a gateway's stream without a client.
 type rawStream struct {
 	Stream
--- a/gateway/permits/server.go
+++ b/gateway/permits/server.go
@@ -107,8 +107,8 @@
 	return len(brokers) > 0
 }
 
-// Leave ends all streams and refuses new ones, so that gateways use other brokers at once. It is
-// called when the process starts to stop.
+// Leave ends all streams and refuses new ones, so that gateways use other brokers at once. Asks
+// that are sent after it returned get no decision. It is called when the process starts to stop.
 func (s *Server) Leave() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -165,13 +165,26 @@
 
 var errLeaving = status.Error(codes.Unavailable, "this gateway is stopping")
 
-// receive passes on what a gateway sends until its stream ends.
+// hasLeft reports whether Leave was called.
+func (s *Server) hasLeft() bool {
+	select {
+	case <-s.leaving:
+		return true
+	default:
+		return false
+	}
+}
+
+// receive passes on what a gateway sends until its stream ends or this process leaves.
 func (s *Server) receive(b *broker, sub *subscriber, stream brokerStream) error {
 	for {
 		req, err := stream.Recv()
 		if err != nil {
 			return err
 		}
+		if s.hasLeft() {
+			return errLeaving
+		}
 		b.receive(s.cfg.Now(), sub, req)
 	}
 }
