gateway/front: a job is not opened before its record was read

Callers saw: at a gateway whose configuration has no organisations and may be old, a caller without a key could read the results and items of an organisation's batch job, or end it, if it asked right after the job was accepted elsewhere.

Cause: authorizeJob asked whether the job has an organisation before this process had read the job's record. A job that isn't known yet counted as one of nobody; the handler behind it then waited for the record and answered.

Why it works: unless the configuration is fresh, authorizeJob first waits for the record, as CheckAccess does with organisations, and only then asks whose the job is. The handlers waited for the same record, under the same bound, so no call waits longer. With a fresh configuration nothing changes.

--- a/gateway/front/caller.go
+++ b/gateway/front/caller.go
@@ -62,10 +62,21 @@
 		return refused
 	}
 	if snap.Table.Organisations == nil {
-		if f.Jobs.HasOrganisation(job) && !f.View.IsFresh() {
-			return kinds.Hold().Refuse(kinds.NotReady, "batch job %q has an organisation, and version %d has none and may not be the newest", job, snap.Table.Version)
-		}
-		return nil
+		return f.authorizeWithoutOrganisations(ctx, snap, job)
 	}
 	return f.Jobs.CheckAccess(ctx, job, organisation.Name)
 }
+
+// authorizeWithoutOrganisations returns an error if the job has an organisation and the
+// configuration, which has none, may not be the newest. Whose the job is can't be told before this
+// process has read its record.
+func (f *Front) authorizeWithoutOrganisations(ctx context.Context, snap *view.Snapshot, job string) *kinds.Error {
+	if f.View.IsFresh() {
+		return nil
+	}
+	refused := f.Jobs.CheckAccess(ctx, job, "")
+	if f.Jobs.HasOrganisation(job) {
+		return kinds.Hold().Refuse(kinds.NotReady, "batch job %q has an organisation, and version %d has none and may not be the newest", job, snap.Table.Version)
+	}
+	return refused
+}
--- a/gateway/front/caller_test.go
+++ b/gateway/front/caller_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -139,23 +140,29 @@
 	require.Equal(t, 200, resp.StatusCode)
 }
 
-// Guards against a batch job of an organisation that everyone may read and end at a process whose configuration is older than
-// the organisations.
-func TestOldConfigurationWithoutOrganisationsOpensNoJob(t *testing.T) {
-	pf := gatewaytest.NewPlatform(t, 1, 1)
-	f, url := newFront(t, pf)
-	pf.Store.Fail(hostedtest.StoreFaults{UnavailableTopics: []string{hostedtest.TopicOperator}})
-	require.Eventually(t, func() bool { return !f.View.IsFresh() }, gatewaytest.MaxWait, time.Millisecond)
-	body, err := json.Marshal(hostedtest.Job("j", "m", 2, 1))
+// submitElsewhere accepts a batch job of an organisation as another process does.
+func submitElsewhere(t *testing.T, f *front.Front, job, organisation string) {
+	t.Helper()
+	body, err := json.Marshal(hostedtest.Job(job, "m", 2, 1))
 	require.NoError(t, err)
 	r, err := http.NewRequest("POST", "/jobs/x", nil)
 	require.NoError(t, err)
 	r.Host = "app.example"
-	r.Header.Set(hostedtest.HeaderAttempt, "j")
+	r.Header.Set(hostedtest.HeaderAttempt, job)
 	spec, items, err := hosted.DecodeJob(r, body)
 	require.NoError(t, err)
-	spec.Organisation = "a" // by another process, whose configuration is newer
+	spec.Organisation = organisation
 	require.Nil(t, f.Jobs.Submit(t.Context(), spec, items))
+}
+
+// Guards against a batch job of an organisation that everyone may read and end at a process whose configuration is older than
+// the organisations.
+func TestOldConfigurationWithoutOrganisationsOpensNoJob(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 1, 1)
+	f, url := newFront(t, pf)
+	pf.Store.Fail(hostedtest.StoreFaults{UnavailableTopics: []string{hostedtest.TopicOperator}})
+	require.Eventually(t, func() bool { return !f.View.IsFresh() }, gatewaytest.MaxWait, time.Millisecond)
+	submitElsewhere(t, f, "j", "a")
 	calls := []struct{ method, path string }{{"GET", hostedtest.PathJob + "j"}, {"GET", hostedtest.PathItem + "j?id=j-i0"}, {"DELETE", hostedtest.PathJob + "j"}}
 	for _, call := range calls {
 		resp, _ := send(t, call.method, url+call.path, attemptHeader("c"), nil)
@@ -167,3 +174,19 @@
 	resp, _ := send(t, "GET", url+hostedtest.PathJob+"j", attemptHeader("c"), nil)
 	require.Equal(t, 200, resp.StatusCode, "the operator has removed all organisations")
 }
+
+// Guards against the same for a job whose record this process has not read yet.
+func TestOldConfigurationWithoutOrganisationsOpensNoJobBeforeItsRecord(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 1, 1)
+	f, url := newFront(t, pf)
+	pf.Store.Fail(hostedtest.StoreFaults{UnavailableTopics: []string{hostedtest.TopicOperator}, ReadTime: 20 * time.Millisecond})
+	require.Eventually(t, func() bool { return !f.View.IsFresh() }, gatewaytest.MaxWait, time.Millisecond)
+	for i := range 30 {
+		job := fmt.Sprintf("j%d", i)
+		submitElsewhere(t, f, job, "a")
+		call := []struct{ method, path string }{{"GET", hostedtest.PathJob + job}, {"GET", hostedtest.PathItem + job + "?id=" + job + "-i0"}, {"DELETE", hostedtest.PathJob + job}}[i%3]
+		resp, _ := send(t, call.method, url+call.path, attemptHeader("c"), nil)
+		require.Equal(t, 503, resp.StatusCode, call.path)
+		require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	}
+}
