gateway/front: a public job needs no key, also before its record was read

Callers saw: a batch job that was submitted without a key over a public route was answered 401 at another gateway for a moment after its 202. Callers don't repeat a call after 401.

Cause: whether a job needs no key was asked before this process had read the job's record, and "not known" counted as "needs one".

Jobs of organisations and unknown jobs still get 401 there.

Why it works: a call with an unknown key waits for the job's record, like one with a key, if the configuration has a public batch route. Elsewhere it is refused at once as before: the wait reads the log's end, which callers without a key must not be able to ask for at will.

--- a/decide/table/table.go
+++ b/decide/table/table.go
@@ -147,6 +147,8 @@
 	byHost map[string][]*Route // longest prefix first
 	// hasRegions: some route has allowed regions.
 	hasRegions bool
+	// hasPublicBatch: some batch route is public.
+	hasPublicBatch bool
 }
 
 // New builds a table. It returns an error if a route has an invalid prefix, no target, or a
@@ -168,6 +170,7 @@
 		}
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 		t.hasRegions = t.hasRegions || r.Regions.IsRestricted()
+		t.hasPublicBatch = t.hasPublicBatch || r.Kind == Batch && r.Public
 	}
 	for _, hostRoutes := range t.byHost {
 		slices.SortStableFunc(hostRoutes, func(a, b *Route) int {
@@ -214,6 +217,9 @@
 	return nil
 }
 
+// HasPublicBatchRoute reports whether callers without a key may submit batch jobs.
+func (t *Table) HasPublicBatchRoute() bool { return t.hasPublicBatch }
+
 // HasRegions reports whether any route or organisation has allowed regions.
 func (t *Table) HasRegions() bool { return t.hasRegions || t.Organisations.HasRegions() }
 
--- a/gateway/front/caller.go
+++ b/gateway/front/caller.go
@@ -54,17 +54,22 @@
 	}
 }
 
-// authorizeJob returns an error unless the request belongs to the job's organisation.
-// To other organisations the job appears not to exist.
+// authorizeJob returns an error unless the request belongs to the job's organisation, or the job
+// to none. To other organisations the job appears not to exist. A request with an unknown key waits
+// for the job's record only if there may be jobs that need no key, since it costs a read of the log.
 func (f *Front) authorizeJob(ctx context.Context, snap *view.Snapshot, r *http.Request, job string) *kinds.Error {
 	organisation, refused := f.identify(snap, r, false)
-	if refused != nil && !f.Jobs.IsPublic(job) {
+	switch {
+	case snap.Table.Organisations == nil:
+		return f.authorizeWithoutOrganisations(ctx, snap, job)
+	case refused != nil && !f.Jobs.IsPublic(job) && !snap.Table.HasPublicBatchRoute():
 		return refused
 	}
-	if snap.Table.Organisations == nil {
-		return f.authorizeWithoutOrganisations(ctx, snap, job)
+	failed := f.Jobs.CheckAccess(ctx, job, organisation.Name)
+	if refused != nil && failed != nil && failed.Kind() == string(kinds.NotFound) {
+		return refused
 	}
-	return f.Jobs.CheckAccess(ctx, job, organisation.Name)
+	return failed
 }
 
 // authorizeWithoutOrganisations returns an error if the job has an organisation and the
--- a/gateway/front/caller_test.go
+++ b/gateway/front/caller_test.go
@@ -190,3 +190,29 @@
 		require.NotEmpty(t, resp.Header.Get("Retry-After"))
 	}
 }
+
+// Guards against an unknown key as the answer where a job needs none, at a process that has not read
+// the job's record yet: callers don't repeat such a call.
+func TestPublicJobNeedsNoKeyBeforeItsRecord(t *testing.T) {
+	pf := gatewaytest.NewPlatform(t, 1, 1)
+	f, url := newFront(t, pf)
+	config := hostedtest.Organisations(hostedtest.Config(2), map[string][]string{"a": {"key-1"}})
+	for _, route := range config["routes"].([]map[string]any) {
+		route["public"] = true
+	}
+	pf.Store.Put(hostedtest.TopicOperator, "config", config)
+	require.Eventually(t, func() bool { return f.View.Current().Table.Version == 2 }, gatewaytest.MaxWait, time.Millisecond)
+	pf.Store.Fail(hostedtest.StoreFaults{ReadTime: 20 * time.Millisecond})
+	for i := range 30 {
+		public, owned := fmt.Sprintf("public-%d", i), fmt.Sprintf("owned-%d", i)
+		submitElsewhere(t, f, owned, "a")
+		submitElsewhere(t, f, public, "")
+		key := []string{"", "key-1", "key-2"}[i%3]
+		resp, _ := send(t, "GET", url+hostedtest.PathJob+public, headerWithKey("c", key), nil)
+		require.Equal(t, 200, resp.StatusCode, "%s with key %q", public, key)
+		resp, _ = send(t, "GET", url+hostedtest.PathJob+owned, headerWithKey("c", key), nil)
+		require.Equal(t, map[bool]int{true: 200, false: 401}[key == "key-1"], resp.StatusCode, "%s with key %q", owned, key)
+	}
+	resp, _ := send(t, "GET", url+hostedtest.PathJob+"none", headerWithKey("c", ""), nil)
+	require.Equal(t, 401, resp.StatusCode)
+}
