--- a/gateway/forward/end_test.go
+++ b/gateway/forward/end_test.go
@@ -23,13 +23,24 @@
 
 // readLate makes a process's writes on its first connections to the servers learn of resets before its reads do.
 func readLate(p *gatewaytest.Process, connections int64) {
-	left, dial := counter(connections), p.Pool.Dial
+	left := counter(connections)
+	wrapConns(p, func(c net.Conn) net.Conn {
+		if left.Add(-1) < 0 {
+			return c
+		}
+		return outboundtest.LateReader(c)
+	})
+}
+
+// wrapConns makes a process use the results of wrap as its connections to servers.
+func wrapConns(p *gatewaytest.Process, wrap func(net.Conn) net.Conn) {
+	dial := p.Pool.Dial
 	p.Pool.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
 		c, err := dial(ctx, addr)
-		if err != nil || left.Add(-1) < 0 {
-			return c, err
+		if err != nil {
+			return nil, err
 		}
-		return outboundtest.LateReader(c), nil
+		return wrap(c), nil
 	}
 }
 
